--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+LIBS := model settings platform policy peers ownership scheduler gateway cli
+GATEWAYS ?= 3
+SCHEDULERS ?= 3
+WORKERS ?= 24
+BASE_PORT ?= 21000
+
+.PHONY: setup test lint format demo cell bench-idle
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: constraints.txt dev-requirements.txt $(wildcard libs/*/pyproject.toml)
+	python3.11 -m venv $(VENV)
+	$(VENV)/bin/pip install -q -c constraints.txt setuptools wheel
+	$(VENV)/bin/pip install -q -c constraints.txt --no-build-isolation \
+	  -r dev-requirements.txt $(foreach lib,$(LIBS),-e libs/$(lib))
+	touch $@
+
+test: setup
+	$(PYTHON) -m pytest
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+demo: setup
+	$(PYTHON) -m demo.demo
+
+cell: setup
+	$(PYTHON) -m demo.cell --gateways $(GATEWAYS) --schedulers $(SCHEDULERS) \
+	  --workers $(WORKERS) --base-port $(BASE_PORT)
+
+bench-idle: setup
+	$(PYTHON) -m benchmarks.idle
--- /dev/null
+++ b/libs/model/src/cactustiller/model/resources.py
@@ -0,0 +1,56 @@
+"""Quantities of processors, memory and accelerators."""
+
+from pydantic import Field
+
+from .record import Record
+
+
+class Resources(Record):
+    """Amounts that a task needs or a worker has.
+
+    Parameters
+    ----------
+    cpu_millis : int
+        Thousandths of a processor core.
+    memory_mib : int
+        Memory in MiB.
+    accelerators : int
+        Whole accelerator devices.
+    """
+
+    cpu_millis: int = Field(default=0, ge=0)
+    memory_mib: int = Field(default=0, ge=0)
+    accelerators: int = Field(default=0, ge=0)
+
+    def __add__(self, other):
+        return Resources.model_construct(
+            cpu_millis=self.cpu_millis + other.cpu_millis,
+            memory_mib=self.memory_mib + other.memory_mib,
+            accelerators=self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other):
+        return Resources.model_construct(
+            cpu_millis=self.cpu_millis - other.cpu_millis,
+            memory_mib=self.memory_mib - other.memory_mib,
+            accelerators=self.accelerators - other.accelerators,
+        )
+
+    def times(self, count):
+        """Return the amounts of `count` such tasks."""
+        return Resources.model_construct(
+            cpu_millis=self.cpu_millis * count,
+            memory_mib=self.memory_mib * count,
+            accelerators=self.accelerators * count,
+        )
+
+    def fits_within(self, other):
+        """Return whether every amount is at most that of `other`."""
+        return (
+            self.cpu_millis <= other.cpu_millis
+            and self.memory_mib <= other.memory_mib
+            and self.accelerators <= other.accelerators
+        )
+
+
+NOTHING = Resources()
--- /dev/null
+++ b/libs/policy/src/cactustiller/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder filled in by the thin path."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,28 @@
+"""Test set-up: marks the tests that KNOWN-RED.txt lists as strict xfail."""
+
+from pathlib import Path
+
+import pytest
+
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+FIELDS = 4
+
+
+def read_known_red(path=KNOWN_RED):
+    """Return the listed faults as {node id: reason}."""
+    known = {}
+    for line in path.read_text().splitlines():
+        if not line or line.startswith("#"):
+            continue
+        fields = [field.strip() for field in line.split(" | ")]
+        if len(fields) != FIELDS:
+            raise ValueError(f"{path.name}: expected {FIELDS} fields in: {line}")
+        known[fields[0]] = " | ".join(fields[1:])
+    return known
+
+
+def pytest_collection_modifyitems(items):
+    known = read_known_red()
+    for item in items:
+        if item.nodeid in known:
+            item.add_marker(pytest.mark.xfail(reason=known[item.nodeid], strict=True))
