--- a/libs/model/src/cactustiller/model/jobs.py
+++ b/libs/model/src/cactustiller/model/jobs.py
@@ -12,7 +12,7 @@
     TeamId,
     WorkerId,
 )
-from .record import Record
+from .record import Labels, Record
 from .resources import Resources
 from .states import JobState, TaskState, Urgency, WorkloadKind
 
@@ -40,8 +40,8 @@
     resources: Resources
     run_seconds: float = Field(default=0.0, ge=0.0)
     payload: str = Field(default="", max_length=65_536)
-    required: dict[str, str] = Field(default_factory=dict)
-    preferred: dict[str, str] = Field(default_factory=dict)
+    required: Labels = Field(default_factory=dict)
+    preferred: Labels = Field(default_factory=dict)
 
 
 class JobSpec(Record):
--- /dev/null
+++ b/libs/model/src/cactustiller/model/messages.py
@@ -0,0 +1,361 @@
+"""Messages between daemons; each class has a struct in ``messages.capnp``."""
+
+from .errors import Failure
+from .ids import (
+    Attempt,
+    ExecutorId,
+    JobId,
+    KeyId,
+    MemberId,
+    PartitionId,
+    ServiceName,
+    TeamId,
+    WorkerId,
+)
+from .jobs import JobSpec, RunRecord
+from .record import Record
+from .resources import NOTHING, Resources
+from .states import JobState, RunState, TaskState
+
+PROTOCOL_VERSION = 1
+
+
+class Hello(Record):
+    """First frame of each side of a connection."""
+
+    protocol_version: int = PROTOCOL_VERSION
+    member: MemberId
+    role: str
+    zone: str
+    incarnation: str = ""
+
+
+class Done(Record):
+    """Acknowledges a request that has no other answer."""
+
+
+class SubmitJob(Record):
+    """Asks a home to accept a job; idempotent by `job`."""
+
+    home: PartitionId
+    job: JobId
+    spec: JobSpec
+    key: KeyId
+
+
+class GetJob(Record):
+    """Asks a home for a job's state."""
+
+    home: PartitionId
+    job: JobId
+    detail: bool = False
+
+
+class CancelJob(GetJob):
+    """Asks a home to cancel a job."""
+
+
+class ExplainJob(GetJob):
+    """Asks a home why a job waits or how it was placed."""
+
+
+class TaskView(Record):
+    """State of one task for its submitter."""
+
+    index: int
+    state: TaskState
+    attempt: Attempt
+    worker: WorkerId
+    reason: str = ""
+
+
+class JobView(Record):
+    """State of a job; counts are tasks, start times seconds since submission."""
+
+    job: JobId
+    spec: JobSpec
+    state: JobState
+    reason: str = ""
+    submitted_at: float = 0.0
+    ended_at: float = 0.0
+    waiting: int = 0
+    assigned: int = 0
+    running: int = 0
+    succeeded: int = 0
+    failed: int = 0
+    cancelled: int = 0
+    first_start_seconds: float = -1.0
+    last_start_seconds: float = -1.0
+    tasks: list[TaskView] = []
+
+
+class ListJobs(Record):
+    """Asks a home for a team's jobs."""
+
+    team: TeamId
+    home: PartitionId
+
+
+class JobList(Record):
+    """Jobs of one team."""
+
+    jobs: list[JobView]
+
+
+class Explanation(Record):
+    """Lines of text that explain decisions."""
+
+    lines: list[str]
+
+
+class RunKey(Record):
+    """Identifies one attempt of one task."""
+
+    job: JobId
+    index: int
+    attempt: Attempt
+
+
+class ReserveRuns(Record):
+    """Asks a shard to hold capacity for runs until committed or `hold_ms`."""
+
+    shard: PartitionId
+    hold_ms: int
+    runs: list[RunRecord]
+    all_or_none: bool = False
+
+
+class Reservation(Record):
+    """Answer to one run of `ReserveRuns`."""
+
+    granted: bool
+    reason: str = ""
+
+
+class Reservations(Record):
+    """Answers to `ReserveRuns` in order, valid under the shard's `epoch`."""
+
+    epoch: int
+    results: list[Reservation]
+
+
+class ReleaseRuns(Record):
+    """Gives reservations back to a shard."""
+
+    shard: PartitionId
+    runs: list[RunKey]
+
+
+class StartRuns(Record):
+    """Tells a shard that the assignments of these runs are committed."""
+
+    shard: PartitionId
+    runs: list[RunRecord]
+
+
+class Refusal(Record):
+    """One run that a shard will never start under its attempt."""
+
+    run: RunKey
+    reason: str
+
+
+class StartAnswer(Record):
+    """Runs of `StartRuns` that will not start."""
+
+    refused: list[Refusal]
+
+
+class StopRuns(Record):
+    """Asks a shard to stop runs, after a checkpoint where asked."""
+
+    shard: PartitionId
+    runs: list[RunKey]
+    checkpoint: bool = False
+    reason: str = ""
+
+
+class RunReport(Record):
+    """State of one attempt as its shard knows it."""
+
+    run: RunKey
+    state: RunState
+    worker: WorkerId
+    reason: str = ""
+    run_seconds: float = 0.0
+
+
+class ReportRuns(Record):
+    """Tells a home what became of runs on a shard; repeated until recorded."""
+
+    home: PartitionId
+    shard: PartitionId
+    reports: list[RunReport]
+
+
+class ConfirmRuns(ReportRuns):
+    """Tells a shard which ended runs its home has recorded."""
+
+
+class ReportAnswer(Record):
+    """Runs whose end is in the table service."""
+
+    recorded: list[RunKey]
+
+
+class WorkerView(Record):
+    """Free capacity of a worker as its shard sees it."""
+
+    worker: WorkerId
+    shard: PartitionId
+    free: Resources
+    usable: bool
+    reason: str = ""
+
+
+class PublishWorkers(Record):
+    """Changed workers of a member's shards; all of them where `full`."""
+
+    member: MemberId
+    full: bool
+    workers: list[WorkerView]
+
+
+class TeamUsage(Record):
+    """Resources that a team uses and waits for."""
+
+    team: TeamId
+    used: Resources = NOTHING
+    waiting: Resources = NOTHING
+
+
+class PublishUsage(Record):
+    """Usage of the teams of a member's homes; all of them where `full`."""
+
+    member: MemberId
+    full: bool
+    teams: list[TeamUsage]
+
+
+class Permit(Record):
+    """Right to use one slot of an executor for `life_ms` from the request."""
+
+    executor: ExecutorId
+    number: int
+    epoch: int
+    life_ms: int
+
+
+class AcquirePermits(Record):
+    """Asks the owner of a service's slots for permits."""
+
+    service: ServiceName
+    count: int
+    zone: str
+    gateway: MemberId
+
+
+class Permits(Record):
+    """Granted permits and the number of requests that wait for more."""
+
+    permits: list[Permit]
+    queued: int = 0
+    epoch: int = 0
+
+
+class ReturnPermits(Record):
+    """Gives permits back whose slots are free again."""
+
+    service: ServiceName
+    permits: list[Permit]
+    gateway: MemberId
+
+
+class ReportPermits(Record):
+    """Asks a gateway which permits it holds, after a takeover."""
+
+    service: ServiceName
+    epoch: int
+
+
+class HeldPermits(Permits):
+    """Permits that a gateway holds."""
+
+
+class AnnounceSettings(Record):
+    """Tells a peer that a settings version is committed."""
+
+    version: int
+    origin: str = ""
+
+
+class GetSettings(Record):
+    """Asks a peer for its settings if newer than `known_version`."""
+
+    known_version: int = 0
+
+
+class SettingsBody(Record):
+    """Settings version and its text; empty text where not newer."""
+
+    version: int
+    text: str = ""
+
+
+class AnnounceOwnership(Record):
+    """Tells a peer that an ownership version is committed."""
+
+    version: int
+    origin: str = ""
+
+
+class GetStats(Record):
+    """Asks a member for its counters and histograms."""
+
+
+class Stats(Record):
+    """Counters and histograms as JSON."""
+
+    text: str
+
+
+class Drain(Record):
+    """Asks a member to shut down gracefully."""
+
+
+MESSAGES = (
+    Hello,
+    Done,
+    Failure,
+    SubmitJob,
+    GetJob,
+    JobView,
+    ListJobs,
+    JobList,
+    CancelJob,
+    ExplainJob,
+    Explanation,
+    ReserveRuns,
+    Reservations,
+    StartRuns,
+    StartAnswer,
+    StopRuns,
+    ReportRuns,
+    ReportAnswer,
+    PublishWorkers,
+    AcquirePermits,
+    Permits,
+    ReturnPermits,
+    ReportPermits,
+    HeldPermits,
+    AnnounceSettings,
+    GetSettings,
+    SettingsBody,
+    AnnounceOwnership,
+    GetStats,
+    Stats,
+    Drain,
+    PublishUsage,
+    ReleaseRuns,
+    ConfirmRuns,
+)
--- a/libs/model/src/cactustiller/model/record.py
+++ b/libs/model/src/cactustiller/model/record.py
@@ -1,9 +1,31 @@
 """Base class of the immutable typed records that cross an interface."""
 
-from pydantic import BaseModel, ConfigDict
+from typing import Annotated
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, PlainSerializer
 from pydantic.alias_generators import to_camel
 
 
+def _read_labels(value):
+    if isinstance(value, list):
+        return {pair["name"]: pair["value"] for pair in value}
+    return value
+
+
+def _write_labels(value, info):
+    if info.context == CAPNP_CONTEXT:
+        return [{"name": name, "value": text} for name, text in value.items()]
+    return value
+
+
+CAPNP_CONTEXT = "capnp"
+
+# Cap'n Proto has no maps, so there the pairs travel as a list.
+Labels = Annotated[
+    dict[str, str], BeforeValidator(_read_labels), PlainSerializer(_write_labels)
+]
+
+
 class Record(BaseModel):
     """Immutable record; field names are camel case in Cap'n Proto only."""
 
--- a/libs/peers/src/cactustiller/peers/__init__.py
+++ b/libs/peers/src/cactustiller/peers/__init__.py
@@ -1,1 +1,7 @@
-"""Placeholder filled in by the thin path."""
+"""Requests and replies between daemons over asyncio streams."""
+
+from .client import PeerClient
+from .server import PeerServer
+from .traffic import Traffic
+
+__all__ = ["PeerClient", "PeerServer", "Traffic"]
--- /dev/null
+++ b/libs/peers/src/cactustiller/peers/client.py
@@ -0,0 +1,159 @@
+"""Client side: one multiplexed connection a peer, opened on demand."""
+
+import asyncio
+import itertools
+
+import structlog
+from result import Err, Ok
+
+from cactustiller.model import ErrorCode, Failure, Outcome
+from cactustiller.model.codec import Frame
+
+from .frames import FrameError, close_writer, read_frame, write_frame
+from .server import HELLO_SECONDS, check_hello
+
+CONNECT_SECONDS = 1.0
+
+log = structlog.get_logger(__name__)
+
+
+def _fail(code, step, address, reason, outcome):
+    return Err(
+        Failure(code=code, step=step, peer=address, reason=reason, outcome=outcome)
+    )
+
+
+class _Connection:
+    """Open connection with the requests that await a reply on it."""
+
+    def __init__(self, address, reader, writer, traffic):
+        self.address = address
+        self.is_open = True
+        self._reader = reader
+        self._writer = writer
+        self._traffic = traffic
+        self._ids = itertools.count(1)
+        self._waiting = {}
+        self._task = asyncio.create_task(self._read_replies())
+
+    async def call(self, message):
+        """Send a request and wait for its reply; None if the connection ends."""
+        request_id = next(self._ids)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[request_id] = future
+        try:
+            write_frame(self._writer, Frame(request_id, False, message), self._traffic)
+            await self._writer.drain()
+            return await future
+        except OSError:
+            return None
+        finally:
+            self._waiting.pop(request_id, None)
+
+    async def close(self):
+        """Close the connection and end every waiting request."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _read_replies(self):
+        try:
+            while True:
+                self._deliver(await read_frame(self._reader, self._traffic))
+        except FrameError as error:
+            log.warning("peer_connection_closed", peer=self.address, reason=str(error))
+        except (asyncio.IncompleteReadError, OSError):
+            log.debug("peer_connection_ended", peer=self.address)
+        finally:
+            self.is_open = False
+            for future in self._waiting.values():
+                if not future.done():
+                    future.set_result(None)
+            await close_writer(self._writer)
+
+    def _deliver(self, frame):
+        future = self._waiting.get(frame.id)
+        if future is None or future.done():
+            self._traffic.late_replies += 1
+            return
+        future.set_result(frame.message)
+
+
+class PeerClient:
+    """Sends requests to peers by address.
+
+    Parameters
+    ----------
+    identity : Hello
+        Sent first on each connection.
+    traffic : Traffic
+        Counters to update.
+    ssl_context : ssl.SSLContext, optional
+        Used for every connection where given.
+    """
+
+    def __init__(self, identity, traffic, ssl_context=None):
+        self._identity = identity
+        self._traffic = traffic
+        self._ssl_context = ssl_context
+        self._connections = {}
+        self._locks = {}
+
+    async def call(self, address, message, timeout_seconds=2.0):
+        """Send a request and return ``Ok(reply)`` or ``Err(Failure)``.
+
+        The failure's outcome is `NOT_RUN` only where no byte was sent.
+        """
+        step = f"call {type(message).__name__}"
+        try:
+            async with asyncio.timeout(min(CONNECT_SECONDS, timeout_seconds)):
+                connection = await self._connect(address)
+        except (
+            OSError,
+            TimeoutError,
+            FrameError,
+            asyncio.IncompleteReadError,
+        ) as error:
+            reason = f"cannot connect: {error or type(error).__name__}"
+            return _fail(ErrorCode.UNAVAILABLE, step, address, reason, Outcome.NOT_RUN)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                reply = await connection.call(message)
+        except TimeoutError:
+            reason = f"no reply within {timeout_seconds} s"
+            return _fail(ErrorCode.TIMEOUT, step, address, reason, Outcome.UNKNOWN)
+        if reply is None:
+            reason = "connection ended before the reply"
+            return _fail(ErrorCode.UNAVAILABLE, step, address, reason, Outcome.UNKNOWN)
+        if isinstance(reply, Failure):
+            return Err(reply)
+        return Ok(reply)
+
+    async def close(self):
+        """Close every connection."""
+        for connection in list(self._connections.values()):
+            await connection.close()
+        self._connections.clear()
+
+    async def _connect(self, address):
+        lock = self._locks.setdefault(address, asyncio.Lock())
+        async with lock:
+            connection = self._connections.get(address)
+            if connection is not None and connection.is_open:
+                return connection
+            connection = await self._open(address)
+            self._connections[address] = connection
+            return connection
+
+    async def _open(self, address):
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(
+            host, int(port), ssl=self._ssl_context
+        )
+        try:
+            write_frame(writer, Frame(0, False, self._identity), self._traffic)
+            async with asyncio.timeout(HELLO_SECONDS):
+                check_hello((await read_frame(reader, self._traffic)).message)
+        except BaseException:
+            writer.close()
+            raise
+        return _Connection(address, reader, writer, self._traffic)
--- /dev/null
+++ b/libs/peers/src/cactustiller/peers/frames.py
@@ -0,0 +1,50 @@
+"""Length-prefixed frames on asyncio streams."""
+
+import asyncio
+import struct
+
+from cactustiller.model.codec import CodecError, decode_frame, encode_frame
+
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+_LENGTH = struct.Struct("<I")
+
+
+class FrameError(ValueError):
+    """Raised for a frame that is too long or malformed."""
+
+
+async def read_frame(reader, traffic):
+    """Read one frame.
+
+    Raises
+    ------
+    FrameError
+        If the frame is over `MAX_FRAME_BYTES` or malformed.
+    asyncio.IncompleteReadError
+        If the connection ends.
+    """
+    (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+    if length > MAX_FRAME_BYTES:
+        raise FrameError(f"frame of {length} bytes exceeds {MAX_FRAME_BYTES}")
+    data = await reader.readexactly(length)
+    traffic.count_received(length + _LENGTH.size)
+    try:
+        return decode_frame(data)
+    except CodecError as error:
+        raise FrameError(str(error)) from error
+
+
+def write_frame(writer, frame, traffic):
+    """Queue one frame on the writer."""
+    data = encode_frame(frame)
+    traffic.count_sent(len(data) + _LENGTH.size)
+    writer.write(_LENGTH.pack(len(data)) + data)
+
+
+async def close_writer(writer):
+    """Close a stream, ignoring the peer's state."""
+    writer.close()
+    try:
+        await writer.wait_closed()
+    except (OSError, asyncio.CancelledError):
+        return
--- /dev/null
+++ b/libs/peers/src/cactustiller/peers/traffic.py
@@ -0,0 +1,24 @@
+"""Counters of messages and bytes between daemons."""
+
+from dataclasses import dataclass
+
+
+@dataclass
+class Traffic:
+    """Messages and bytes exchanged with peers since the start."""
+
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    received_messages: int = 0
+    received_bytes: int = 0
+    late_replies: int = 0
+
+    def count_sent(self, size_bytes):
+        """Count one sent frame."""
+        self.sent_messages += 1
+        self.sent_bytes += size_bytes
+
+    def count_received(self, size_bytes):
+        """Count one received frame."""
+        self.received_messages += 1
+        self.received_bytes += size_bytes
