Reach the platform through typed ports and fenced group commits

Cause: durable state needs conditional transactions, batched, whose lost answers are resolved. Change: ports and HTTP clients of the table, list, workers and object store; a committer that carries many writes in one transaction, conditional on and rewriting the member's fence row. Conclusion: one mechanism serves lease renewal, fencing and lost answers.

--- a/libs/platform/src/cactustiller/platform/__init__.py
+++ b/libs/platform/src/cactustiller/platform/__init__.py
@@ -1,1 +1,66 @@
-"""Placeholder filled in by the thin path."""
+"""Ports to the table service, object store, instance list and workers."""
+
+from .commits import Committer, Conflict
+from .records import (
+    Apply,
+    ApplyReply,
+    BackendInfo,
+    Check,
+    Get,
+    InstanceListing,
+    Put,
+    Read,
+    ReadReply,
+    Row,
+    Scan,
+    TaskRenewal,
+    TaskStart,
+    TaskStatus,
+    TaskStop,
+    TransactReply,
+    Watch,
+    WatchReply,
+    WorkerInfo,
+    Write,
+)
+from .services import (
+    HttpInstanceList,
+    HttpObjects,
+    HttpWorkers,
+    InstanceListPort,
+    WorkerPort,
+)
+from .table import HttpTable, TablePort, TableReader
+
+__all__ = [
+    "Apply",
+    "ApplyReply",
+    "BackendInfo",
+    "Check",
+    "Committer",
+    "Conflict",
+    "Get",
+    "HttpInstanceList",
+    "HttpObjects",
+    "HttpTable",
+    "HttpWorkers",
+    "InstanceListPort",
+    "InstanceListing",
+    "Put",
+    "Read",
+    "ReadReply",
+    "Row",
+    "Scan",
+    "TablePort",
+    "TableReader",
+    "TaskRenewal",
+    "TaskStart",
+    "TaskStatus",
+    "TaskStop",
+    "TransactReply",
+    "Watch",
+    "WatchReply",
+    "WorkerInfo",
+    "WorkerPort",
+    "Write",
+]
--- /dev/null
+++ b/libs/platform/src/cactustiller/platform/breaker.py
@@ -0,0 +1,45 @@
+"""Circuit breaker on the loop's clock."""
+
+import asyncio
+
+OPEN_AFTER_FAILURES = 4
+FIRST_PAUSE_SECONDS = 0.2
+LONGEST_PAUSE_SECONDS = 2.0
+
+
+class Breaker:
+    """Refuses calls for a growing, jittered pause after repeated failures.
+
+    Parameters
+    ----------
+    generator : random.Random
+        Source of the jitter.
+    """
+
+    def __init__(self, generator):
+        self._random = generator
+        self._failures = 0
+        self._closed_until = 0.0
+
+    def allows(self):
+        """Return whether a call may be made now."""
+        return self.retry_after_seconds() == 0.0
+
+    def retry_after_seconds(self):
+        """Return the seconds until the next call may be made."""
+        now = asyncio.get_running_loop().time()
+        return max(0.0, self._closed_until - now)
+
+    def record(self, succeeded):
+        """Record the result of a call."""
+        if succeeded:
+            self._failures = 0
+            self._closed_until = 0.0
+            return
+        self._failures += 1
+        excess = self._failures - OPEN_AFTER_FAILURES
+        if excess < 0:
+            return
+        pause = min(LONGEST_PAUSE_SECONDS, FIRST_PAUSE_SECONDS * 2 ** min(excess, 10))
+        now = asyncio.get_running_loop().time()
+        self._closed_until = now + self._random.uniform(pause / 2, pause)
--- /dev/null
+++ b/libs/platform/src/cactustiller/platform/commits.py
@@ -0,0 +1,343 @@
+"""Group commit of one writer, fenced by a row that each commit rewrites.
+
+At most one transaction is in flight. Each one is conditional on the version of the
+writer's fence row and rewrites it with a new token, so a repeated or delayed
+transaction takes effect at most once, a lost answer is resolved by the token, and
+whoever rewrites the fence row ends every later commit of the writer.
+"""
+
+import asyncio
+import random
+import secrets
+from collections import deque
+from dataclasses import dataclass, field
+
+import structlog
+from result import Err, Ok
+
+from cactustiller.model import ErrorCode, Failure, Outcome
+
+from .records import Check, Put, Write
+
+MAX_BATCH_RECORDS = 2000
+FIRST_BACKOFF_SECONDS = 0.05
+LONGEST_BACKOFF_SECONDS = 1.0
+REFUSE_AFTER_SECONDS = 1.0
+
+log = structlog.get_logger(__name__)
+
+
+@dataclass
+class _Operation:
+    write: Write
+    purpose: str
+    done: asyncio.Future
+    is_sent: bool = False
+
+    @property
+    def size(self):
+        return len(self.write.puts) + len(self.write.deletes)
+
+
+class _Batch:
+    """Operations that one transaction can carry without changing their meaning."""
+
+    def __init__(self):
+        self.operations = []
+        self._size = 0
+        self._written = set()
+        self._checked = {}
+
+    def accepts(self, operation):
+        if not self.operations:
+            return True
+        if self._size + operation.size > MAX_BATCH_RECORDS:
+            return False
+        written = _list_written_keys(operation.write)
+        if written & (self._written | self._checked.keys()):
+            return False
+        return all(
+            check.key not in self._written
+            and self._checked.get(check.key, check.version) == check.version
+            for check in operation.write.checks
+        )
+
+    def add(self, operation):
+        operation.is_sent = True
+        self.operations.append(operation)
+        self._size += operation.size
+        self._written |= _list_written_keys(operation.write)
+        for check in operation.write.checks:
+            self._checked[check.key] = check.version
+
+
+@dataclass
+class CommitCounters:
+    """Transactions, records and conflicts of a writer."""
+
+    transactions: int = 0
+    records: int = 0
+    conflicts: int = 0
+    lost_answers: int = 0
+    records_by_purpose: dict = field(default_factory=dict)
+
+
+class Conflict(Failure):
+    """Commit refused because rows had other versions than expected."""
+
+    rows: list = []
+
+
+class Committer:
+    """Serialises the durable writes of one member.
+
+    Parameters
+    ----------
+    port : TablePort
+    fence_key : str
+        Key of the member's row.
+    make_fence : callable
+        Returns the fence row's value (a dict) for a token.
+    delay_seconds : float
+        How long a transaction waits for others to join it.
+    """
+
+    def __init__(self, port, fence_key, make_fence, delay_seconds=0.005, seed=0):
+        self.counters = CommitCounters()
+        self.is_fenced = False
+        self.confirmed_at = float("-inf")
+        self._port = port
+        self._fence_key = fence_key
+        self._make_fence = make_fence
+        self._delay_seconds = delay_seconds
+        self._random = random.Random(seed)
+        self._version = 0
+        self._queue = deque()
+        self._wake = asyncio.Event()
+        self._stuck_since = None
+        self._task = None
+
+    @property
+    def fence_version(self):
+        """Version of the fence row after the last confirmed commit."""
+        return self._version
+
+    def start(self, fence_version):
+        """Begin to commit; `fence_version` is the row's current version."""
+        self._version = fence_version
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self):
+        """Stop; queued operations fail as not run, one in flight as unknown."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        for operation in self._queue:
+            _resolve(operation, _refuse("the writer has stopped"))
+
+    @property
+    def is_stuck(self):
+        """Whether the transaction in flight has failed for over a second."""
+        if self._stuck_since is None:
+            return False
+        now = asyncio.get_running_loop().time()
+        return now - self._stuck_since > REFUSE_AFTER_SECONDS
+
+    async def commit(self, write, purpose, timeout_seconds=5.0, wait_if_stuck=False):
+        """Commit a write and return ``Ok(version)`` or ``Err(Failure)``.
+
+        A `Conflict` names the rows whose checks failed. A failure's outcome is
+        `NOT_RUN` where the write was never sent and never will be. With
+        `wait_if_stuck` the write is queued although the table service does not
+        answer, and the timeout alone limits the wait.
+        """
+        if self.is_fenced:
+            return _fence_failure()
+        if self.is_stuck and not wait_if_stuck:
+            return _refuse("the table service does not answer")
+        operation = _Operation(write, purpose, asyncio.Future())
+        self._queue.append(operation)
+        self._wake.set()
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                return await asyncio.shield(operation.done)
+        except TimeoutError:
+            return self._abandon(operation, timeout_seconds)
+        except asyncio.CancelledError:
+            self._abandon(operation, timeout_seconds)
+            raise
+
+    def _abandon(self, operation, timeout_seconds):
+        if not operation.is_sent and operation in self._queue:
+            self._queue.remove(operation)
+            return _refuse("the table service does not answer in time")
+        if operation.done.done():
+            return operation.done.result()
+        return Err(
+            Failure(
+                code=ErrorCode.TIMEOUT,
+                step=f"commit {operation.purpose}",
+                peer="table service",
+                reason=f"no answer within {timeout_seconds} s",
+                outcome=Outcome.UNKNOWN,
+                retry_after_ms=1000,
+            )
+        )
+
+    async def _run(self):
+        while not self.is_fenced:
+            await self._wake.wait()
+            await asyncio.sleep(self._delay_seconds)
+            self._wake.clear()
+            batch = self._take_batch()
+            while batch and not self.is_fenced:
+                batch = await self._commit_batch(batch)
+            if self._queue:
+                self._wake.set()
+
+    def _take_batch(self):
+        batch = []
+        size = 0
+        keys = set()
+        while self._queue:
+            operation = self._queue[0]
+            written = _list_written_keys(operation.write)
+            if batch and (size + operation.size > MAX_BATCH_RECORDS or keys & written):
+                break
+            self._queue.popleft()
+            operation.is_sent = True
+            batch.append(operation)
+            size += operation.size
+            keys |= written | {check.key for check in operation.write.checks}
+        return batch
+
+    async def _commit_batch(self, batch):
+        """Commit a batch; return the operations to commit again."""
+        token = secrets.token_hex(8)
+        write = self._merge(batch, token)
+        sent_at, reply = await self._send_until_answered(write, token)
+        if reply is None:
+            self._fence(batch)
+            return []
+        if reply.committed:
+            self._version = reply.version
+            self.confirmed_at = sent_at
+            self._count(batch)
+            for operation in batch:
+                _resolve(operation, Ok(reply.version))
+            return []
+        return self._drop_conflicting(batch, reply.conflicts)
+
+    def _merge(self, batch, token):
+        checks = {check.key: check for item in batch for check in item.write.checks}
+        checks[self._fence_key] = Check(key=self._fence_key, version=self._version)
+        puts = [put for item in batch for put in item.write.puts]
+        puts.append(Put(key=self._fence_key, value=self._make_fence(token)))
+        deletes = [key for item in batch for key in item.write.deletes]
+        return Write(checks=list(checks.values()), puts=puts, deletes=deletes)
+
+    async def _send_until_answered(self, write, token):
+        """Repeat one transaction until its effect is known; None if fenced."""
+        loop = asyncio.get_running_loop()
+        backoff = FIRST_BACKOFF_SECONDS
+        while True:
+            sent_at = loop.time()
+            self.counters.transactions += 1
+            answer = await self._port.transact(write)
+            if answer.is_ok():
+                self._stuck_since = None
+                return sent_at, self._interpret(answer.unwrap(), token)
+            if self._stuck_since is None:
+                self._stuck_since = sent_at
+                log.warning("commit_retried", reason=str(answer.unwrap_err()))
+            await asyncio.sleep(self._random.uniform(backoff / 2, backoff))
+            backoff = min(2 * backoff, LONGEST_BACKOFF_SECONDS)
+
+    def _interpret(self, reply, token):
+        if reply.committed:
+            return reply
+        fence = [row for row in reply.conflicts if row.key == self._fence_key]
+        if not fence:
+            return reply
+        if fence[0].value is not None and fence[0].value.get("token") == token:
+            self.counters.lost_answers += 1
+            return reply.with_changes(committed=True, version=fence[0].version)
+        return None
+
+    def _drop_conflicting(self, batch, conflicts):
+        self.counters.conflicts += 1
+        failed = {row.key: row for row in conflicts}
+        remaining = []
+        for operation in batch:
+            rows = [
+                failed[check.key]
+                for check in operation.write.checks
+                if check.key in failed
+            ]
+            if rows:
+                _resolve(operation, Err(_make_conflict(operation.purpose, rows)))
+            else:
+                remaining.append(operation)
+        return remaining
+
+    def _fence(self, batch):
+        self.is_fenced = True
+        log.error("writer_fenced", fence=self._fence_key)
+        for operation in [*batch, *self._queue]:
+            _resolve(operation, _fence_failure())
+        self._queue.clear()
+
+    def _count(self, batch):
+        counters = self.counters
+        for operation in batch:
+            counters.records += operation.size
+            by_purpose = counters.records_by_purpose
+            previous = by_purpose.get(operation.purpose, 0)
+            by_purpose[operation.purpose] = previous + operation.size
+
+
+def _list_written_keys(write):
+    return {put.key for put in write.puts} | set(write.deletes)
+
+
+def _resolve(operation, result):
+    if not operation.done.done():
+        operation.done.set_result(result)
+
+
+def _make_conflict(purpose, rows):
+    names = ", ".join(f"{row.key} is at version {row.version}" for row in rows[:3])
+    return Conflict(
+        code=ErrorCode.CONFLICT,
+        step=f"commit {purpose}",
+        peer="table service",
+        reason=names,
+        rows=rows,
+    )
+
+
+def _refuse(reason):
+    return Err(
+        Failure(
+            code=ErrorCode.UNAVAILABLE,
+            step="commit",
+            peer="table service",
+            reason=reason,
+            outcome=Outcome.NOT_RUN,
+            retry_after_ms=2000,
+        )
+    )
+
+
+def _fence_failure():
+    return Err(
+        Failure(
+            code=ErrorCode.FENCED,
+            step="commit",
+            peer="table service",
+            reason="another member has taken over; this one starts again",
+            outcome=Outcome.NOT_RUN,
+            retry_after_ms=1000,
+        )
+    )
