Own partitions by one row, fenced by member rows

Cause: each team, rack and service needs a single writer at a time. Change: one ownership row with an epoch per partition; takeover is conditional on it and on the unchanged row of the lapsed member, which it rewrites. Conclusion: taking over everything of a lost member is one transaction, whatever it owned.

--- a/libs/ownership/src/cactustiller/ownership/__init__.py
+++ b/libs/ownership/src/cactustiller/ownership/__init__.py
@@ -1,1 +1,28 @@
-"""Placeholder filled in by the thin path."""
+"""Members, their leases, and the single owner of each partition."""
+
+from .claims import Claims
+from .member import Member
+from .partitions import (
+    home_of_team,
+    list_homes,
+    list_partitions,
+    pool_of_service,
+    shard_of_rack,
+)
+from .planning import plan_owners
+from .records import OWNERSHIP_KEY, Owner, Ownership, member_key
+
+__all__ = [
+    "OWNERSHIP_KEY",
+    "Claims",
+    "Member",
+    "Owner",
+    "Ownership",
+    "home_of_team",
+    "list_homes",
+    "list_partitions",
+    "member_key",
+    "plan_owners",
+    "pool_of_service",
+    "shard_of_rack",
+]
--- /dev/null
+++ b/libs/ownership/src/cactustiller/ownership/claims.py
@@ -0,0 +1,163 @@
+"""Takes over, claims and hands over partitions on behalf of one scheduler."""
+
+import asyncio
+
+import structlog
+
+from cactustiller.model import Role
+from cactustiller.model.messages import AnnounceOwnership
+from cactustiller.platform import Check, Put, Write
+
+from .planning import plan_owners
+from .records import OWNERSHIP_KEY, member_key
+
+MOVES_PER_ROUND = 6
+
+log = structlog.get_logger(__name__)
+
+
+class Claims:
+    """Keeps the ownership row in line with the live schedulers.
+
+    Parameters
+    ----------
+    member : Member
+    list_partitions : callable
+        Returns the partitions that should have an owner.
+    release : callable
+        Coroutine function of a partition that stops all work under it; called
+        before a voluntary hand-over.
+    interval_seconds : float
+    """
+
+    def __init__(self, member, list_partitions, release, interval_seconds):
+        self._member = member
+        self._list_partitions = list_partitions
+        self._release = release
+        self._interval_seconds = interval_seconds
+        self._announcing = None
+
+    async def run(self):
+        """Check and correct ownership until cancelled."""
+        while True:
+            await self.run_round()
+            await asyncio.sleep(self._interval_seconds)
+
+    async def run_round(self):
+        """Take over lapsed partitions, then hand over a few of the own."""
+        if self._member.is_fenced or self._member.ownership_version == 0:
+            await self._member.refresh()
+        lapsed = self._list_lapsed()
+        moves = self._plan_takeover(lapsed)
+        if moves:
+            await self._take_over(moves, lapsed)
+            return
+        await self._hand_over(MOVES_PER_ROUND)
+
+    async def hand_over_all(self):
+        """Hand over every owned partition; return whether none is left."""
+        await self._hand_over(len(self._member.ownership.owners))
+        return not self._member.ownership.list_owned(self._member.member)
+
+    def _list_live(self):
+        member = self._member
+        return {
+            record.member: record
+            for record in member.list_members(Role.SCHEDULER)
+            if not record.leaving
+            and (
+                record.member == member.member
+                or not member.evidence.has_lapsed(record.member)
+            )
+        }
+
+    def _list_lapsed(self):
+        member = self._member
+        return [
+            record
+            for record in member.list_members(Role.SCHEDULER)
+            if record.member != member.member
+            and member.evidence.has_lapsed(record.member)
+        ]
+
+    def _plan_takeover(self, lapsed):
+        """Return the moves of partitions without a living owner."""
+        member = self._member
+        live = self._list_live()
+        live.setdefault(member.member, member.record)
+        partitions = set(self._list_partitions()) | set(member.ownership.owners)
+        desired = plan_owners(partitions, live)
+        gone = {record.member for record in lapsed}
+        moves = {}
+        for partition, target in desired.items():
+            owner = member.ownership.owners.get(partition)
+            if owner is None or self._is_orphaned(owner, gone):
+                moves[partition] = live[target]
+        return moves
+
+    def _is_orphaned(self, owner, gone):
+        if owner.member in gone:
+            return True
+        record = self._member.members.get(owner.member)
+        if owner.member == self._member.member:
+            record = self._member.record
+        return (
+            record is None or record.fenced or record.incarnation != owner.incarnation
+        )
+
+    async def _take_over(self, moves, lapsed):
+        fences = [record.with_changes(fenced=True, token="fenced") for record in lapsed]
+        checks = [
+            Check(
+                key=member_key(record.member),
+                version=self._member.version_of(record.member),
+            )
+            for record in lapsed
+        ]
+        puts = [
+            Put(key=member_key(record.member), value=record.model_dump())
+            for record in fences
+        ]
+        if await self._commit_moves(moves, checks, puts, "takeover"):
+            for record in lapsed:
+                self._member.evidence.forget(record.member)
+
+    async def _hand_over(self, limit):
+        member = self._member
+        live = self._list_live()
+        if not live:
+            return
+        desired = plan_owners(member.ownership.owners, live)
+        moves = {}
+        for partition in member.ownership.list_owned(member.member):
+            target = desired[partition]
+            if target != member.member and len(moves) < limit:
+                moves[partition] = live[target]
+        if not moves:
+            return
+        await asyncio.gather(*(self._release(partition) for partition in moves))
+        await self._commit_moves(moves, [], [], "hand over")
+
+    async def _commit_moves(self, moves, checks, puts, purpose):
+        member = self._member
+        ownership = member.ownership.assign(moves)
+        write = Write(
+            checks=[member.ownership_check(), *checks],
+            puts=[Put(key=OWNERSHIP_KEY, value=ownership.model_dump()), *puts],
+        )
+        answer = await member.committer.commit(write, purpose)
+        if answer.is_err():
+            log.info("ownership_not_changed", reason=str(answer.unwrap_err()))
+        await member.refresh()
+        if answer.is_err():
+            return False
+        log.info(
+            "ownership_changed",
+            purpose=purpose,
+            partitions=sorted(moves),
+            owners=sorted({record.member for record in moves.values()}),
+            version=answer.unwrap(),
+        )
+        announcement = AnnounceOwnership(version=answer.unwrap())
+        self._announcing = asyncio.create_task(member.announce(announcement))
+        return True
--- /dev/null
+++ b/libs/ownership/src/cactustiller/ownership/evidence.py
@@ -0,0 +1,51 @@
+"""Evidence that a member has stopped renewing its row.
+
+A member has lapsed when its row kept one version over a lease's length of
+successful reads. The length is taken from the end of the first read to the start
+of the last, so that neither a slow read nor a pause of the reader shortens it; a
+failed read starts the evidence anew, so that an outage of the table service is
+not taken for the death of everybody.
+"""
+
+from dataclasses import dataclass
+
+CLOCK_RATE_MARGIN = 1.02
+
+
+@dataclass
+class _Sighting:
+    version: int
+    first_read_ended: float
+    last_read_started: float
+
+
+class LeaseEvidence:
+    """Sightings of members' rows, on the loop's clock in seconds."""
+
+    def __init__(self, lease_seconds):
+        self._needed_seconds = lease_seconds * CLOCK_RATE_MARGIN
+        self._sightings = {}
+
+    def record(self, member, version, read_started, read_ended):
+        """Record the version of a member's row."""
+        sighting = self._sightings.get(member)
+        if sighting is None or sighting.version != version:
+            self._sightings[member] = _Sighting(version, read_ended, read_started)
+            return
+        sighting.last_read_started = read_started
+
+    def reset(self):
+        """Forget all sightings, after a read failed."""
+        self._sightings.clear()
+
+    def forget(self, member):
+        """Forget the sightings of one member."""
+        self._sightings.pop(member, None)
+
+    def has_lapsed(self, member):
+        """Return whether the member's row stood still for a whole lease."""
+        sighting = self._sightings.get(member)
+        if sighting is None:
+            return False
+        stood_seconds = sighting.last_read_started - sighting.first_read_ended
+        return stood_seconds >= self._needed_seconds
--- /dev/null
+++ b/libs/ownership/src/cactustiller/ownership/member.py
@@ -0,0 +1,335 @@
+"""Membership of one daemon: its row, its lease and its view of the others."""
+
+import asyncio
+import secrets
+
+import structlog
+from reactivex.subject import Subject
+from result import Err, Ok
+
+from cactustiller.model import ErrorCode, Failure, MemberRecord, Role
+from cactustiller.model.messages import (
+    AnnounceOwnership,
+    Done,
+    Hello,
+)
+from cactustiller.peers import PeerClient, PeerServer, Traffic
+from cactustiller.platform import (
+    Check,
+    Committer,
+    Get,
+    Put,
+    Read,
+    Scan,
+    TableReader,
+    Write,
+)
+
+from .evidence import LeaseEvidence
+from .planning import list_watched
+from .records import MEMBER_PREFIX, OWNERSHIP_KEY, Ownership, member_key
+
+JOIN_RETRY_SECONDS = 0.5
+SCAN_EVERY_SECONDS = 2.0
+ANNOUNCE_SECONDS = 1.0
+
+log = structlog.get_logger(__name__)
+
+
+class Member:
+    """Membership of one daemon in the cell.
+
+    Parameters
+    ----------
+    record : MemberRecord
+        Identity, addresses and availability zone of the daemon.
+    table_port : TablePort
+    timing : TimingSettings
+        ``heartbeat_seconds``, ``lease_seconds`` and ``commit_delay_ms`` are used.
+    handle : callable
+        Coroutine function of a peer's message and `Hello` that returns the reply.
+    seed : int
+        Seed of the jitter.
+    peers : PeerClient, optional
+        Replaces the connections to peers in tests.
+    server_ssl, client_ssl : ssl.SSLContext, optional
+        Contexts of the peers' connections.
+
+    Attributes
+    ----------
+    ownership_changes : reactivex.Subject of Ownership
+    member_changes : reactivex.Subject of dict of MemberId to MemberRecord
+    """
+
+    def __init__(
+        self,
+        record,
+        table_port,
+        timing,
+        handle,
+        seed=0,
+        peers=None,
+        server_ssl=None,
+        client_ssl=None,
+    ):
+        self.record = record.with_changes(incarnation=secrets.token_hex(6))
+        self.traffic = Traffic()
+        self.table = TableReader(table_port, seed)
+        self.committer = Committer(
+            table_port,
+            member_key(record.member),
+            self._make_fence,
+            timing.commit_delay_ms / 1000,
+            seed,
+        )
+        self.ownership = Ownership()
+        self.ownership_version = 0
+        self.members = {}
+        self.ownership_changes = Subject()
+        self.member_changes = Subject()
+        self.evidence = LeaseEvidence(timing.lease_seconds)
+        hello = Hello(
+            member=record.member,
+            role=record.role,
+            zone=record.zone,
+            incarnation=self.record.incarnation,
+        )
+        self.peers = peers or PeerClient(hello, self.traffic, client_ssl)
+        self._server = PeerServer(hello, self._handle_message, self.traffic)
+        self._server_ssl = server_ssl
+        self._port = table_port
+        self._timing = timing
+        self._handle = handle
+        self._versions = {}
+        self._scanned_at = float("-inf")
+        self._tasks = []
+
+    @property
+    def member(self):
+        """Id of this member."""
+        return self.record.member
+
+    @property
+    def is_fenced(self):
+        """Whether another member has taken over from this incarnation."""
+        return self.committer.is_fenced
+
+    @property
+    def lease_until(self):
+        """Loop time until which no other member takes over."""
+        return self.committer.confirmed_at + self._timing.lease_seconds
+
+    def has_lease(self):
+        """Return whether the lease is confirmed to hold now."""
+        now = asyncio.get_running_loop().time()
+        return not self.is_fenced and now < self.lease_until
+
+    async def listen(self):
+        """Listen for peers at the record's peer address."""
+        host, _, port = self.record.peer_address.rpartition(":")
+        await self._server.start(host, int(port), self._server_ssl)
+
+    async def start(self):
+        """Join the cell; waits until the table service has taken the row."""
+        version = await self._join()
+        self.committer.start(version)
+        await self.refresh()
+        self._tasks = [
+            asyncio.create_task(self._renew_lease()),
+            asyncio.create_task(self._refresh_regularly()),
+        ]
+
+    async def stop(self):
+        """Stop without a word, as if the daemon had died."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.committer.stop()
+        await self._server.stop()
+        await self.peers.close()
+
+    async def leave(self):
+        """Remove the member's row and stop; the partitions must be handed over."""
+        await self.mark_leaving()
+        await self.stop()
+
+    async def mark_leaving(self):
+        """Record that the member is leaving, so that it is given nothing new."""
+        self.record = self.record.with_changes(leaving=True)
+        return await self.committer.commit(Write(), "leave")
+
+    def note_settings_version(self, version):
+        """Publish the settings version in force with the next heartbeat."""
+        self.record = self.record.with_changes(settings_version=version)
+
+    def find_owner(self, partition):
+        """Return the `MemberRecord` of a partition's owner, or None."""
+        owner = self.ownership.owners.get(partition)
+        return self.members.get(owner.member) if owner else None
+
+    def owns(self, partition):
+        """Return whether this incarnation owns a partition."""
+        owner = self.ownership.owners.get(partition)
+        return (
+            owner is not None
+            and owner.member == self.member
+            and owner.incarnation == self.record.incarnation
+        )
+
+    def epoch_of(self, partition):
+        """Return the epoch of a partition, 0 where it has no owner."""
+        owner = self.ownership.owners.get(partition)
+        return owner.epoch if owner else 0
+
+    def version_of(self, member):
+        """Return the last seen version of a member's row."""
+        return self._versions.get(member, 0)
+
+    def list_members(self, role=None):
+        """Return the known members that are not fenced, sorted by id."""
+        return [
+            record
+            for _, record in sorted(self.members.items())
+            if not record.fenced and (role is None or record.role == role)
+        ]
+
+    def ownership_check(self):
+        """Return the condition that ownership is as this member knows it."""
+        return Check(key=OWNERSHIP_KEY, version=self.ownership_version)
+
+    async def call_owner(self, partition, message, timeout_seconds=2.0):
+        """Send a request to a partition's owner; ``Err`` names the reason."""
+        record = self.find_owner(partition)
+        if record is None:
+            return Err(
+                Failure(
+                    code=ErrorCode.NOT_OWNER,
+                    step=f"find owner of {partition}",
+                    reason="no owner is known",
+                    retry_after_ms=500,
+                )
+            )
+        if record.member == self.member:
+            reply = await self._handle(message, None)
+            return Err(reply) if isinstance(reply, Failure) else Ok(reply)
+        return await self.peers.call(record.peer_address, message, timeout_seconds)
+
+    async def refresh(self, scan_members=True):
+        """Read ownership and members now; return whether the reads succeeded."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        watched = self._list_watched()
+        gets = [Get(key=OWNERSHIP_KEY, known_version=self.ownership_version)]
+        gets += [
+            Get(key=member_key(name), known_version=self._versions.get(name, 0))
+            for name in watched
+        ]
+        scans = [Scan(prefix=MEMBER_PREFIX)] if scan_members else []
+        answer = await self.table.read(Read(gets=gets, scans=scans))
+        if answer.is_err():
+            self.evidence.reset()
+            return False
+        reply = answer.unwrap()
+        rows = [row for row in reply.gets[1:] if row.version]
+        rows += [row for page in reply.scans for row in page.rows]
+        if scan_members:
+            self._scanned_at = loop.time()
+        self._take_members(rows, started, loop.time())
+        self._take_ownership(reply.gets[0])
+        return True
+
+    async def announce(self, message, records=None):
+        """Send a message to every other member, ignoring failures."""
+        calls = [
+            self.peers.call(record.peer_address, message, ANNOUNCE_SECONDS)
+            for record in (records or self.list_members())
+            if record.member != self.member
+        ]
+        await asyncio.gather(*calls)
+
+    async def _handle_message(self, message, hello):
+        if isinstance(message, AnnounceOwnership):
+            if message.version > self.ownership_version:
+                await self.refresh()
+            return Done()
+        return await self._handle(message, hello)
+
+    def _make_fence(self, token):
+        self.record = self.record.with_changes(token=token)
+        return self.record.model_dump()
+
+    async def _join(self):
+        """Write the member's row over whatever is there; return its version."""
+        key = member_key(self.member)
+        token = secrets.token_hex(8)
+        while True:
+            answer = await self.table.read_row(key)
+            if answer.is_ok():
+                row = answer.unwrap()
+                if row.value is not None and row.value.get("token") == token:
+                    return row.version
+                write = Write(
+                    checks=[Check(key=key, version=row.version)],
+                    puts=[Put(key=key, value=self._make_fence(token))],
+                )
+                sent_at = asyncio.get_running_loop().time()
+                reply = await self._port.transact(write)
+                if reply.is_ok() and reply.unwrap().committed:
+                    self.committer.confirmed_at = sent_at
+                    return reply.unwrap().version
+            log.warning("join_retried", peer="table service")
+            await asyncio.sleep(JOIN_RETRY_SECONDS)
+
+    async def _renew_lease(self):
+        interval = self._timing.heartbeat_seconds
+        while not self.is_fenced:
+            now = asyncio.get_running_loop().time()
+            due = self.committer.confirmed_at + interval
+            if now < due:
+                await asyncio.sleep(due - now)
+                continue
+            answer = await self.committer.commit(Write(), "heartbeat")
+            if answer.is_err():
+                await asyncio.sleep(interval)
+
+    async def _refresh_regularly(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(self._timing.heartbeat_seconds)
+            is_due = loop.time() - self._scanned_at >= SCAN_EVERY_SECONDS
+            await self.refresh(scan_members=is_due)
+
+    def _list_watched(self):
+        if self.record.role != Role.SCHEDULER:
+            return []
+        names = [record.member for record in self.list_members(Role.SCHEDULER)]
+        lapsed = [name for name in names if self.evidence.has_lapsed(name)]
+        return list_watched(self.member, names, lapsed)
+
+    def _take_members(self, rows, started, ended):
+        changed = False
+        for row in rows:
+            name = row.key.removeprefix(MEMBER_PREFIX)
+            self.evidence.record(name, row.version, started, ended)
+            if row.value is None or self._versions.get(name) == row.version:
+                continue
+            self._versions[name] = row.version
+            record = MemberRecord.model_validate(row.value)
+            previous = self.members.get(name)
+            self.members[name] = record
+            changed = changed or _differs(previous, record)
+        if changed:
+            self.member_changes.on_next(self.members)
+
+    def _take_ownership(self, row):
+        if row.unchanged or row.version <= self.ownership_version:
+            return
+        self.ownership_version = row.version
+        self.ownership = Ownership.model_validate(row.value)
+        self.ownership_changes.on_next(self.ownership)
+
+
+def _differs(previous, record):
+    if previous is None:
+        return True
+    return previous.with_changes(token="") != record.with_changes(token="")
