Leave the path out of an error that concerns a whole file

Cause: such an error printed as "file:: reason". Change: the path and its colon appear only where there is a path; the test of an absent file checks the whole start of the line. Conclusion: every problem reads file[:path]: reason.

--- a/libs/settings/src/cactustiller/settings/parsing.py
+++ b/libs/settings/src/cactustiller/settings/parsing.py
@@ -29,7 +29,8 @@
     reason: str
 
     def __str__(self):
-        return f"{self.file}:{self.path}: {self.reason}"
+        place = f"{self.file}:{self.path}" if self.path else self.file
+        return f"{place}: {self.reason}"
 
 
 def parse_json(text: str, file: str) -> Result[Any, list[SettingsError]]:
--- a/tests/settings/test_instance.py
+++ b/tests/settings/test_instance.py
@@ -40,7 +40,8 @@
 
 
 def test_absent_file_and_no_daemon_are_errors(tmp_path):
-    assert "cannot be read" in load_reasons(tmp_path / "absent.json")[""]
+    (absent,) = load_instance(tmp_path / "absent.json").unwrap_err()
+    assert str(absent).startswith(f"{tmp_path / 'absent.json'}: cannot be read")
     text = (DATA / "instance.json").read_text()
     lines = [line for line in text.splitlines() if '"host"' not in line]
     (tmp_path / "none.json").write_text("\n".join(lines))
