Schedule jobs: homes, shards, worker sessions and dispatch

Cause: the thin path needs submissions placed and run once. Change: homes commit jobs and assignments, shards hold exact capacity and start runs under leases, a dispatcher reserves, commits and then starts. Measured: not yet run end to end. Conclusion: ready to be joined to the gateway.

--- a/libs/model/src/cactustiller/model/messages.capnp
+++ b/libs/model/src/cactustiller/model/messages.capnp
@@ -39,7 +39,6 @@
     drain @32 :Void;
     publishUsage @33 :PublishUsage;
     releaseRuns @34 :ReleaseRuns;
-    confirmRuns @35 :ReportRuns;
   }
 }
 
@@ -159,7 +158,7 @@
 struct Reservation { granted @0 :Bool; reason @1 :Text; }
 struct Reservations { epoch @0 :UInt64; results @1 :List(Reservation); }
 struct ReleaseRuns { shard @0 :Text; runs @1 :List(RunKey); }
-struct StartRuns { shard @0 :Text; runs @1 :List(RunRecord); }
+struct StartRuns { shard @0 :Text; runs @1 :List(RunRecord); epoch @2 :UInt64; }
 struct Refusal { run @0 :RunKey; reason @1 :Text; }
 struct Refusals { refused @0 :List(Refusal); }
 struct StopRuns {
--- a/libs/model/src/cactustiller/model/messages.py
+++ b/libs/model/src/cactustiller/model/messages.py
@@ -147,10 +147,15 @@
 
 
 class StartRuns(Record):
-    """Tells a shard that the assignments of these runs are committed."""
+    """Tells a shard that the assignments of these runs are committed.
+
+    `epoch` is that of the shard's reservations; where it is another, the shard
+    verifies each assignment in the table service.
+    """
 
     shard: PartitionId
     runs: list[RunRecord]
+    epoch: int = 0
 
 
 class Refusal(Record):
@@ -193,10 +198,6 @@
     reports: list[RunReport]
 
 
-class ConfirmRuns(ReportRuns):
-    """Tells a shard which ended runs its home has recorded."""
-
-
 class ReportAnswer(Record):
     """Runs whose end is in the table service."""
 
@@ -357,5 +358,4 @@
     Drain,
     PublishUsage,
     ReleaseRuns,
-    ConfirmRuns,
 )
--- a/libs/scheduler/src/cactustiller/scheduler/__init__.py
+++ b/libs/scheduler/src/cactustiller/scheduler/__init__.py
@@ -1,1 +1,5 @@
-"""Placeholder filled in by the thin path."""
+"""Scheduler daemon: homes, shards, placement and recovery."""
+
+from .daemon import serve_scheduler
+
+__all__ = ["serve_scheduler"]
--- /dev/null
+++ b/libs/scheduler/src/cactustiller/scheduler/daemon.py
@@ -0,0 +1,49 @@
+"""Scheduler daemon: homes, shards and pools of one instance."""
+
+
+import aiohttp
+import structlog
+
+from cactustiller.model import MemberId, MemberRecord, Role
+from cactustiller.platform import HttpInstanceList, HttpTable, HttpWorkers
+
+from .incarnation import Incarnation, Ports
+
+log = structlog.get_logger(__name__)
+
+
+async def serve_scheduler(settings, stop):
+    """Run the scheduler of an instance until `stop` is set.
+
+    A scheduler from which another has taken over forgets everything and joins
+    again as a new incarnation.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+    stop : asyncio.Event
+    """
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        ports = Ports(
+            table=HttpTable(session, settings.platform.table),
+            instances=HttpInstanceList(session, settings.platform.instances),
+            workers=HttpWorkers(session),
+        )
+        while not stop.is_set():
+            incarnation = Incarnation(settings, _make_record(settings), ports)
+            await incarnation.run(stop)
+            log.info("scheduler_incarnation_ended", graceful=stop.is_set())
+
+
+def _make_record(settings):
+    scheduler = settings.scheduler
+    return MemberRecord(
+        member=MemberId(f"{settings.instance}-scheduler"),
+        role=Role.SCHEDULER,
+        instance=settings.instance,
+        zone=settings.zone,
+        region=settings.region,
+        peer_address=f"{scheduler.host}:{scheduler.peer_port}",
+        incarnation="",
+    )
--- /dev/null
+++ b/libs/scheduler/src/cactustiller/scheduler/exchange.py
@@ -0,0 +1,96 @@
+"""Exchange of reports and digests between a member's shards and its peers."""
+
+import asyncio
+
+import structlog
+
+from cactustiller.model import Role
+from cactustiller.model.messages import PublishWorkers, ReportRuns
+
+REPORT_DELAY_SECONDS = 0.03
+REPORT_RETRY_SECONDS = 0.5
+PUBLISH_SECONDS = 0.15
+FULL_PUBLISH_SECONDS = 30.0
+
+log = structlog.get_logger(__name__)
+
+
+class Exchange:
+    """Sends ends of runs to their homes and free capacity to all schedulers.
+
+    Parameters
+    ----------
+    member : Member
+    shards : dict of PartitionId to Shard
+    take_views : callable
+        Takes the views of the member's own shards.
+    """
+
+    def __init__(self, member, shards, take_views):
+        self._member = member
+        self._shards = shards
+        self._take_views = take_views
+        self._wake = asyncio.Event()
+        self._known = set()
+        self._full_at = float("-inf")
+        self._reporting = set()
+
+    def wake(self):
+        """Ask for reports and digests to be sent soon."""
+        self._wake.set()
+
+    async def report_regularly(self):
+        """Send reports to homes until cancelled."""
+        while True:
+            await self._wake.wait()
+            await asyncio.sleep(REPORT_DELAY_SECONDS)
+            self._wake.clear()
+            for shard in list(self._shards.values()):
+                for home, reports in shard.list_unreported().items():
+                    self._begin_report(shard, home, reports)
+
+    async def publish_regularly(self):
+        """Send digests of changed workers until cancelled."""
+        while True:
+            await asyncio.sleep(PUBLISH_SECONDS)
+            await self._publish()
+
+    def _begin_report(self, shard, home, reports):
+        if (shard.shard, home) in self._reporting:
+            return
+        self._reporting.add((shard.shard, home))
+        task = asyncio.create_task(self._report(shard, home, reports))
+        task.add_done_callback(lambda _: self._reporting.discard((shard.shard, home)))
+
+    async def _report(self, shard, home, reports):
+        message = ReportRuns(home=home, shard=shard.shard, reports=reports)
+        answer = await self._member.call_owner(home, message)
+        if answer.is_err():
+            log.info("report_retried", reason=str(answer.unwrap_err()))
+            await asyncio.sleep(REPORT_RETRY_SECONDS)
+        else:
+            shard.note_reported(reports, set(answer.unwrap().recorded))
+        self.wake()
+
+    async def _publish(self):
+        now = asyncio.get_running_loop().time()
+        schedulers = self._member.list_members(Role.SCHEDULER)
+        names = {record.member for record in schedulers}
+        is_full = now - self._full_at >= FULL_PUBLISH_SECONDS or names - self._known
+        views = []
+        for shard in self._shards.values():
+            changed = None if is_full else sorted(shard.changed_workers)
+            known = [n for n in changed if n in shard.sessions] if changed else changed
+            if changed is None or known:
+                views.extend(shard.list_views(known))
+            shard.changed_workers.clear()
+        if is_full:
+            self._full_at = now
+            self._known = names
+        if not views:
+            return
+        self._take_views(views)
+        message = PublishWorkers(
+            member=self._member.member, full=bool(is_full), workers=views
+        )
+        await self._member.announce(message, schedulers)
--- /dev/null
+++ b/libs/scheduler/src/cactustiller/scheduler/jobs.py
@@ -0,0 +1,200 @@
+"""Jobs of a home in memory, and how their tasks change state."""
+
+from bisect import insort
+from dataclasses import dataclass, field
+
+from cactustiller.model import (
+    Attempt,
+    JobRecord,
+    JobState,
+    RunState,
+    TaskRecord,
+    TaskState,
+    WorkloadKind,
+)
+from cactustiller.model.messages import JobView, TaskView
+
+FIRST_RESTART_SECONDS = 0.5
+LONGEST_RESTART_SECONDS = 60.0
+
+
+@dataclass
+class JobEntry:
+    """One job with its tasks.
+
+    Parameters
+    ----------
+    record : JobRecord
+    tasks : dict of int to TaskRecord
+        Tasks that were assigned at least once.
+    waiting : list of int
+        Sorted indices of the tasks that wait for a placement.
+    placing : set of int
+        Indices whose placement is under way.
+    restart_at : dict of int to float
+        Wall-clock seconds before which a failed service task stays down.
+    """
+
+    record: JobRecord
+    tasks: dict[int, TaskRecord] = field(default_factory=dict)
+    waiting: list[int] = field(default_factory=list)
+    placing: set[int] = field(default_factory=set)
+    restart_at: dict[int, float] = field(default_factory=dict)
+    first_start_seconds: float = -1.0
+    last_start_seconds: float = -1.0
+
+    @classmethod
+    def recover(cls, record, tasks):
+        """Return the entry of a job as its rows describe it."""
+        entry = cls(record, {task.index: task for task in tasks})
+        if not record.state.is_final:
+            states = {task.index: task.state for task in tasks}
+            entry.waiting = [
+                index
+                for index in range(record.spec.task_count)
+                if states.get(index, TaskState.WAITING) is TaskState.WAITING
+            ]
+        return entry
+
+    @property
+    def job(self):
+        """Id of the job."""
+        return self.record.job
+
+    @property
+    def is_over(self):
+        """Whether no task holds capacity or may yet run."""
+        return self.record.state.is_final and not self.list_holding()
+
+    def list_holding(self):
+        """Return the tasks that are assigned or running."""
+        return [task for task in self.tasks.values() if task.state.holds_capacity]
+
+    def list_ready(self, now):
+        """Return the indices that may be placed at wall-clock time `now`."""
+        if not self.restart_at:
+            return tuple(self.waiting)
+        return tuple(
+            index for index in self.waiting if self.restart_at.get(index, 0.0) <= now
+        )
+
+    def take(self, index):
+        """Take a waiting task out for placement."""
+        self.waiting.remove(index)
+        self.placing.add(index)
+
+    def put_back(self, index):
+        """Return a task whose placement failed to the waiting ones."""
+        self.placing.discard(index)
+        if self.record.state is not JobState.CANCELLED:
+            insort(self.waiting, index)
+
+    def next_attempt(self, index):
+        """Return the number of the task's next attempt."""
+        task = self.tasks.get(index)
+        return Attempt(task.attempt + 1 if task else 1)
+
+    def count(self, state):
+        """Return the number of tasks in a state."""
+        return sum(task.state is state for task in self.tasks.values())
+
+    def note_started(self, now):
+        """Record the time of a start for the job's waiting times."""
+        seconds = max(0.0, now - self.record.submitted_at)
+        if self.first_start_seconds < 0:
+            self.first_start_seconds = seconds
+        self.last_start_seconds = seconds
+
+    def make_view(self, detail):
+        """Return the job as its submitter sees it."""
+        record = self.record
+        is_final = record.state.is_final
+        succeeded = max(record.succeeded, self.count(TaskState.SUCCEEDED))
+        failed = max(record.failed, self.count(TaskState.FAILED))
+        assigned = self.count(TaskState.ASSIGNED)
+        running = self.count(TaskState.RUNNING)
+        rest = record.spec.task_count - succeeded - failed - assigned - running
+        return JobView(
+            job=record.job,
+            spec=record.spec,
+            state=self.find_state(),
+            reason=record.reason,
+            submitted_at=record.submitted_at,
+            ended_at=record.ended_at,
+            waiting=0 if is_final else rest,
+            assigned=assigned,
+            running=running,
+            succeeded=succeeded,
+            failed=failed,
+            cancelled=rest if is_final else 0,
+            first_start_seconds=self.first_start_seconds,
+            last_start_seconds=self.last_start_seconds,
+            tasks=[_view_task(task) for task in self.tasks.values()] if detail else [],
+        )
+
+    def find_state(self):
+        """Return the job's state for its submitter."""
+        if self.record.state.is_final:
+            return self.record.state
+        return JobState.RUNNING if self.list_holding() else JobState.WAITING
+
+
+def end_task(entry, task, report, now):
+    """Return the task's next record after the end of an attempt.
+
+    A lapsed or stopped attempt is repeated without counting as a failure; a service
+    is always started again; a failed attempt is repeated up to the job's limit.
+    """
+    spec = entry.record.spec
+    failures = task.failures + (report.state is RunState.FAILED)
+    if entry.record.state is JobState.CANCELLED:
+        state = TaskState.CANCELLED
+    elif spec.kind is WorkloadKind.SERVICE:
+        state = TaskState.WAITING
+    elif report.state is RunState.SUCCEEDED:
+        state = TaskState.SUCCEEDED
+    elif report.state is RunState.FAILED and failures >= spec.max_attempts:
+        state = TaskState.FAILED
+    else:
+        state = TaskState.WAITING
+    return task.with_changes(
+        state=state, failures=failures, changed_at=now, reason=report.reason
+    )
+
+
+def find_restart_pause(failures):
+    """Return the seconds that a task stays down after its latest failure."""
+    if failures == 0:
+        return 0.0
+    doubled = FIRST_RESTART_SECONDS * 2 ** min(failures - 1, 10)
+    return min(LONGEST_RESTART_SECONDS, doubled)
+
+
+def finish_job(record, tasks, now):
+    """Return the job's final record if all its tasks are over, else None."""
+    if record.spec.kind is WorkloadKind.SERVICE and not record.state.is_final:
+        return None
+    states = [task.state for task in tasks.values()]
+    succeeded = states.count(TaskState.SUCCEEDED)
+    failed = states.count(TaskState.FAILED)
+    if succeeded + failed < record.spec.task_count:
+        return None
+    state = JobState.FAILED if failed else JobState.SUCCEEDED
+    reasons = [task.reason for task in tasks.values() if task.state is TaskState.FAILED]
+    return record.with_changes(
+        state=state,
+        succeeded=succeeded,
+        failed=failed,
+        ended_at=now,
+        reason=reasons[0] if reasons else "",
+    )
+
+
+def _view_task(task):
+    return TaskView(
+        index=task.index,
+        state=task.state,
+        attempt=task.attempt,
+        worker=task.worker,
+        reason=task.reason,
+    )
--- /dev/null
+++ b/libs/scheduler/src/cactustiller/scheduler/partitions.py
@@ -0,0 +1,205 @@
+"""Homes, shards and pools that a member owns, in line with the ownership row."""
+
+import asyncio
+
+import structlog
+
+from cactustiller.model import ErrorCode, Failure, Role
+from cactustiller.ownership import shard_of_rack
+from cactustiller.ownership.partitions import HOME_PREFIX, POOL_PREFIX, SHARD_PREFIX
+from cactustiller.platform.records import InstanceListing
+
+from .home import Home
+from .pools import Pool
+from .shard import Shard
+
+RECOVER_RETRY_SECONDS = 0.5
+GATEWAY_CALL_SECONDS = 1.0
+
+log = structlog.get_logger(__name__)
+
+
+class Partitions:
+    """Starts and stops what a member owns.
+
+    Parameters
+    ----------
+    member : Member
+    worker_port : WorkerPort
+    timing : TimingSettings
+    clock : WallClock
+
+    Attributes
+    ----------
+    homes, shards, pools : dict of PartitionId to Home, Shard or Pool
+    wake_dispatcher, wake_exchange : callable
+        Called when there is work to place or something to report.
+    resume_home : callable
+        Called with a home that has been recovered.
+    """
+
+    def __init__(self, member, worker_port, timing, clock, nothing):
+        self.homes = {}
+        self.shards = {}
+        self.pools = {}
+        self.clock = clock
+        self.wake_dispatcher = nothing
+        self.wake_exchange = nothing
+        self.resume_home = lambda home: None
+        self._member = member
+        self._worker_port = worker_port
+        self._timing = timing
+        self._listing = InstanceListing()
+        self._changed = asyncio.Event()
+        self._home_owners = {}
+        self._starting = {}
+
+    def note_ownership(self, _ownership):
+        """Ask for the partitions to be brought in line with the ownership row."""
+        self._changed.set()
+
+    async def run(self):
+        """Start gained partitions and stop lost ones until cancelled."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            await self._stop_lost()
+            self._start_gained()
+            self._report_to_new_owners()
+
+    async def stop(self):
+        """Stop everything at once."""
+        for task in list(self._starting.values()):
+            task.cancel()
+        await asyncio.gather(*self._starting.values(), return_exceptions=True)
+        for family in (self.homes, self.shards):
+            await asyncio.gather(*(item.stop() for item in family.values()))
+            family.clear()
+        self.pools.clear()
+
+    async def release(self, partition):
+        """Stop new work under a partition that is about to be handed over."""
+        item = self.homes.get(partition) or self.shards.get(partition)
+        if item is not None:
+            await item.release()
+        self.pools.pop(partition, None)
+
+    async def set_listing(self, listing):
+        """Take the platform's list of workers and executors."""
+        self._listing = listing
+        for shard in list(self.shards.values()):
+            await shard.set_workers(self._list_workers(shard.shard))
+        for pool in self.pools.values():
+            pool.set_executors(listing.backends)
+
+    def find(self, family, partition):
+        """Return a recovered partition; ``None`` where it is not served here."""
+        item = family.get(partition)
+        if item is None or not getattr(item, "is_recovered", True):
+            return None
+        return item
+
+    def refuse(self, partition):
+        """Return the failure of a request for a partition not served here."""
+        owner = self._member.find_owner(partition)
+        where = owner.peer_address if owner else "unknown"
+        return Failure(
+            code=ErrorCode.NOT_OWNER,
+            step=f"find {partition}",
+            peer=self._member.member,
+            reason=f"{partition} is not served here; its owner is {where}",
+            retry_after_ms=200,
+        )
+
+    async def _stop_lost(self):
+        for family in (self.homes, self.shards, self.pools):
+            for partition, item in list(family.items()):
+                if self._is_current(partition, item.epoch):
+                    continue
+                del family[partition]
+                if family is not self.pools:
+                    await item.stop()
+                log.info("partition_stopped", partition=partition, epoch=item.epoch)
+        for (partition, epoch), task in list(self._starting.items()):
+            if not self._is_current(partition, epoch):
+                task.cancel()
+
+    def _is_current(self, partition, epoch):
+        member = self._member
+        return member.owns(partition) and member.epoch_of(partition) == epoch
+
+    def _start_gained(self):
+        member = self._member
+        for partition in member.ownership.list_owned(member.member):
+            epoch = member.epoch_of(partition)
+            key = (partition, epoch)
+            is_served = any(
+                partition in family and family[partition].epoch == epoch
+                for family in (self.homes, self.shards, self.pools)
+            )
+            if is_served or key in self._starting or not member.owns(partition):
+                continue
+            task = asyncio.create_task(self._start(partition, epoch))
+            self._starting[key] = task
+            task.add_done_callback(lambda _, key=key: self._starting.pop(key, None))
+
+    async def _start(self, partition, epoch):
+        if partition.startswith(HOME_PREFIX):
+            await self._start_home(partition, epoch)
+        elif partition.startswith(SHARD_PREFIX):
+            await self._start_shard(partition, epoch)
+        elif partition.startswith(POOL_PREFIX):
+            await self._start_pool(partition, epoch)
+
+    async def _start_home(self, partition, epoch):
+        home = Home(partition, epoch, self._member, self.clock, self.wake_dispatcher)
+        while not await home.recover():
+            await asyncio.sleep(RECOVER_RETRY_SECONDS)
+        self.homes[partition] = home
+        self.resume_home(home)
+
+    async def _start_shard(self, partition, epoch):
+        shard = Shard(partition, epoch, self._member, self._worker_port, self._timing)
+        shard.on_change = self.wake_exchange
+        while not await shard.recover():
+            await asyncio.sleep(RECOVER_RETRY_SECONDS)
+        self.shards[partition] = shard
+        await shard.set_workers(self._list_workers(partition))
+
+    async def _start_pool(self, partition, epoch):
+        service = partition.removeprefix(POOL_PREFIX)
+        pool = Pool(service, epoch, self._listing.backends)
+        await pool.recover(self._call_gateways)
+        self.pools[partition] = pool
+
+    async def _call_gateways(self, message):
+        records = self._member.list_members(Role.GATEWAY)
+        answers = await asyncio.gather(
+            *(
+                self._member.peers.call(
+                    record.peer_address, message, GATEWAY_CALL_SECONDS
+                )
+                for record in records
+            )
+        )
+        names = [record.member for record in records]
+        return dict(zip(names, answers, strict=True))
+
+    def _list_workers(self, partition):
+        return {
+            info.worker: info
+            for info in self._listing.workers
+            if shard_of_rack(info.rack) == partition
+        }
+
+    def _report_to_new_owners(self):
+        owners = {
+            partition: (owner.member, owner.epoch)
+            for partition, owner in self._member.ownership.owners.items()
+            if partition.startswith(HOME_PREFIX)
+        }
+        for home, owner in owners.items():
+            if self._home_owners.get(home) != owner:
+                for shard in self.shards.values():
+                    shard.report_again(home)
+        self._home_owners = owners
--- /dev/null
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -0,0 +1,405 @@
+"""Session with one worker: exact capacity, leases, starts and stops."""
+
+import asyncio
+import random
+
+import structlog
+
+from cactustiller.model import (
+    NOTHING,
+    ErrorCode,
+    InstanceState,
+    RunState,
+    WorkloadKind,
+)
+from cactustiller.platform import Apply, TaskRenewal, TaskStart, TaskStop, Watch
+
+from .clock import WorkerClock
+from .runs import RunPhase, key_of
+
+WATCH_SECONDS = 15.0
+FIRST_RETRY_SECONDS = 0.1
+LONGEST_RETRY_SECONDS = 2.0
+RENEWALS_PER_LEASE = 3
+OUTAGE_GRANT_SECONDS = 300.0
+
+log = structlog.get_logger(__name__)
+
+
+class WorkerSession:
+    """What the owner of a shard knows of one of its workers.
+
+    Parameters
+    ----------
+    info : WorkerInfo
+    authority : ShardAuthority
+        Tells the epoch, and whether starts and renewals are allowed now.
+    port : WorkerPort
+    timing : TimingSettings
+        ``task_lease_seconds`` and ``start_window_seconds`` are used.
+    on_change : callable
+        Called with the session after its runs or capacity changed.
+    """
+
+    def __init__(self, info, authority, port, timing, on_change):
+        self.info = info
+        self.entries = {}
+        self.used = NOTHING
+        self.is_reconciled = False
+        self.is_reachable = False
+        self.failure_reason = "not yet asked"
+        self._authority = authority
+        self._port = port
+        self._timing = timing
+        self._on_change = on_change
+        self._clock = WorkerClock()
+        self._sequence = 0
+        self._boot = ""
+        self._wake = asyncio.Event()
+        self._random = random.Random(info.worker)
+        self._orphans = []
+        self._tasks = []
+        self._created_at = asyncio.get_running_loop().time()
+
+    @property
+    def is_usable(self):
+        """Whether new runs may be reserved here."""
+        return (
+            self.is_reconciled
+            and self.is_reachable
+            and self.info.state is InstanceState.LIVE
+        )
+
+    @property
+    def is_starting(self):
+        """Whether a start message may be under way to the reachable worker."""
+        return self.is_reachable and any(
+            entry.phase is RunPhase.STARTING for entry in self.entries.values()
+        )
+
+    @property
+    def free(self):
+        """Capacity that no run holds; nothing while the worker is not usable."""
+        if not self.is_usable:
+            return NOTHING
+        return self.info.resources - self.used
+
+    def start(self):
+        """Begin to watch the worker."""
+        self._tasks = [
+            asyncio.create_task(self._watch_regularly()),
+            asyncio.create_task(self._apply_regularly()),
+        ]
+
+    async def stop(self):
+        """Stop all calls to the worker."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def add(self, entry):
+        """Add a run and count its resources."""
+        self.entries[entry.key] = entry
+        if entry.holds_capacity:
+            self.used = self.used + entry.record.template.resources
+        self._on_change(self)
+
+    def remove(self, key):
+        """Forget a run and free what it held."""
+        entry = self.entries.pop(key)
+        if entry.holds_capacity:
+            self._free(entry)
+
+    def end(self, entry, state, reason="", run_seconds=0.0):
+        """Record that a run has ended and free what it held."""
+        if not entry.holds_capacity:
+            return
+        self._free(entry)
+        entry.note_state(state, reason, run_seconds)
+
+    def wake(self):
+        """Make the session tell the worker what it has to know."""
+        self._wake.set()
+
+    def request_start(self, entry):
+        """Start a run whose assignment is committed."""
+        entry.phase = RunPhase.STARTING
+        entry.needs_apply = True
+        self.wake()
+
+    def request_stop(self, entry, checkpoint):
+        """Stop a run, whatever its phase."""
+        never_sent = entry.phase is RunPhase.STARTING and entry.start_before == 0.0
+        if never_sent:
+            self.end(entry, RunState.STOPPED, "stopped before its start")
+            return
+        entry.is_stopping = True
+        entry.checkpoint = checkpoint
+        entry.needs_apply = True
+        self.wake()
+
+    def check_times(self):
+        """Expire reservations, renew leases and find lapsed runs."""
+        now = asyncio.get_running_loop().time()
+        for entry in list(self.entries.values()):
+            if entry.phase is RunPhase.RESERVED:
+                if now >= entry.reserved_until_loop_seconds:
+                    self.remove(entry.key)
+            elif entry.holds_capacity:
+                self._check_lease(entry, now)
+        if any(entry.needs_apply for entry in self.entries.values()):
+            self.wake()
+
+    def end_all(self, reason):
+        """Record the end of every run, since the worker is gone for good."""
+        for entry in self.entries.values():
+            if entry.phase is not RunPhase.RESERVED:
+                self.end(entry, RunState.LAPSED, reason)
+
+    def _free(self, entry):
+        self.used = self.used - entry.record.template.resources
+        self._on_change(self)
+
+    def _check_lease(self, entry, now):
+        if entry.lease_until is None:
+            # A former owner may have granted a lease until this long after it
+            # was fenced.
+            grant = OUTAGE_GRANT_SECONDS + self._timing.task_lease_seconds
+            has_lapsed = now >= self._created_at + grant
+        else:
+            moment = max(entry.lease_until, entry.start_before)
+            has_lapsed = bool(moment) and self._clock.has_surely_passed(moment, now)
+        if has_lapsed and not self.is_reachable:
+            self.end(entry, RunState.LAPSED, "lease lapsed on an unreachable worker")
+            return
+        if self._may_renew(entry):
+            self._check_renewal(entry, now)
+
+    def _may_renew(self, entry):
+        # A run that does not stop when asked to stops when its lease lapses.
+        is_wanted = entry.phase is RunPhase.RUNNING and not entry.is_stopping
+        return is_wanted and self._authority.may_renew()
+
+    def _check_renewal(self, entry, now):
+        lease = self._timing.task_lease_seconds
+        remaining = (entry.lease_until or 0.0) - self._clock.estimate(now)
+        if remaining < lease * (1 - 1 / RENEWALS_PER_LEASE):
+            entry.needs_apply = True
+
+    async def _watch_regularly(self):
+        retry_seconds = FIRST_RETRY_SECONDS
+        while True:
+            is_first = not self.is_reconciled
+            watch = Watch(
+                shard=self._authority.shard,
+                epoch=self._authority.epoch,
+                after=0 if is_first else self._sequence,
+                wait_ms=0 if is_first else int(WATCH_SECONDS * 1000),
+            )
+            answer = await self._port.watch(self.info, watch)
+            if answer.is_ok():
+                retry_seconds = FIRST_RETRY_SECONDS
+                self._take_watch(answer.unwrap(), is_first)
+                continue
+            if self._take_failure(answer.unwrap_err()):
+                return
+            await asyncio.sleep(self._random.uniform(retry_seconds / 2, retry_seconds))
+            retry_seconds = min(2 * retry_seconds, LONGEST_RETRY_SECONDS)
+
+    def _take_failure(self, failure):
+        """Note a failed call; return whether the shard is lost."""
+        if failure.code is ErrorCode.FENCED:
+            self._authority.note_fenced(str(failure))
+            return True
+        if self.is_reachable:
+            log.warning("worker_unreachable", reason=str(failure))
+        self.is_reachable = False
+        self.failure_reason = failure.reason
+        self._on_change(self)
+        return False
+
+    def _take_watch(self, reply, is_first):
+        self._clock = WorkerClock(reply.now, asyncio.get_running_loop().time())
+        if self._boot and reply.boot != self._boot:
+            # The worker forgot what it ran: ask for everything it knows now.
+            self._boot = ""
+            self.is_reconciled = False
+            return
+        self._boot = reply.boot
+        self._sequence = reply.sequence
+        was_usable = self.is_usable
+        self.is_reachable = True
+        for status in reply.tasks:
+            self._take_status(status)
+        if is_first:
+            self._reconcile({key_of(status) for status in reply.tasks})
+        if not was_usable:
+            self._on_change(self)
+
+    def _take_status(self, status):
+        entry = self.entries.get(key_of(status))
+        if entry is None:
+            if status.state is RunState.RUNNING:
+                self._stop_orphan(status)
+            return
+        if not entry.holds_capacity:
+            return
+        entry.lease_until = max(entry.lease_until or 0.0, status.lease_until)
+        if status.state is not RunState.RUNNING:
+            self.end(entry, status.state, status.reason, status.run_seconds)
+        elif entry.phase is not RunPhase.RUNNING:
+            entry.note_state(RunState.RUNNING)
+            entry.needs_apply = entry.is_stopping
+            self._on_change(self)
+
+    def _stop_orphan(self, status):
+        log.warning(
+            "orphan_stopped",
+            worker=self.info.worker,
+            job=status.job,
+            index=status.index,
+            attempt=status.attempt,
+        )
+        stop = TaskStop(job=status.job, index=status.index, attempt=status.attempt)
+        self._orphans.append(stop)
+        self.wake()
+
+    def _reconcile(self, seen):
+        """Settle the runs that the worker does not know of, under our epoch."""
+        self.is_reconciled = True
+        for entry in list(self.entries.values()):
+            if entry.key in seen or not entry.holds_capacity:
+                continue
+            if entry.phase is RunPhase.RECOVERED:
+                entry.lease_until = 0.0
+                self.request_start(entry)
+            elif entry.phase is RunPhase.RUNNING:
+                self.end(entry, RunState.LAPSED, "the worker has restarted")
+            elif entry.phase is RunPhase.STARTING:
+                self.request_start(entry)
+
+    async def _apply_regularly(self):
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            if not self.is_reconciled:
+                await asyncio.sleep(FIRST_RETRY_SECONDS)
+                self._wake.set()
+                continue
+            apply = self._build_apply()
+            if apply is None:
+                continue
+            answer = await self._port.apply(self.info, apply)
+            if answer.is_ok():
+                self._take_apply(apply, answer.unwrap())
+            elif self._take_failure(answer.unwrap_err()):
+                return
+            else:
+                await asyncio.sleep(FIRST_RETRY_SECONDS)
+                self._wake.set()
+
+    def _build_apply(self):
+        """Return the `Apply` with everything that the worker must be told."""
+        now = asyncio.get_running_loop().time()
+        starts, renewals, stops = [], [], list(self._orphans)
+        for entry in self.entries.values():
+            if not entry.needs_apply or not entry.holds_capacity:
+                continue
+            if entry.is_stopping:
+                stops.append(_make_stop(entry))
+            if entry.phase is RunPhase.STARTING and not entry.is_stopping:
+                start = self._make_start(entry, now)
+                if start is not None:
+                    starts.append(start)
+            elif self._may_renew(entry):
+                renewals.append(self._make_renewal(entry, now))
+        if not (starts or renewals or stops):
+            return None
+        return Apply(
+            shard=self._authority.shard,
+            epoch=self._authority.epoch,
+            owner=self._authority.owner,
+            starts=starts,
+            renew=renewals,
+            stops=stops,
+        )
+
+    def _make_start(self, entry, now):
+        latest = self._authority.latest_start(self.info, now)
+        window = min(latest - now, self._timing.start_window_seconds)
+        if window <= 0:
+            return None
+        estimate = self._clock.estimate(now)
+        entry.start_before = max(entry.start_before, estimate + window)
+        granted = estimate + self._timing.task_lease_seconds
+        entry.lease_until = max(entry.lease_until or 0.0, granted)
+        template = entry.record.template
+        return TaskStart(
+            job=entry.record.job,
+            index=entry.record.index,
+            attempt=entry.record.attempt,
+            resources=template.resources,
+            run_seconds=template.run_seconds,
+            payload=template.payload,
+            start_before=estimate + window,
+            lease_until=granted,
+            service=entry.record.kind is WorkloadKind.SERVICE,
+        )
+
+    def _make_renewal(self, entry, now):
+        granted = self._clock.estimate(now) + self._timing.task_lease_seconds
+        entry.lease_until = max(entry.lease_until or 0.0, granted)
+        return TaskRenewal(
+            job=entry.record.job,
+            index=entry.record.index,
+            attempt=entry.record.attempt,
+            lease_until=granted,
+        )
+
+    def _take_apply(self, apply, reply):
+        self._clock = WorkerClock(reply.now, asyncio.get_running_loop().time())
+        self.is_reachable = True
+        refused = {key_of(refusal): refusal.reason for refusal in reply.refused}
+        for start in apply.starts:
+            entry = self.entries.get(key_of(start))
+            if entry is None or entry.phase is not RunPhase.STARTING:
+                continue
+            if entry.key in refused:
+                # The worker will not start this message's copy; send another.
+                log.info("start_refused", reason=refused[entry.key], run=str(entry.key))
+                continue
+            entry.needs_apply = entry.is_stopping
+            entry.note_state(RunState.RUNNING)
+        for renewal in apply.renew:
+            entry = self.entries.get(key_of(renewal))
+            if entry is not None:
+                entry.needs_apply = entry.is_stopping
+        for stop in apply.stops:
+            self._take_stop(self.entries.get(key_of(stop)))
+        self._orphans = [stop for stop in self._orphans if stop not in apply.stops]
+        self._on_change(self)
+
+    def _take_stop(self, entry):
+        if entry is None:
+            return
+        entry.needs_apply = False
+        if entry.phase is RunPhase.STARTING:
+            # A copy of the start may still be under way; ask again when the worker
+            # can no longer act on it.
+            self._recheck_after_start_window(entry)
+
+    def _recheck_after_start_window(self, entry):
+        now = asyncio.get_running_loop().time()
+        if self._clock.has_surely_passed(entry.start_before, now):
+            self.end(entry, RunState.STOPPED, "stopped before its start")
+            return
+        entry.needs_apply = True
+
+
+def _make_stop(entry):
+    return TaskStop(
+        job=entry.record.job,
+        index=entry.record.index,
+        attempt=entry.record.attempt,
+        checkpoint=entry.checkpoint,
+    )
--- /dev/null
+++ b/libs/scheduler/src/cactustiller/scheduler/shard.py
@@ -0,0 +1,326 @@
+"""Shard: the single writer of some workers' capacity and runs."""
+
+import asyncio
+from collections import OrderedDict
+
+import structlog
+
+from cactustiller.model import (
+    NOTHING,
+    ErrorCode,
+    Failure,
+    FailureError,
+    InstanceState,
+    RunRecord,
+    RunState,
+)
+from cactustiller.model.messages import (
+    Done,
+    Refusal,
+    Reservation,
+    Reservations,
+    StartAnswer,
+    WorkerView,
+)
+from cactustiller.platform import WorkerInfo
+
+from .authority import ShardAuthority
+from .runs import RunEntry, RunPhase, key_of, run_row_key
+from .sessions import WorkerSession
+
+CHECK_SECONDS = 0.5
+SETTLED_KEYS = 50_000
+RELEASE_POLL_SECONDS = 0.05
+
+log = structlog.get_logger(__name__)
+
+
+class Shard:
+    """Owner's side of one shard.
+
+    Parameters
+    ----------
+    shard : PartitionId
+    epoch : int
+    member : Member
+    port : WorkerPort
+    timing : TimingSettings
+    """
+
+    def __init__(self, shard, epoch, member, port, timing):
+        self.shard = shard
+        self.epoch = epoch
+        self.sessions = {}
+        self.changed_workers = set()
+        self.is_recovered = False
+        self.on_change = lambda: None
+        self._authority = ShardAuthority(shard, epoch, member)
+        self._member = member
+        self._port = port
+        self._timing = timing
+        self._recovered = {}
+        self._settled = OrderedDict()
+        self._is_releasing = False
+        self._task = None
+
+    async def recover(self):
+        """Read the committed assignments; return whether that succeeded."""
+        answer = await self._member.table.scan_rows(f"run/{self.shard}/")
+        if answer.is_err():
+            return False
+        for row in answer.unwrap():
+            record = RunRecord.model_validate(row.value)
+            self._recovered.setdefault(record.worker, []).append(record)
+        log.info("shard_recovered", shard=self.shard, runs=len(answer.unwrap()))
+        self.is_recovered = True
+        self._task = asyncio.create_task(self._check_regularly())
+        return True
+
+    async def stop(self):
+        """Stop all work under this shard at once."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await asyncio.gather(*(session.stop() for session in self.sessions.values()))
+
+    async def release(self):
+        """Stop starting runs and wait until no start message is under way."""
+        self._is_releasing = True
+        while True:
+            if not any(session.is_starting for session in self.sessions.values()):
+                return
+            await asyncio.sleep(RELEASE_POLL_SECONDS)
+
+    async def set_workers(self, infos):
+        """Take the platform's list of the shard's workers, by worker id."""
+        if not self.is_recovered:
+            return
+        for worker, info in infos.items():
+            session = self.sessions.get(worker)
+            if session is None:
+                self._add_session(info)
+            elif session.info != info:
+                session.info = info
+                self._note_change(session)
+        for worker in [name for name in self.sessions if name not in infos]:
+            await self._drop_removed(worker)
+        for worker in [name for name in self._recovered if name not in infos]:
+            self._add_removed_session(worker)
+
+    def reserve(self, message):
+        """Hold capacity for runs; return `Reservations`."""
+        results = []
+        granted = []
+        for run in message.runs:
+            reason = self._find_refusal(run)
+            if not reason:
+                granted.append(run)
+                self._hold(run, message.hold_ms)
+            results.append(Reservation(granted=not reason, reason=reason))
+        if message.all_or_none and len(granted) < len(message.runs):
+            self.release_runs([key_of(run) for run in granted])
+            refused = Reservation(granted=False, reason="not all tasks fit")
+            results = [refused if result.granted else result for result in results]
+        return Reservations(epoch=self.epoch, results=results)
+
+    def release_runs(self, keys):
+        """Give reservations back."""
+        for key in keys:
+            session, entry = self._find(key)
+            if entry is not None and entry.phase is RunPhase.RESERVED:
+                session.remove(key)
+        return Done()
+
+    async def start_runs(self, message):
+        """Start runs whose assignments are committed; return the refused ones."""
+        refused = []
+        for run in message.runs:
+            reason = await self._start_run(run, message.epoch)
+            if reason:
+                self._settle(key_of(run))
+                refused.append(Refusal(run=key_of(run), reason=reason))
+        return StartAnswer(refused=refused)
+
+    async def stop_runs(self, message):
+        """Stop runs; their ends are reported to their homes."""
+        for key in message.runs:
+            session, entry = self._find(key)
+            if entry is None:
+                continue
+            if entry.phase is RunPhase.RESERVED:
+                session.remove(key)
+                self._settle(key)
+            elif entry.holds_capacity:
+                session.request_stop(entry, message.checkpoint)
+        self.on_change()
+        return Done()
+
+    def list_unreported(self):
+        """Return the reports that their homes have not acknowledged, by home."""
+        by_home = {}
+        for session in self.sessions.values():
+            for entry in session.entries.values():
+                if not entry.is_reported:
+                    by_home.setdefault(entry.record.home, []).append(entry.report)
+        return by_home
+
+    def note_reported(self, reports, recorded):
+        """Note which reports a home has taken and which ends it has recorded."""
+        for report in reports:
+            session, entry = self._find(report.run)
+            if entry is None or entry.report is not report:
+                continue
+            if report.state is RunState.RUNNING:
+                entry.is_reported = True
+            elif report.run in recorded:
+                session.remove(report.run)
+                self._settle(report.run)
+
+    def report_again(self, home):
+        """Report every run of a home again, since its owner has changed."""
+        for session in self.sessions.values():
+            for entry in session.entries.values():
+                if entry.record.home == home and entry.report is not None:
+                    entry.is_reported = False
+        self.on_change()
+
+    def list_views(self, workers=None):
+        """Return a `WorkerView` of each of the named workers, or of all."""
+        names = self.sessions if workers is None else workers
+        return [self._view(self.sessions[name]) for name in names]
+
+    def _view(self, session):
+        return WorkerView(
+            worker=session.info.worker,
+            shard=self.shard,
+            free=session.free,
+            usable=session.is_usable,
+            reason="" if session.is_usable else session.failure_reason,
+        )
+
+    def _add_session(self, info):
+        session = WorkerSession(
+            info, self._authority, self._port, self._timing, self._note_change
+        )
+        self.sessions[info.worker] = session
+        for record in self._recovered.pop(info.worker, []):
+            entry = RunEntry(record, RunPhase.RECOVERED, lease_until=None)
+            session.add(entry)
+        session.start()
+
+    async def _drop_removed(self, worker):
+        """End the runs of a worker that neither the platform nor we can see."""
+        session = self.sessions[worker]
+        if session.is_reachable:
+            return
+        session.end_all("the platform removed the worker")
+        if not session.entries:
+            await session.stop()
+            del self.sessions[worker]
+
+    def _add_removed_session(self, worker):
+        """Report the runs of a worker that the platform no longer lists."""
+        records = self._recovered.pop(worker)
+        info = WorkerInfo(
+            worker=worker,
+            address="",
+            rack="",
+            zone="",
+            resources=NOTHING,
+            state=InstanceState.LEAVING,
+        )
+        session = WorkerSession(
+            info, self._authority, self._port, self._timing, self._note_change
+        )
+        self.sessions[worker] = session
+        for record in records:
+            session.add(RunEntry(record, RunPhase.RECOVERED, lease_until=None))
+        session.end_all("the platform removed the worker")
+
+    def _note_change(self, session):
+        self.changed_workers.add(session.info.worker)
+        self.on_change()
+
+    def _find(self, key):
+        for session in self.sessions.values():
+            entry = session.entries.get(key)
+            if entry is not None:
+                return session, entry
+        return None, None
+
+    def _find_refusal(self, run):
+        """Return why a run cannot be reserved, or an empty string."""
+        key = key_of(run)
+        session = self.sessions.get(run.worker)
+        if self._is_releasing or self._authority.is_fenced:
+            return "the shard is changing its owner"
+        if key in self._settled:
+            return "this attempt is over"
+        if session is None or not session.is_usable:
+            return "the worker is not usable"
+        if key in session.entries:
+            return "this attempt is already here"
+        if not run.template.resources.fits_within(session.free):
+            return "the worker has no room"
+        return ""
+
+    def _hold(self, run, hold_ms):
+        until = asyncio.get_running_loop().time() + hold_ms / 1000
+        entry = RunEntry(run, RunPhase.RESERVED, reserved_until_loop_seconds=until)
+        self.sessions[run.worker].add(entry)
+
+    async def _start_run(self, run, epoch):
+        """Start a run; return why it never will, or an empty string."""
+        key = key_of(run)
+        session, entry = self._find(key)
+        if entry is not None and entry.phase is not RunPhase.RESERVED:
+            return ""
+        if entry is not None and epoch == self.epoch and not self._is_releasing:
+            session.request_start(entry)
+            return ""
+        if key in self._settled:
+            return "this attempt is over"
+        return await self._start_unreserved(run)
+
+    async def _start_unreserved(self, run):
+        """Start a run without a reservation if the table service confirms it."""
+        row_key = run_row_key(self.shard, run.job, run.index)
+        answer = await self._member.table.read_row(row_key)
+        if answer.is_err():
+            raise FailureError(_fail_unverified(self.shard))
+        row = answer.unwrap()
+        if row.value is None or row.value["attempt"] != run.attempt:
+            return "the assignment is not in the table"
+        _, entry = self._find(key_of(run))
+        if entry is not None and entry.phase is not RunPhase.RESERVED:
+            return ""
+        self.release_runs([key_of(run)])
+        reason = self._find_refusal(run)
+        if reason:
+            return reason
+        self._hold(run, 0)
+        session, entry = self._find(key_of(run))
+        session.request_start(entry)
+        return ""
+
+    def _settle(self, key):
+        self._settled[key] = True
+        if len(self._settled) > SETTLED_KEYS:
+            self._settled.popitem(last=False)
+
+    async def _check_regularly(self):
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            for session in list(self.sessions.values()):
+                session.check_times()
+            self.on_change()
+
+
+def _fail_unverified(shard):
+    return Failure(
+        code=ErrorCode.UNAVAILABLE,
+        step=f"verify an assignment to {shard}",
+        peer="table service",
+        reason="the assignment cannot be verified while the table service is down",
+        retry_after_ms=500,
+    )
