Add the settings library: instance files, the tree, keys

Change: strict loading of instance files with one-line errors; names.py declares every value once; the tree, its checks, edits, resolution, origins and differences; keys kept as salted blake2b hashes.

Names written twice in one object are not detected, since pyjson5 shows no pairs.

--- a/libs/settings/src/cactustiller/settings/__init__.py
+++ b/libs/settings/src/cactustiller/settings/__init__.py
@@ -1,1 +1,57 @@
-"""Placeholder filled in by the thin path."""
+"""Settings of an instance, the inherited tree of values, and keys."""
+
+from .checks import check_tree, parse_tree
+from .differences import Change, diff_trees
+from .edits import add_key, add_queue, add_team, set_value, withdraw_key
+from .instance import (
+    GatewaySettings,
+    InstanceSettings,
+    PlatformSettings,
+    SchedulerSettings,
+    TimingSettings,
+    TlsSettings,
+    load_instance,
+)
+from .keys import KeyRecord, KeyRefusal, create_key, verify_key
+from .names import Level, ResolvedValues, Spread, format_names_table, get_levels
+from .parsing import SettingsError
+from .resolution import DEFAULT_ORIGIN, ValueOrigin, resolve, show_origin
+from .tree import SettingsTree, StoredKey, default_tree, dump_tree, has_path
+
+__all__ = [
+    "DEFAULT_ORIGIN",
+    "Change",
+    "GatewaySettings",
+    "InstanceSettings",
+    "KeyRecord",
+    "KeyRefusal",
+    "Level",
+    "PlatformSettings",
+    "ResolvedValues",
+    "SchedulerSettings",
+    "SettingsError",
+    "SettingsTree",
+    "Spread",
+    "StoredKey",
+    "TimingSettings",
+    "TlsSettings",
+    "ValueOrigin",
+    "add_key",
+    "add_queue",
+    "add_team",
+    "check_tree",
+    "create_key",
+    "default_tree",
+    "diff_trees",
+    "dump_tree",
+    "format_names_table",
+    "get_levels",
+    "has_path",
+    "load_instance",
+    "parse_tree",
+    "resolve",
+    "set_value",
+    "show_origin",
+    "verify_key",
+    "withdraw_key",
+]
--- /dev/null
+++ b/libs/settings/src/cactustiller/settings/keys.py
@@ -0,0 +1,73 @@
+"""Keys of teams and operators."""
+
+import hmac
+import re
+import secrets
+from enum import StrEnum
+from hashlib import blake2b
+
+from result import Err, Ok, Result
+
+from cactustiller.model import KeyId
+
+from .tree import SettingsTree, StoredKey
+
+SECRET_BYTES = 32
+SALT_BYTES = 16
+KEY_ID_BYTES = 8
+PRESENTED = re.compile(r"ct_([0-9a-f]{16})_([0-9a-f]{64})")
+
+
+class KeyRecord(StoredKey):
+    """Stored key together with its id."""
+
+    key_id: KeyId
+
+
+class KeyRefusal(StrEnum):
+    """Reason why a presented key is refused."""
+
+    MALFORMED = "malformed key"
+    UNKNOWN = "unknown key"
+    WITHDRAWN = "withdrawn key"
+
+
+def create_key(
+    team: str | None, name: str, operator: bool, now: float
+) -> tuple[KeyRecord, str]:
+    """Return a new key's record and its text ``ct_<key id>_<secret>``.
+
+    Only the text's salted hash is in the record; `now` is in Unix seconds.
+    """
+    key_id, secret = secrets.token_hex(KEY_ID_BYTES), secrets.token_hex(SECRET_BYTES)
+    salt = secrets.token_hex(SALT_BYTES)
+    record = KeyRecord(
+        key_id=KeyId(key_id),
+        team=team,
+        name=name,
+        operator=operator,
+        salt=salt,
+        digest=_hash_secret(secret, salt),
+        created_at=float(now),
+    )
+    return record, f"ct_{key_id}_{secret}"
+
+
+def verify_key(tree: SettingsTree, presented: str) -> Result[KeyRecord, KeyRefusal]:
+    """Return the key that `presented` proves; an absent id costs the same time."""
+    found = PRESENTED.fullmatch(presented)
+    if found is None:
+        return Err(KeyRefusal.MALFORMED)
+    key_id, secret = found.groups()
+    key = tree.keys.get(key_id)
+    salt, digest = (key.salt, key.digest) if key else ("00" * SALT_BYTES, "00" * 64)
+    matches = hmac.compare_digest(_hash_secret(secret, salt), digest)
+    if key is None or not matches:
+        return Err(KeyRefusal.UNKNOWN)
+    if key.withdrawn_at:
+        return Err(KeyRefusal.WITHDRAWN)
+    return Ok(KeyRecord(key_id=KeyId(key_id), **key.model_dump()))
+
+
+def _hash_secret(secret, salt):
+    return blake2b(secret.encode(), salt=bytes.fromhex(salt)).hexdigest()
--- /dev/null
+++ b/libs/settings/src/cactustiller/settings/tree.py
@@ -0,0 +1,148 @@
+"""Records of the settings tree and the edits that make a new one."""
+
+import json
+from typing import Annotated, Any
+
+from pydantic import Field
+from result import Err, Ok, Result
+
+from cactustiller.model.jobs import NAME_PATTERN
+
+from .parsing import SettingsError, StrictRecord, parse_json, validate
+
+FILE = "settings"
+CHILDREN = ("sites", "cells", "teams", "queues")
+SALT_PATTERN = r"^[0-9a-f]{32}$"
+DIGEST_PATTERN = r"^[0-9a-f]{128}$"
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+Scalar = str | int | float | bool
+
+
+class StoredKey(StrictRecord):
+    """Key as the tree keeps it; `withdrawn_at` is 0 while it is valid."""
+
+    team: Name | None = None
+    name: Name
+    operator: bool = False
+    salt: str = Field(pattern=SALT_PATTERN, repr=False)
+    digest: str = Field(pattern=DIGEST_PATTERN, repr=False)
+    created_at: float = Field(ge=0)
+    withdrawn_at: float = Field(default=0.0, ge=0)
+
+
+class QueueSettings(StrictRecord):
+    """Values of a queue."""
+
+    values: dict[str, Any] = Field(default_factory=dict)
+
+
+class TeamSettings(StrictRecord):
+    """Values and queues of a team."""
+
+    values: dict[str, Any] = Field(default_factory=dict)
+    queues: dict[Name, QueueSettings] = Field(default_factory=dict)
+
+
+class CellSettings(StrictRecord):
+    """Values and teams of a cell."""
+
+    values: dict[str, Any] = Field(default_factory=dict)
+    teams: dict[Name, TeamSettings] = Field(default_factory=dict)
+
+
+class SiteSettings(StrictRecord):
+    """Values and cells of a site."""
+
+    values: dict[str, Any] = Field(default_factory=dict)
+    cells: dict[Name, CellSettings] = Field(default_factory=dict)
+
+
+class SettingsTree(StrictRecord):
+    """Whole tree: the system's values, its sites and all keys."""
+
+    values: dict[str, Any] = Field(default_factory=dict)
+    sites: dict[Name, SiteSettings] = Field(default_factory=dict)
+    keys: dict[Name, StoredKey] = Field(default_factory=dict)
+
+
+def split_path(path: str) -> tuple[str, ...]:
+    """Return the names in `path`; the system's path is empty."""
+    return tuple(path.split("/")) if path else ()
+
+
+def find_nodes(tree: SettingsTree, names) -> list | None:
+    """Return the nodes from the system down to `names`, None if one is absent."""
+    nodes: list[Any] = [tree]
+    if len(names) > len(CHILDREN):
+        return None
+    for children, name in zip(CHILDREN, names, strict=False):
+        node = getattr(nodes[-1], children).get(name)
+        if node is None:
+            return None
+        nodes.append(node)
+    return nodes
+
+
+def has_path(tree: SettingsTree, path: str) -> bool:
+    """Return whether the tree has a level at `path`."""
+    return find_nodes(tree, split_path(path)) is not None
+
+
+def iterate_nodes(tree: SettingsTree):
+    """Yield ``(names, node)`` for every level, parents first."""
+    pending = [((), tree)]
+    while pending:
+        names, node = pending.pop(0)
+        yield names, node
+        if len(names) < len(CHILDREN):
+            children = getattr(node, CHILDREN[len(names)])
+            pending += [((*names, name), child) for name, child in children.items()]
+
+
+def format_location(names) -> str:
+    """Return the dotted path of a level within the file."""
+    pairs = zip(CHILDREN, names, strict=False)
+    return ".".join(part for pair in pairs for part in pair)
+
+
+def replace_node(tree, names, node):
+    """Return a tree in which `node` stands at `names`, whose parent exists."""
+    if not names:
+        return node
+    children = CHILDREN[len(names) - 1]
+    parent = find_nodes(tree, names[:-1])[-1]
+    changed = {**getattr(parent, children), names[-1]: node}
+    return replace_node(tree, names[:-1], parent.with_changes(**{children: changed}))
+
+
+def read_tree(text: str, file: str) -> Result[SettingsTree, list[SettingsError]]:
+    """Return the tree in `text` with only its structure checked."""
+    return parse_json(text, file).and_then(
+        lambda data: validate(SettingsTree, data, file)
+    )
+
+
+def dump_tree(tree: SettingsTree) -> str:
+    """Return the tree as JSON; equal trees give equal text."""
+    return json.dumps(tree.model_dump(mode="json"), sort_keys=True, indent=1)
+
+
+def default_tree(site: str, cell: str) -> SettingsTree:
+    """Return a tree with one cell and only default values."""
+    return SettingsTree(sites={site: SiteSettings(cells={cell: CellSettings()})})
+
+
+def refuse(path: str, reason: str) -> Err[list[SettingsError]]:
+    """Return one problem of an edit as an error."""
+    return Err([SettingsError(file=FILE, path=path, reason=reason)])
+
+
+def put_child(tree, names, node) -> Result[SettingsTree, list[SettingsError]]:
+    """Return a tree with the new level `node` at `names`."""
+    path = "/".join(names)
+    if find_nodes(tree, names[:-1]) is None:
+        return refuse("/".join(names[:-1]), "no such path")
+    if find_nodes(tree, names) is not None:
+        return refuse(path, "already exists")
+    return Ok(replace_node(tree, names, node))
