--- /dev/null
+++ b/libs/gateway/src/cactustiller/gateway/bodies.py
@@ -0,0 +1,106 @@
+"""Bodies of callers' requests and their validation."""
+
+import json
+from typing import Annotated, Any
+
+from pydantic import Field, ValidationError
+
+from cactustiller.model import ErrorCode, TaskTemplate, WorkloadKind
+from cactustiller.model.jobs import MAX_TASKS_PER_JOB, NAME_PATTERN
+from cactustiller.model.record import Record
+
+from .errors import refuse
+
+MAX_JSON_BYTES = 4 * 1024 * 1024
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+
+
+class Submission(Record):
+    """Body of ``POST /v1/jobs``."""
+
+    name: Name
+    team: Name
+    queue: Name
+    kind: WorkloadKind | None = None
+    task_count: int = Field(ge=1, le=MAX_TASKS_PER_JOB)
+    template: TaskTemplate
+    deadline_seconds: float = Field(default=0.0, ge=0.0)
+    max_attempts: int | None = Field(default=None, ge=1, le=100)
+
+
+class TreeChange(Record):
+    """Body of ``PUT /v1/settings``."""
+
+    expected_version: int = Field(ge=0)
+    tree: dict[str, Any]
+    note: str = Field(default="", max_length=500)
+
+
+class ValueChange(Record):
+    """Body of ``PATCH /v1/settings``; the value None removes it."""
+
+    expected_version: int | None = None
+    path: str
+    name: str
+    value: Any = None
+    note: str = Field(default="", max_length=500)
+
+
+class TeamCreation(Record):
+    """Body of ``POST /v1/teams``."""
+
+    team: Name
+    values: dict[str, Any] = {}
+
+
+class QueueCreation(TeamCreation):
+    """Body of ``POST /v1/queues``."""
+
+    queue: Name
+
+
+class KeyCreation(Record):
+    """Body of ``POST /v1/keys``."""
+
+    team: Name | None = None
+    name: Name
+    operator: bool = False
+
+
+async def read_body(request, body_class):
+    """Return the validated JSON body of a request.
+
+    Raises
+    ------
+    FailureError
+        If it is no JSON or a field is wrong; the reason names the field.
+    """
+    text = await request.read()
+    try:
+        return body_class.model_validate(json.loads(text))
+    except ValidationError as error:
+        raise refuse(ErrorCode.INVALID, "read body", describe(error)) from error
+    except (ValueError, RecursionError) as error:
+        reason = f"the body is no JSON: {error}"
+        raise refuse(ErrorCode.INVALID, "read body", reason) from error
+
+
+def describe(error):
+    """Return one line that names every wrong field."""
+    problems = error.errors(include_url=False, include_context=False)
+    return "; ".join(
+        f"{'.'.join(str(part) for part in problem['loc']) or 'body'}: {problem['msg']}"
+        for problem in problems
+    )
+
+
+def read_number(request, header, low, high, default=None):
+    """Return a whole number from a header, `default` where it is absent."""
+    text = request.headers.get(header)
+    if text is None:
+        return default
+    if text.isascii() and text.isdigit() and low <= int(text[:18]) <= high:
+        return int(text)
+    reason = f"{header}: must be a whole number from {low} to {high}"
+    raise refuse(ErrorCode.INVALID, "read headers", reason)
--- /dev/null
+++ b/libs/gateway/src/cactustiller/gateway/calls.py
@@ -0,0 +1,84 @@
+"""Calls to the owner of a partition, retried while that is safe."""
+
+import asyncio
+import random
+
+import structlog
+from result import Err
+
+from cactustiller.model import ErrorCode, Failure, Outcome
+
+FIRST_BACKOFF_SECONDS = 0.05
+LONGEST_BACKOFF_SECONDS = 0.8
+ATTEMPT_SECONDS = 6.0
+RETRY_AFTER_MS = 1000
+TRANSIENT_CODES = {
+    ErrorCode.NOT_OWNER,
+    ErrorCode.UNAVAILABLE,
+    ErrorCode.FENCED,
+    ErrorCode.TIMEOUT,
+}
+
+log = structlog.get_logger(__name__)
+
+
+class OwnerCalls:
+    """Calls idempotent operations of partition owners.
+
+    Parameters
+    ----------
+    member : Member
+    seed : int
+        Seed of the back-off's jitter.
+    """
+
+    def __init__(self, member, seed=0):
+        self._member = member
+        self._random = random.Random(seed)
+
+    async def call(self, partition, message, timeout_seconds):
+        """Return the owner's ``Ok(reply)`` or the ``Err(Failure)`` that remains.
+
+        The message must be idempotent. The outcome is `UNKNOWN` as soon as one
+        attempt's outcome is, until an owner answers.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_seconds
+        backoff = FIRST_BACKOFF_SECONDS
+        unknown = None
+        while True:
+            seconds = min(ATTEMPT_SECONDS, deadline - loop.time())
+            answer = await self._member.call_owner(partition, message, seconds)
+            if answer.is_ok():
+                return answer
+            failure = answer.unwrap_err()
+            if failure.code not in TRANSIENT_CODES:
+                return answer
+            if failure.outcome is Outcome.UNKNOWN:
+                unknown = failure
+            pause = self._random.uniform(backoff / 2, backoff)
+            pause = max(pause, min(failure.retry_after_ms / 1000, backoff))
+            if loop.time() + pause >= deadline:
+                return Err(_conclude(failure, unknown))
+            log.info(
+                "owner_call_retried",
+                partition=partition,
+                message=type(message).__name__,
+                reason=str(failure),
+            )
+            await asyncio.sleep(pause)
+            backoff = min(2 * backoff, LONGEST_BACKOFF_SECONDS)
+            await self._member.refresh()
+
+
+def _conclude(failure, unknown):
+    final = unknown or failure
+    retry_after_ms = final.retry_after_ms or RETRY_AFTER_MS
+    return Failure(
+        code=final.code,
+        step=final.step,
+        peer=final.peer,
+        reason=final.reason,
+        outcome=final.outcome,
+        retry_after_ms=retry_after_ms,
+    )
--- /dev/null
+++ b/libs/gateway/src/cactustiller/gateway/context.py
@@ -0,0 +1,70 @@
+"""What the routes of a gateway work with."""
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum
+
+from aiohttp import web
+
+from cactustiller.ownership import Member, Metrics, SettingsReplica
+
+from .callers import KeyGuard
+from .calls import OwnerCalls
+from .executors import ExecutorDirectory
+from .routing import RequestRouter
+
+
+class Phase(Enum):
+    """Phase of a gateway's life."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+@dataclass
+class Gateway:
+    """Parts of one gateway and its phase."""
+
+    member: Member
+    replica: SettingsReplica
+    guard: KeyGuard
+    calls: OwnerCalls
+    directory: ExecutorDirectory
+    router: RequestRouter
+    metrics: Metrics
+    stop: asyncio.Event
+    phase: Phase = Phase.SERVING
+    in_flight: int = 0
+    idle: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+GATEWAY = web.AppKey("gateway", Gateway)
+
+
+def get_gateway(request):
+    """Return the `Gateway` that serves a request."""
+    return request.app[GATEWAY]
+
+
+def get_authorization(request):
+    """Return the Authorization header, empty if absent."""
+    return request.headers.get("Authorization", "")
+
+
+@web.middleware
+async def count_in_flight(request, handler):
+    """Count requests in flight, and end connections while leaving."""
+    gateway = get_gateway(request)
+    gateway.in_flight += 1
+    gateway.idle.clear()
+    try:
+        response = await handler(request)
+        if gateway.phase is Phase.LEAVING:
+            response.force_close()
+        await response.prepare(request)
+        await response.write_eof()
+        return response
+    finally:
+        gateway.in_flight -= 1
+        if gateway.in_flight == 0:
+            gateway.idle.set()
--- /dev/null
+++ b/libs/gateway/src/cactustiller/gateway/errors.py
@@ -0,0 +1,90 @@
+"""HTTP answers for failures."""
+
+import math
+
+import structlog
+from aiohttp import web
+
+from cactustiller.model import ErrorCode, Failure, FailureError, Outcome
+
+STATUSES = {
+    ErrorCode.INVALID: 400,
+    ErrorCode.UNAUTHENTICATED: 401,
+    ErrorCode.FORBIDDEN: 403,
+    ErrorCode.NOT_FOUND: 404,
+    ErrorCode.CONFLICT: 409,
+    ErrorCode.NEVER_RUNNABLE: 422,
+    ErrorCode.UPSTREAM: 502,
+    ErrorCode.PROTOCOL: 502,
+    ErrorCode.NOT_OWNER: 503,
+    ErrorCode.OVERLOADED: 503,
+    ErrorCode.UNAVAILABLE: 503,
+    ErrorCode.FENCED: 503,
+    ErrorCode.TIMEOUT: 504,
+}
+UNKNOWN_STATUS = 504
+FALLBACK_CODES = {
+    401: ErrorCode.UNAUTHENTICATED,
+    403: ErrorCode.FORBIDDEN,
+    404: ErrorCode.NOT_FOUND,
+}
+
+log = structlog.get_logger(__name__)
+
+
+def get_status(failure):
+    """Return the HTTP status of a `Failure`."""
+    if failure.outcome is Outcome.UNKNOWN:
+        return UNKNOWN_STATUS
+    return STATUSES[failure.code]
+
+
+def answer_failure(failure, **names):
+    """Return the response for a `Failure`.
+
+    Parameters
+    ----------
+    failure : Failure
+    **names : str
+        Ids to ask again with, such as ``job``.
+    """
+    headers = {}
+    if failure.retry_after_ms:
+        headers["Retry-After"] = str(math.ceil(failure.retry_after_ms / 1000))
+    fields = set(Failure.model_fields)
+    body = {"error": failure.model_dump(mode="json", include=fields), **names}
+    return web.json_response(body, status=get_status(failure), headers=headers)
+
+
+def refuse(code, step, reason, **fields):
+    """Return a `FailureError` for a refusal that had no effect."""
+    return FailureError(Failure(code=code, step=step, reason=reason, **fields))
+
+
+@web.middleware
+async def render_failures(request, handler):
+    """Answer every failure with the documented error body."""
+    try:
+        return await handler(request)
+    except FailureError as error:
+        return _log_refusal(request, error.failure)
+    except web.HTTPException as error:
+        code = FALLBACK_CODES.get(error.status, ErrorCode.INVALID)
+        failure = Failure(code=code, step=request.path, reason=error.reason)
+        response = _log_refusal(request, failure)
+        response.set_status(error.status)
+        return response
+
+
+def _log_refusal(request, failure):
+    log.info(
+        "request_refused",
+        method=request.method,
+        path=request.path,
+        code=failure.code,
+        step=failure.step,
+        peer=failure.peer,
+        reason=failure.reason,
+        outcome=failure.outcome,
+    )
+    return answer_failure(failure)
--- /dev/null
+++ b/libs/gateway/src/cactustiller/gateway/executors.py
@@ -0,0 +1,77 @@
+"""Executors that the platform lists, and whether each may be given requests."""
+
+import asyncio
+
+import structlog
+
+from cactustiller.model import InstanceState
+from cactustiller.platform import InstanceListing
+
+POLL_SECONDS = 0.5
+
+log = structlog.get_logger(__name__)
+
+
+class ExecutorDirectory:
+    """Executors by id, kept up to date from the platform's list.
+
+    Parameters
+    ----------
+    port : InstanceListPort
+    """
+
+    def __init__(self, port):
+        self.listing = InstanceListing()
+        self._port = port
+        self._executors = {}
+        self._leaving = set()
+        self._task = None
+
+    async def start(self):
+        """Load the list once, then poll in the background."""
+        await self.poll()
+        self._task = asyncio.create_task(self._poll_regularly())
+
+    async def stop(self):
+        """Stop polling."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def poll(self):
+        """Read the list; the former one stays in force if that fails."""
+        answer = await self._port.list_instances()
+        if answer.is_err():
+            log.warning("instance_list_unavailable", reason=str(answer.unwrap_err()))
+            return
+        self.listing = answer.unwrap()
+        self._executors = {info.executor: info for info in self.listing.backends}
+        self._leaving &= self._executors.keys()
+
+    def mark_leaving(self, executor):
+        """Record an executor's own word that it is leaving."""
+        if executor not in self._leaving:
+            log.info("executor_leaving", executor=executor)
+        self._leaving.add(executor)
+
+    def is_usable(self, executor):
+        """Return whether an executor may be given new requests."""
+        info = self._executors.get(executor)
+        return (
+            info is not None
+            and info.state is InstanceState.LIVE
+            and executor not in self._leaving
+        )
+
+    def get(self, executor):
+        """Return the `BackendInfo` of an executor, None if it is not listed."""
+        return self._executors.get(executor)
+
+    def has_service(self, service):
+        """Return whether any executor of a service is listed."""
+        return any(info.service == service for info in self._executors.values())
+
+    async def _poll_regularly(self):
+        while True:
+            await asyncio.sleep(POLL_SECONDS)
+            await self.poll()
--- /dev/null
+++ b/libs/gateway/src/cactustiller/gateway/forwarding.py
@@ -0,0 +1,149 @@
+"""One request to one executor, with what is certain of its outcome."""
+
+from typing import NamedTuple
+
+import aiohttp
+from multidict import CIMultiDict
+from result import Err, Ok
+
+from cactustiller.model import ErrorCode, Failure, Outcome
+
+CONNECT_SECONDS = 0.5
+KEEPALIVE_SECONDS = 15.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_CONNECTIONS_PER_EXECUTOR = 7
+NOT_RUN_HEADER = "x-not-run"
+LEAVING_HEADER = "x-leaving"
+REQUEST_HEADER = "x-request-id"
+PASSED_HEADERS = ("x-work-ms", "x-reply-bytes", "content-type")
+
+
+class ServiceRequest(NamedTuple):
+    """Interactive request as the caller sent it."""
+
+    id: str
+    service: str
+    body: bytes
+    headers: CIMultiDict
+    idempotent: bool
+    seconds: float
+
+
+class ServiceAnswer(NamedTuple):
+    """Whole answer of an executor."""
+
+    status: int
+    body: bytes
+    content_type: str
+    executor: str
+    leaving: bool
+
+
+class _Progress:
+    """Whether any byte of a request may have been written."""
+
+    def __init__(self):
+        self.may_be_sent = False
+
+
+def create_session():
+    """Return the session for requests to executors."""
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(_note_sent)
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        limit_per_host=MAX_CONNECTIONS_PER_EXECUTOR,
+        keepalive_timeout=KEEPALIVE_SECONDS,
+    )
+    return aiohttp.ClientSession(
+        connector=connector, trace_configs=[trace], auto_decompress=False
+    )
+
+
+async def _note_sent(session, context, params):
+    context.trace_request_ctx.may_be_sent = True
+
+
+async def forward(session, info, request, seconds):
+    """Send a request once; return ``Ok(ServiceAnswer)`` or ``Err(Failure)``.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        From `create_session`.
+    info : BackendInfo
+    request : ServiceRequest
+    seconds : float
+        Time left until the caller's deadline.
+    """
+    progress = _Progress()
+    headers = {
+        name: request.headers[name]
+        for name in PASSED_HEADERS
+        if name in request.headers
+    }
+    headers[REQUEST_HEADER] = request.id
+    headers["x-deadline-ms"] = str(max(1, int(seconds * 1000)))
+    timeout = aiohttp.ClientTimeout(total=seconds, sock_connect=CONNECT_SECONDS)
+    try:
+        async with session.post(
+            f"http://{info.address}/v1/run",
+            data=request.body,
+            headers=headers,
+            timeout=timeout,
+            trace_request_ctx=progress,
+            allow_redirects=False,
+        ) as response:
+            body = await _read_whole(response)
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        return Err(_describe_error(error, progress, info, seconds))
+    return _interpret(response, body, info, request)
+
+
+async def _read_whole(response):
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            raise aiohttp.ClientPayloadError(f"answer over {MAX_ANSWER_BYTES} bytes")
+    return bytes(body)
+
+
+def _interpret(response, body, info, request):
+    headers = response.headers
+    if headers.get(NOT_RUN_HEADER) == "1":
+        reason = "the executor has no free slot"
+        return Err(_fail(ErrorCode.OVERLOADED, info, reason, Outcome.NOT_RUN))
+    if headers.get(REQUEST_HEADER, request.id) != request.id:
+        reason = "the answer belongs to another request"
+        return Err(_fail(ErrorCode.PROTOCOL, info, reason, Outcome.UNKNOWN))
+    if response.status >= 500:
+        reason = f"status {response.status}"
+        return Err(_fail(ErrorCode.UPSTREAM, info, reason, Outcome.FAILED))
+    content_type = headers.get("content-type", "application/octet-stream")
+    leaving = headers.get(LEAVING_HEADER) == "1"
+    return Ok(
+        ServiceAnswer(response.status, body, content_type, info.executor, leaving)
+    )
+
+
+def _describe_error(error, progress, info, seconds):
+    if not progress.may_be_sent:
+        reason = f"cannot connect: {error or type(error).__name__}"
+        return _fail(ErrorCode.UNAVAILABLE, info, reason, Outcome.NOT_RUN)
+    if isinstance(error, TimeoutError):
+        reason = f"no whole answer within {seconds:.3f} s"
+        return _fail(ErrorCode.TIMEOUT, info, reason, Outcome.UNKNOWN)
+    reason = f"the answer was cut: {error or type(error).__name__}"
+    return _fail(ErrorCode.UPSTREAM, info, reason, Outcome.UNKNOWN)
+
+
+def _fail(code, info, reason, outcome):
+    return Failure(
+        code=code,
+        step="run request",
+        peer=f"{info.executor} ({info.address})",
+        reason=reason,
+        outcome=outcome,
+        retry_after_ms=1000 if outcome is Outcome.NOT_RUN else 0,
+    )
--- /dev/null
+++ b/libs/gateway/src/cactustiller/gateway/inbox.py
@@ -0,0 +1,62 @@
+"""Messages of peers to a gateway, one function for each type."""
+
+import json
+from functools import singledispatch
+
+from cactustiller.model import ErrorCode, Failure
+from cactustiller.model.messages import (
+    AnnounceSettings,
+    Done,
+    Drain,
+    GetSettings,
+    GetStats,
+    ReportPermits,
+    Stats,
+)
+
+
+@singledispatch
+async def answer_peer(message, gateway, hello):
+    """Return the reply to a peer's message."""
+    return Failure(
+        code=ErrorCode.PROTOCOL,
+        step=f"handle {type(message).__name__}",
+        peer=gateway.member.record.member,
+        reason="a gateway does not handle this message",
+    )
+
+
+@answer_peer.register(AnnounceSettings)
+@answer_peer.register(GetSettings)
+async def _answer_settings(message, gateway, hello):
+    return await gateway.replica.answer(message, hello)
+
+
+@answer_peer.register
+async def _report_permits(message: ReportPermits, gateway, hello):
+    return gateway.router.report_permits(message)
+
+
+@answer_peer.register
+async def _export_stats(message: GetStats, gateway, hello):
+    return Stats(text=json.dumps(export_stats(gateway)))
+
+
+@answer_peer.register
+async def _drain(message: Drain, gateway, hello):
+    gateway.stop.set()
+    return Done()
+
+
+def export_stats(gateway):
+    """Return the counters and histograms of this gateway."""
+    export = gateway.metrics.export()
+    traffic = gateway.member.traffic
+    export["counters"] |= {
+        "peer_sent_messages": traffic.sent_messages,
+        "peer_sent_bytes": traffic.sent_bytes,
+        "peer_received_messages": traffic.received_messages,
+        "peer_received_bytes": traffic.received_bytes,
+        "table_transactions": gateway.member.committer.counters.transactions,
+    }
+    return export
--- /dev/null
+++ b/libs/gateway/src/cactustiller/gateway/routes/settings.py
@@ -0,0 +1,114 @@
+"""Settings tree: reading, changing, origins and versions in force."""
+
+import asyncio
+import json
+
+from aiohttp import web
+from result import Err
+
+from cactustiller.model import ErrorCode, FailureError
+from cactustiller.model.messages import GetSettings
+from cactustiller.settings import SettingsError, parse_tree, set_value, show_origin
+
+from ..bodies import TreeChange, ValueChange, read_body
+from ..context import get_authorization, get_gateway
+from ..errors import refuse
+
+STATUS_SECONDS = 1.0
+KNOWN_VERSION = 2**62
+KEYS_REASON = "keys are changed at /v1/keys, not with the tree"
+
+
+async def show_tree(request):
+    """Answer the tree in force, without its keys."""
+    gateway = get_gateway(request)
+    gateway.guard.identify_operator(get_authorization(request))
+    tree = gateway.replica.tree.model_dump(mode="json", exclude={"keys"})
+    return web.json_response({"version": gateway.replica.version, "tree": tree})
+
+
+async def replace_tree(request):
+    """Replace the tree but its keys, if the version is as the operator read it."""
+    body = await read_body(request, TreeChange)
+
+    def edit(tree):
+        if body.tree.get("keys"):
+            error = SettingsError(file="body", path="tree.keys", reason=KEYS_REASON)
+            return Err([error])
+        keys = tree.model_dump(mode="json", include={"keys"})
+        return parse_tree(json.dumps({**body.tree, **keys}), "body")
+
+    return await commit_edit(request, edit, body.note, body.expected_version)
+
+
+async def change_value(request):
+    """Set or remove one value."""
+    body = await read_body(request, ValueChange)
+
+    def edit(tree):
+        return set_value(tree, body.path, body.name, body.value)
+
+    return await commit_edit(request, edit, body.note, body.expected_version)
+
+
+async def show_values(request):
+    """Answer every value at a path with its origin."""
+    gateway = get_gateway(request)
+    gateway.guard.identify_operator(get_authorization(request))
+    path = request.query.get("path", gateway.guard.get_path())
+    try:
+        values = show_origin(gateway.replica.tree, path)
+    except KeyError as error:
+        reason = f"path: the tree has no {path!r}"
+        raise refuse(ErrorCode.NOT_FOUND, "show settings", reason) from error
+    rows = [value.model_dump(mode="json") for value in values]
+    return web.json_response({"version": gateway.replica.version, "values": rows})
+
+
+async def show_status(request):
+    """Answer the version in force on each member."""
+    gateway = get_gateway(request)
+    gateway.guard.identify_operator(get_authorization(request))
+    records = gateway.member.list_members()
+    rows = await asyncio.gather(*(_ask_member(gateway, record) for record in records))
+    return web.json_response({"instances": rows})
+
+
+async def commit_edit(request, edit, note, expected_version=None, status=200, **fields):
+    """Commit an operator's edit; answer its version and the given fields."""
+    gateway = get_gateway(request)
+    operator = gateway.guard.identify_operator(get_authorization(request))
+    author = f"{operator.name} ({operator.key})"
+    result = await gateway.replica.change(edit, author, note, expected_version)
+    if result.is_err():
+        raise FailureError(result.unwrap_err())
+    gateway.metrics.count("settings_changes")
+    return web.json_response({"version": result.unwrap(), **fields}, status=status)
+
+
+async def _ask_member(gateway, record):
+    row = {"member": record.member, "role": record.role, "zone": record.zone}
+    if record.member == gateway.member.record.member:
+        age_seconds = gateway.replica.age_seconds
+        return row | _describe(gateway.replica.version, age_seconds)
+    answer = await gateway.member.peers.call(
+        record.peer_address, GetSettings(known_version=KNOWN_VERSION), STATUS_SECONDS
+    )
+    if answer.is_err():
+        reason = answer.unwrap_err().reason
+        return row | {"version": None, "age_seconds": None, "reason": reason}
+    body = answer.unwrap()
+    return row | _describe(body.version, body.age_ms / 1000)
+
+
+def _describe(version, age_seconds):
+    return {"version": version, "age_seconds": round(age_seconds, 3)}
+
+
+ROUTES = (
+    web.get("/v1/settings", show_tree),
+    web.put("/v1/settings", replace_tree),
+    web.patch("/v1/settings", change_value),
+    web.get("/v1/settings/show", show_values),
+    web.get("/v1/settings/status", show_status),
+)
--- a/libs/model/src/cactustiller/model/messages.py
+++ b/libs/model/src/cactustiller/model/messages.py
@@ -296,10 +296,14 @@
 
 
 class SettingsBody(Record):
-    """Settings version and its text; empty text where not newer."""
+    """Settings version and its text; empty text where not newer.
+
+    `age_ms` is the time since the version was last confirmed to be in force.
+    """
 
     version: int
     text: str = ""
+    age_ms: int = 0
 
 
 class AnnounceOwnership(Record):
--- a/libs/ownership/src/cactustiller/ownership/__init__.py
+++ b/libs/ownership/src/cactustiller/ownership/__init__.py
@@ -2,6 +2,7 @@
 
 from .claims import Claims
 from .member import Member
+from .metrics import Metrics, merge_stats
 from .partitions import (
     home_of_team,
     list_homes,
@@ -11,17 +12,22 @@
 )
 from .planning import plan_owners
 from .records import OWNERSHIP_KEY, Owner, Ownership, member_key
+from .replica import SettingsChange, SettingsReplica
 
 __all__ = [
     "OWNERSHIP_KEY",
     "Claims",
     "Member",
+    "Metrics",
     "Owner",
     "Ownership",
+    "SettingsChange",
+    "SettingsReplica",
     "home_of_team",
     "list_homes",
     "list_partitions",
     "member_key",
+    "merge_stats",
     "plan_owners",
     "pool_of_service",
     "shard_of_rack",
