--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Scaffolding that starts a whole cell on one machine."""
