--- a/demo/cell.py
+++ b/demo/cell.py
@@ -1,50 +1,34 @@
 """Cell of stand-ins and daemons on one machine, for demo, chaos and benchmarks."""
 
 import asyncio
-import json
 import secrets
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 from pathlib import Path
 
-import aiohttp
 import typer
 
-from cactustiller.model import Record
 from standins.instances import EntryInfo, Kind, register_all
 from standins.server import wait_for_signal
 
+from .layout import (
+    BACKENDS_OFFSET,
+    ENTRIES_OFFSET,
+    HOST,
+    INSTANCES_OFFSET,
+    OBJECTS_OFFSET,
+    PORTS_PER_ENTRY,
+    REGION,
+    TABLE_OFFSET,
+    WORKERS_OFFSET,
+    ZONES,
+    CellOptions,
+    write_settings,
+)
 from .processes import ChildProcess
-
-ZONES = ("a", "b", "c")
-REGION = "r1"
-HOST = "127.0.0.1"
-READY_SECONDS = 30.0
-READY_PAUSE_SECONDS = 0.05
-TABLE_OFFSET, OBJECTS_OFFSET, INSTANCES_OFFSET, WORKERS_OFFSET = 1, 2, 3, 4
-BACKENDS_OFFSET = 10
-ENTRIES_OFFSET = 100
-PORTS_PER_ENTRY = 4
-
-
-class CellOptions(Record):
-    """Size and place of a cell; `folder` empty for a temporary one."""
-
-    gateways: int = 3
-    schedulers: int = 3
-    workers: int = 24
-    racks_of: int = 8
-    backends: int = 6
-    base_port: int = 21000
-    log_level: str = "info"
-    folder: str = ""
-
-
-class CellError(Exception):
-    """The cell did not start, or has no process of that name."""
+from .readiness import CellError, check_port_free, poll_until_accepted
 
 
 class Cell:
@@ -68,6 +52,7 @@
         self.folder = None
         self.logs = None
         self.operator_key = ""
+        self._key_file = None
         self._children = {}
 
     async def __aenter__(self):
@@ -95,12 +80,6 @@
         """Process ids by name."""
         return {name: child.pid for name, child in self._children.items()}
 
-    @property
-    def instances(self):
-        """Names of the entry instances."""
-        count = max(self.options.gateways, self.options.schedulers)
-        return [f"entry-{number + 1}" for number in range(count)]
-
     async def start(self):
         """Start everything and wait until it is ready; raises `CellError`."""
         self._prepare_folder()
@@ -153,12 +132,9 @@
         self.logs = self.folder / "logs"
         self.logs.mkdir(parents=True, exist_ok=True)
         self.operator_key = f"ct_first_{secrets.token_hex(16)}"
-        key_file = self.folder / "first-operator.key"
-        key_file.touch(mode=0o600)
-        key_file.write_text(self.operator_key)
-
-    def _address(self, offset):
-        return f"{HOST}:{self.options.base_port + offset}"
+        self._key_file = self.folder / "first-operator.key"
+        self._key_file.touch(mode=0o600)
+        self._key_file.write_text(self.operator_key)
 
     def _add(self, name, arguments, **options):
         log_path = self.logs / f"{name}.log"
@@ -168,10 +144,10 @@
         port = self.options.base_port + offset
         command = [sys.executable, "-m", f"standins.{name}", "--host", HOST]
         command += ["--port", str(port), *map(str, extra)]
-        self._add(name, command, address=self._address(offset))
+        self._add(name, command, address=self.options.address(offset))
 
     def _add_stand_ins(self):
-        listed = ("--instances", self._address(INSTANCES_OFFSET))
+        listed = ("--instances", self.options.address(INSTANCES_OFFSET))
         placed = ("--zones", ",".join(ZONES), "--region", REGION)
         options = self.options
         self._add_stand_in("table", TABLE_OFFSET)
@@ -184,8 +160,8 @@
             self._add_stand_in("backends", BACKENDS_OFFSET, *listed, *placed, *count)
 
     def _add_daemons(self):
-        for number, instance in enumerate(self.instances):
-            settings = self._write_settings(number, instance)
+        for number in range(len(self.options.instances)):
+            settings = write_settings(self.options, number, self.folder, self._key_file)
             for role, count, path in (
                 ("scheduler", self.options.schedulers, ""),
                 ("gateway", self.options.gateways, "/readyz"),
@@ -193,7 +169,7 @@
                 if number >= count:
                     continue
                 program = Path(sys.executable).parent / f"cactustiller-{role}"
-                http = self._address(ENTRIES_OFFSET + PORTS_PER_ENTRY * number)
+                http = self.options.address(ENTRIES_OFFSET + PORTS_PER_ENTRY * number)
                 self._add(
                     f"{role}-{number + 1}",
                     [str(program), "--settings", str(settings)],
@@ -201,34 +177,14 @@
                     health_path=path,
                 )
 
-    def _write_settings(self, number, instance):
-        port = self.options.base_port + ENTRIES_OFFSET + PORTS_PER_ENTRY * number
-        settings = {
-            "instance": instance,
-            "zone": ZONES[number % len(ZONES)],
-            "region": REGION,
-            "site": "demo",
-            "cell": "main",
-            "gateway": {"host": HOST, "http_port": port, "peer_port": port + 1},
-            "scheduler": {"host": HOST, "peer_port": port + 2},
-            "platform": {
-                "table": [self._address(TABLE_OFFSET)],
-                "objects": self._address(OBJECTS_OFFSET),
-                "instances": self._address(INSTANCES_OFFSET),
-            },
-            "first_operator_key_file": str(self.folder / "first-operator.key"),
-            "log_level": self.options.log_level,
-        }
-        path = self.folder / f"{instance}.json"
-        path.write_text(json.dumps(settings, indent=2) + "\n")
-        return path
-
     async def _register_entries(self):
         entries = {
             instance: EntryInfo(instance=instance, zone=ZONES[number % len(ZONES)])
-            for number, instance in enumerate(self.instances)
+            for number, instance in enumerate(self.options.instances)
         }
-        await register_all(self._address(INSTANCES_OFFSET), Kind.ENTRIES, entries)
+        await register_all(
+            self.options.address(INSTANCES_OFFSET), Kind.ENTRIES, entries
+        )
 
     async def _start_children(self, names):
         children = [self._children[name] for name in names]
@@ -243,17 +199,18 @@
         if not child.address:
             return
         url = f"http://{child.address}{child.health_path}"
-        await self._poll(child, url, lambda reply: True)
+        await poll_until_accepted(child, url, lambda reply: True, self._check_running)
 
     async def _wait_until_listed(self):
-        url = f"http://{self._address(INSTANCES_OFFSET)}/v1/instances"
-        await self._poll(
+        url = f"http://{self.options.address(INSTANCES_OFFSET)}/v1/instances"
+        await poll_until_accepted(
             self._children["workers"],
             url,
             lambda reply: (
                 len(reply["workers"]) == self.options.workers
                 and len(reply["backends"]) == self.options.backends
             ),
+            self._check_running,
         )
 
     def _check_running(self):
@@ -261,48 +218,11 @@
             if child.has_ended_by_itself:
                 raise CellError(f"{child.name} ended: {child.read_log_tail()}")
 
-    async def _poll(self, child, url, accept):
-        deadline = asyncio.get_running_loop().time() + READY_SECONDS
-        async with aiohttp.ClientSession() as session:
-            while asyncio.get_running_loop().time() < deadline:
-                self._check_running()
-                if await _answers(session, url, accept):
-                    return
-                await asyncio.sleep(READY_PAUSE_SECONDS)
-        raise CellError(
-            f"{child.name} not ready in {READY_SECONDS:.0f} s at {url}: "
-            f"{child.read_log_tail()}"
-        )
-
-
-def check_port_free(child):
-    """Raise `CellError` if another program would answer for this one."""
-    if not child.address:
-        return
-    host, port = child.address.rsplit(":", 1)
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((host, int(port)))
-        except OSError as error:
-            raise CellError(f"{child.name}: {child.address}: {error}") from error
-
 
 def _is_daemon(name):
     return name.startswith(("gateway-", "scheduler-"))
 
 
-async def _answers(session, url, accept):
-    try:
-        timeout = aiohttp.ClientTimeout(total=2.0)
-        async with session.get(url, timeout=timeout) as response:
-            if response.status != 200:
-                return False
-            return accept(await response.json(content_type=None))
-    except (aiohttp.ClientError, TimeoutError, ValueError):
-        return False
-
-
 async def _run_in_foreground(options):
     stopped = asyncio.create_task(wait_for_signal())
     cell = Cell(options)
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -9,10 +9,11 @@
 from cactustiller.model import Record, Resources
 
 from .faults import cut_connection, read_changes, respond_invalid, respond_json
+from .history import History, HistoryEvent
 from .instances import Kind, WorkerInfo, register_all
-from .runs import ApplyRequest, EpochRefused, HistoryEvent, WatchRequest, WorkerFaults
+from .runs import ApplyRequest, EpochRefused, WatchRequest, WorkerFaults
 from .server import build_application, start_server, wait_for_signal
-from .simulation import History, SimulatedWorker
+from .simulation import SimulatedWorker
 
 SIZES = ((32, 64), (16, 32), (32, 64), (48, 128), (32, 64), (24, 48))
 MAKES = ("intel", "amd")
--- a/tests/standins/standin_builders.py
+++ b/tests/standins/standin_builders.py
@@ -1,7 +1,8 @@
 from cactustiller.model import Resources
+from standins.history import History
 from standins.instances import WorkerInfo
 from standins.runs import ApplyRequest, Start, WatchRequest
-from standins.simulation import History, SimulatedWorker
+from standins.simulation import SimulatedWorker
 
 SMALL = Resources(cpu_millis=1000, memory_mib=512)
 
--- a/tests/standins/test_standin_cell.py
+++ b/tests/standins/test_standin_cell.py
@@ -3,7 +3,9 @@
 
 import pytest
 
-from demo.cell import Cell, CellError, CellOptions
+from demo.cell import Cell
+from demo.layout import CellOptions
+from demo.readiness import CellError
 
 
 def is_free(port):
--- a/tests/standins/test_standin_workers.py
+++ b/tests/standins/test_standin_workers.py
@@ -57,6 +57,7 @@
     renewal = Renewal(job="j-1", index=0, attempt=1, lease_until=20)
     worker.apply(build_apply(renew=[renewal]))
     assert await read_states(worker) == {0: RunState.LAPSED}
+    assert [event[1] for event in list_events(worker)] == ["start", "end"]
 
 
 async def test_refuses_a_former_epoch_unless_told_to_ignore_it():
