Import test modules by path

Cause: pytest's default import mode needs unique base names. Change: importlib mode. Conclusion: test files mirror the tree without prefixes.

--- a/libs/scheduler/src/cactustiller/scheduler/daemon.py
+++ b/libs/scheduler/src/cactustiller/scheduler/daemon.py
@@ -1,6 +1,5 @@
 """Scheduler daemon: homes, shards and pools of one instance."""
 
-
 import aiohttp
 import structlog
 
--- a/tests/standins/test_standin_workers.py
+++ b/tests/standins/test_standin_workers.py
@@ -1,10 +1,15 @@
 import asyncio
 
 import pytest
-from standin_builders import build_apply, build_start, build_watch, build_worker
 
 from cactustiller.model import RunState
 from standins.runs import EpochRefused, Renewal, Stop
+from tests.standins.standin_builders import (
+    build_apply,
+    build_start,
+    build_watch,
+    build_worker,
+)
 
 pytestmark = pytest.mark.looptime
 
