--- /dev/null
+++ b/libs/cli/src/cactustiller/cli/commands/__init__.py
@@ -0,0 +1,29 @@
+"""Commands by name, one module a family."""
+
+from . import instances, jobs, key, queue, requests, settings, team
+
+GROUPS = {
+    "team": team.app,
+    "key": key.app,
+    "queue": queue.app,
+    "settings": settings.app,
+}
+
+COMMANDS = {
+    "submit": jobs.submit,
+    "status": jobs.show_status,
+    "explain": jobs.explain,
+    "cancel": jobs.cancel,
+    "request": requests.send_request,
+    "instances": instances.list_instances,
+    "drain": instances.drain,
+    "stats": instances.show_stats,
+}
+
+
+def register_commands(app):
+    """Add every command to the typer `app`."""
+    for name, group in GROUPS.items():
+        app.add_typer(group, name=name)
+    for name, command in COMMANDS.items():
+        app.command(name)(command)
