--- a/libs/cli/src/cactustiller/cli/commands/settings.py
+++ b/libs/cli/src/cactustiller/cli/commands/settings.py
@@ -6,7 +6,8 @@
 import typer
 
 from ..display import show_json, show_record, show_rows
-from ..inputs import read_object, read_value
+from ..exits import Exit
+from ..inputs import is_tree, read_value
 from ..session import JsonFlag, run_call, stop_usage
 
 app = typer.Typer(no_args_is_help=True, help="Read and change settings.")
@@ -117,16 +118,18 @@
     """Check an instance file or a tree; one line for each problem."""
     from cactustiller.settings import load_instance, parse_tree
 
-    # Only the file of an instance names one.
-    if "instance" in read_object(file):
-        result = load_instance(file)
-    else:
+    # A file that cannot be parsed goes to the loader that names the place.
+    if is_tree(file):
         result = parse_tree(file.read_text(encoding="utf-8"), str(file))
+    else:
+        result = load_instance(file)
+    errors = [str(error) for error in result.err() or ()]
     if as_json:
-        errors = [str(error) for error in result.err() or ()]
         show_json({"file": str(file), "errors": errors})
-    if result.is_err():
-        stop_usage(*result.unwrap_err())
+    for error in errors:
+        typer.echo(error, err=True)
+    if errors:
+        raise typer.Exit(Exit.USAGE)
     if not as_json:
         typer.echo(f"{file}: sound")
 
--- a/libs/cli/src/cactustiller/cli/inputs.py
+++ b/libs/cli/src/cactustiller/cli/inputs.py
@@ -9,6 +9,8 @@
 from .session import stop_usage
 from .submissions import JobSubmission
 
+INSTANCE_NAMES = frozenset({"instance", "gateway", "scheduler", "platform"})
+
 
 def read_value(text):
     """Return `text` as a JSON value, or as itself where it is none."""
@@ -49,6 +51,15 @@
     return data
 
 
+def is_tree(path):
+    """Return whether a settings file holds a tree, not an instance's settings."""
+    try:
+        data = pyjson5.decode(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, pyjson5.Json5Exception):
+        return False
+    return isinstance(data, dict) and not INSTANCE_NAMES & data.keys()
+
+
 def build_submission(data, source) -> JobSubmission:
     """Return the checked job; every problem is printed on its own line."""
     try:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -181,6 +181,10 @@
     result = run("settings", "check", str(file))
     assert result.exit_code == Exit.USAGE
     assert f"{file}:values.limit_tasks" in result.stderr
+    file.write_text('{"values": ')
+    assert f"{file}:line 1 column " in run("settings", "check", str(file)).stderr
+    file.write_text('{"instance": "i1"}')
+    assert f"{file}:zone: missing" in run("settings", "check", str(file)).stderr
     file.write_text("{}")
     assert run("settings", "check", str(file)).exit_code == 0
 
