--- a/demo/layout.py
+++ b/demo/layout.py
@@ -20,7 +20,7 @@
     schedulers: int = 3
     workers: int = 24
     racks_of: int = 8
-    backends: int = 6
+    backends: int = 24
     base_port: int = 21000
     log_level: str = "info"
     folder: str = ""
--- a/libs/ownership/src/cactustiller/ownership/partitions.py
+++ b/libs/ownership/src/cactustiller/ownership/partitions.py
@@ -1,9 +1,9 @@
 """Names of partitions and the partition of a team, rack or service."""
 
-import xxhash
-
 from cactustiller.model import PartitionId
 
+from .hashing import hash_name
+
 HOME_COUNT = 32
 HOME_PREFIX = "home-"
 SHARD_PREFIX = "shard-"
@@ -12,7 +12,7 @@
 
 def home_of_team(team):
     """Return the home partition that owns a team."""
-    number = xxhash.xxh64_intdigest(team) % HOME_COUNT
+    number = hash_name(team) % HOME_COUNT
     return PartitionId(f"{HOME_PREFIX}{number:02d}")
 
 
--- a/libs/ownership/src/cactustiller/ownership/planning.py
+++ b/libs/ownership/src/cactustiller/ownership/planning.py
@@ -2,14 +2,14 @@
 
 import math
 
-import xxhash
+from .hashing import hash_name
 
 LOAD_BOUND = 1.25
 WATCHED_MEMBERS = 3
 
 
 def _score(partition, member):
-    return xxhash.xxh64_intdigest(f"{partition}|{member}")
+    return hash_name(f"{partition}|{member}")
 
 
 def plan_owners(partitions, members):
@@ -55,7 +55,7 @@
     These are its nearest `WATCHED_MEMBERS` predecessors in hash order that have
     not lapsed, and the lapsed ones between them.
     """
-    ring = sorted(members, key=lambda name: (xxhash.xxh64_intdigest(name), name))
+    ring = sorted(members, key=lambda name: (hash_name(name), name))
     if member not in ring:
         return ring
     position = ring.index(member)
