--- a/libs/gateway/src/cactustiller/gateway/errors.py
+++ b/libs/gateway/src/cactustiller/gateway/errors.py
@@ -32,6 +32,14 @@
 log = structlog.get_logger(__name__)
 
 
+class AskAgainError(FailureError):
+    """Failure of unknown outcome, with the ids to ask again with."""
+
+    def __init__(self, failure, **names):
+        super().__init__(failure)
+        self.names = names
+
+
 def get_status(failure):
     """Return the HTTP status of a `Failure`."""
     if failure.outcome is Outcome.UNKNOWN:
@@ -51,8 +59,7 @@
     headers = {}
     if failure.retry_after_ms:
         headers["Retry-After"] = str(math.ceil(failure.retry_after_ms / 1000))
-    fields = set(Failure.model_fields)
-    body = {"error": failure.model_dump(mode="json", include=fields), **names}
+    body = _render(failure, names)
     return web.json_response(body, status=get_status(failure), headers=headers)
 
 
@@ -61,22 +68,44 @@
     return FailureError(Failure(code=code, step=step, reason=reason, **fields))
 
 
+def raise_failure(failure, **names):
+    """Raise a failure, with ids to ask again with if its outcome is unknown."""
+    if failure.outcome is Outcome.UNKNOWN:
+        raise AskAgainError(failure, **names)
+    raise FailureError(failure)
+
+
 @web.middleware
 async def render_failures(request, handler):
     """Answer every failure with the documented error body."""
     try:
         return await handler(request)
     except FailureError as error:
-        return _log_refusal(request, error.failure)
+        names = getattr(error, "names", {})
+        return _log_refusal(request, error.failure, names)
     except web.HTTPException as error:
         code = FALLBACK_CODES.get(error.status, ErrorCode.INVALID)
         failure = Failure(code=code, step=request.path, reason=error.reason)
-        response = _log_refusal(request, failure)
+        response = _log_refusal(request, failure, {})
         response.set_status(error.status)
         return response
+    except Exception as error:
+        log.exception("request_failed", method=request.method, path=request.path)
+        failure = Failure(
+            code=ErrorCode.PROTOCOL,
+            step=request.path,
+            reason=f"internal error: {type(error).__name__}",
+            outcome=Outcome.UNKNOWN,
+        )
+        return web.json_response(_render(failure, {}), status=500)
+
+
+def _render(failure, names):
+    fields = set(Failure.model_fields)
+    return {"error": failure.model_dump(mode="json", include=fields), **names}
 
 
-def _log_refusal(request, failure):
+def _log_refusal(request, failure, names):
     log.info(
         "request_refused",
         method=request.method,
@@ -86,5 +115,6 @@
         peer=failure.peer,
         reason=failure.reason,
         outcome=failure.outcome,
+        **names,
     )
-    return answer_failure(failure)
+    return answer_failure(failure, **names)
--- a/libs/gateway/src/cactustiller/gateway/executors.py
+++ b/libs/gateway/src/cactustiller/gateway/executors.py
@@ -67,6 +67,14 @@
         """Return the `BackendInfo` of an executor, None if it is not listed."""
         return self._executors.get(executor)
 
+    def list_usable(self, service):
+        """Return the ids of a service's executors that may be given requests."""
+        return {
+            info.executor
+            for info in self._executors.values()
+            if info.service == service and self.is_usable(info.executor)
+        }
+
     def has_service(self, service):
         """Return whether any executor of a service is listed."""
         return any(info.service == service for info in self._executors.values())
--- a/libs/gateway/src/cactustiller/gateway/routes/jobs.py
+++ b/libs/gateway/src/cactustiller/gateway/routes/jobs.py
@@ -3,7 +3,7 @@
 import structlog
 from aiohttp import web
 
-from cactustiller.model import ErrorCode, FailureError, JobSpec, Outcome, TaskState
+from cactustiller.model import ErrorCode, FailureError, JobSpec, TaskState
 from cactustiller.model.messages import (
     CancelJob,
     ExplainJob,
@@ -15,7 +15,7 @@
 
 from ..bodies import Submission, read_body
 from ..context import get_authorization, get_gateway
-from ..errors import answer_failure, refuse
+from ..errors import raise_failure, refuse
 from ..jobids import home_of_job, is_submitted_by, make_job_id
 
 SUBMIT_SECONDS = 12.0
@@ -38,11 +38,8 @@
     message = SubmitJob(home=home, job=job, spec=spec, key=caller.key)
     answer = await gateway.calls.call(home, message, SUBMIT_SECONDS)
     if answer.is_err():
-        failure = answer.unwrap_err()
         gateway.metrics.count("submissions_refused")
-        log.info("job_refused", job=job, team=body.team, reason=str(failure))
-        names = {"job": job} if failure.outcome is Outcome.UNKNOWN else {}
-        return answer_failure(failure, **names)
+        raise_failure(answer.unwrap_err(), job=job)
     view = answer.unwrap()
     if view.spec != spec:
         reason = f"the Idempotency-Key belongs to job {job} with another content"
--- a/libs/gateway/src/cactustiller/gateway/routes/requests.py
+++ b/libs/gateway/src/cactustiller/gateway/routes/requests.py
@@ -5,11 +5,11 @@
 
 from aiohttp import web
 
-from cactustiller.model import ErrorCode
+from cactustiller.model import ErrorCode, FailureError
 
 from ..bodies import read_number
 from ..context import get_authorization, get_gateway
-from ..errors import refuse
+from ..errors import raise_failure, refuse
 from ..forwarding import ServiceRequest
 from ..routing import LONGEST_REQUEST_SECONDS
 
@@ -31,7 +31,10 @@
         seconds=_read_deadline(request, values) / 1000,
     )
     gateway.metrics.count("requests")
-    answer = await gateway.router.route(service_request, values)
+    try:
+        answer = await gateway.router.route(service_request, values)
+    except FailureError as error:
+        raise_failure(error.failure, request=service_request.id)
     return web.Response(
         body=answer.body,
         status=answer.status,
--- a/libs/gateway/src/cactustiller/gateway/routing.py
+++ b/libs/gateway/src/cactustiller/gateway/routing.py
@@ -1,6 +1,7 @@
 """Routes interactive requests to executors: permits, retries, outcomes."""
 
 import asyncio
+import random
 
 import structlog
 
@@ -12,6 +13,7 @@
 
 LONGEST_REQUEST_SECONDS = 20.0
 MAX_RETRY_TOKENS = 10.0
+PAUSE_SECONDS = 0.05
 
 log = structlog.get_logger(__name__)
 
@@ -53,6 +55,7 @@
         self._session = session
         self._metrics = metrics
         self._seed = seed
+        self._random = random.Random(seed)
         self._stores = {}
         self._budget = RetryBudget()
 
@@ -94,6 +97,13 @@
             if not self._may_retry(request, answer.unwrap_err(), deadline):
                 raise FailureError(failure)
             self._metrics.count("request_retries")
+            await self._pause_if_all_tried(request, tried)
+
+    async def _pause_if_all_tried(self, request, tried):
+        """Wait, then allow every executor again, once each has been tried."""
+        if self._directory.list_usable(request.service) <= set(tried):
+            tried.clear()
+            await asyncio.sleep(self._random.uniform(PAUSE_SECONDS / 2, PAUSE_SECONDS))
 
     async def _take(self, store, request, values, deadline, tried, failure):
         loop = asyncio.get_running_loop()
--- a/libs/ownership/src/cactustiller/ownership/partitions.py
+++ b/libs/ownership/src/cactustiller/ownership/partitions.py
@@ -12,7 +12,7 @@
 
 def home_of_team(team):
     """Return the home partition that owns a team."""
-    number = xxhash.xxh64_intdigest(team) % HOME_COUNT
+    number = xxhash.xxh64_intdigest(team.encode()) % HOME_COUNT
     return PartitionId(f"{HOME_PREFIX}{number:02d}")
 
 
--- a/libs/ownership/src/cactustiller/ownership/replica.py
+++ b/libs/ownership/src/cactustiller/ownership/replica.py
@@ -83,7 +83,7 @@
         self._head_row = 0
         self._confirmed_at = float("-inf")
         self._task = None
-        self._fetches = set()
+        self._aside = set()
 
     @property
     def age_seconds(self):
@@ -104,7 +104,7 @@
 
     async def stop(self):
         """Stop polling."""
-        tasks = [task for task in (self._task, *self._fetches) if task is not None]
+        tasks = [task for task in (self._task, *self._aside) if task is not None]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -160,14 +160,17 @@
     async def answer(self, message, hello):
         """Answer `AnnounceSettings` or `GetSettings` of a peer."""
         if isinstance(message, AnnounceSettings) and message.version > self.version:
-            task = asyncio.create_task(self._fetch_from(hello.member))
-            self._fetches.add(task)
-            task.add_done_callback(self._fetches.discard)
+            self._run_aside(self._fetch_from(hello.member))
         known = getattr(message, "known_version", self.version)
         text = self._text if self.version > known else ""
         age_ms = int(min(self.age_seconds, LONGEST_AGE_SECONDS) * 1000)
         return SettingsBody(version=self.version, text=text, age_ms=age_ms)
 
+    def _run_aside(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._aside.add(task)
+        task.add_done_callback(self._aside.discard)
+
     async def _poll_regularly(self):
         while True:
             jitter = self._random.uniform(1 - POLL_JITTER, 1)
@@ -210,12 +213,13 @@
             return await self._resolve_failure(result.unwrap_err(), head, text)
         self._head_row = max(self._head_row, result.unwrap())
         self._confirmed_at = max(self._confirmed_at, started)
-        return await self._announce(head.version, text)
+        return self._announce(head.version, text)
 
-    async def _announce(self, version, text):
+    def _announce(self, version, text):
         self._adopt(version, text)
         origin = self._member.record.member
-        await self._member.announce(AnnounceSettings(version=version, origin=origin))
+        message = AnnounceSettings(version=version, origin=origin)
+        self._run_aside(self._member.announce(message))
         return Ok(version)
 
     async def _resolve_failure(self, failure, head, text):
@@ -227,7 +231,7 @@
         answer = await self._member.table.read_row(f"{BODY_PREFIX}{head.version}")
         if answer.is_ok() and answer.unwrap().value is not None:
             if answer.unwrap().value["token"] == head.token:
-                return await self._announce(head.version, text)
+                return self._announce(head.version, text)
             return Err(await self._describe_conflict(head.version - 1))
         reason = f"not known whether version {head.version} was committed; read it"
         return Err(failure.with_changes(step="change settings", reason=reason))
--- /dev/null
+++ b/tests/gateway/test_jobs.py
@@ -0,0 +1,96 @@
+import pytest
+
+from cactustiller.model import ErrorCode, Failure, Outcome
+from tests.gateway.builders import build_submission
+
+LOST = Failure(
+    code=ErrorCode.TIMEOUT, step="test", reason="lost", outcome=Outcome.UNKNOWN
+)
+MOVED = Failure(code=ErrorCode.NOT_OWNER, step="test", reason="moved")
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ({"task_count": 0}, "task_count"),
+        ({"task_count": "many"}, "task_count"),
+        ({"colour": "green"}, "colour"),
+        ({"team": "../x"}, "team"),
+        ({"template": {"resources": {"cpu_millis": -1}}}, "template.resources.cpu"),
+        ({"max_attempts": 50}, "max_attempts"),
+    ],
+)
+async def test_bad_field_is_named(cell, changes, field):
+    response, body = await cell.call(
+        "POST", "/v1/jobs", json=build_submission(**changes)
+    )
+    assert response.status == 400
+    assert field in body["error"]["reason"]
+    assert body["error"]["outcome"] == "notRun"
+    assert cell.home.submissions == 0
+
+
+async def test_body_that_is_no_json_is_refused(cell):
+    response, body = await cell.call("POST", "/v1/jobs", data=b"{]")
+    assert response.status == 400
+    assert "no JSON" in body["error"]["reason"]
+
+
+async def test_key_of_another_team_is_refused(cell):
+    response, _ = await cell.call("POST", "/v1/jobs", "blue", build_submission())
+    assert response.status == 403
+    response, body = await cell.call("POST", "/v1/jobs", json=build_submission())
+    assert response.status == 202
+    for method in ("GET", "DELETE"):
+        response, _ = await cell.call(method, f"/v1/jobs/{body['job']}", "blue")
+        assert response.status == 403
+
+
+async def test_open_queue_takes_other_teams(cell):
+    values = {"team": "red", "queue": "open", "values": {"open_to_all": True}}
+    await cell.call("POST", "/v1/queues", "operator", values)
+    response, body = await cell.call(
+        "POST", "/v1/jobs", "blue", build_submission(queue="open")
+    )
+    assert response.status == 202
+    response, _ = await cell.call("GET", f"/v1/jobs/{body['job']}", "blue")
+    assert response.status == 200
+
+
+async def test_repeated_submission_is_one_job(cell):
+    headers = {"Idempotency-Key": "march"}
+    answers = [
+        await cell.call("POST", "/v1/jobs", json=build_submission(), headers=headers)
+        for _ in range(2)
+    ]
+    assert answers[0][1] == answers[1][1]
+    assert len(cell.home.jobs) == 1
+    response, _ = await cell.call(
+        "POST", "/v1/jobs", json=build_submission(task_count=3), headers=headers
+    )
+    assert response.status == 409
+
+
+async def test_lost_answer_is_asked_for_again(cell):
+    cell.home.failures = [(LOST, True), (MOVED, False)]
+    response, body = await cell.call("POST", "/v1/jobs", json=build_submission())
+    assert response.status == 202
+    assert list(cell.home.jobs) == [body["job"]]
+
+
+async def test_unknown_submission_names_its_job(cell, monkeypatch):
+    monkeypatch.setattr("cactustiller.gateway.routes.jobs.SUBMIT_SECONDS", 0.3)
+    cell.home.failures = [(LOST, False)] + [(MOVED, False)] * 99
+    response, body = await cell.call("POST", "/v1/jobs", json=build_submission())
+    assert response.status == 504
+    assert body["error"]["outcome"] == "unknown"
+    assert body["job"]
+
+
+async def test_submission_without_owner_is_not_run(cell, monkeypatch):
+    monkeypatch.setattr("cactustiller.gateway.routes.jobs.SUBMIT_SECONDS", 0.3)
+    cell.home.failures = [(MOVED, False)] * 99
+    response, body = await cell.call("POST", "/v1/jobs", json=build_submission())
+    assert response.status == 503
+    assert body["error"]["outcome"] == "notRun"
+    assert int(response.headers["Retry-After"]) >= 1
--- /dev/null
+++ b/tests/gateway/test_requests.py
@@ -0,0 +1,87 @@
+import asyncio
+
+PATH = "/v1/requests/prices"
+IDEMPOTENT = {"X-Idempotent": "1"}
+
+
+def list_runs(cell):
+    return [name for item in cell.executors.values() for name in item.requests]
+
+
+async def test_answer_is_whole_and_for_its_caller(cell):
+    bodies = [str(number).encode() * 50_000 for number in range(20)]
+    answers = await asyncio.gather(
+        *(cell.call("POST", PATH, data=body) for body in bodies)
+    )
+    assert [body for _, body in answers] == bodies
+
+
+async def test_cut_answer_of_non_idempotent_request_is_unknown(cell):
+    for executor in cell.executors.values():
+        executor.cuts = 1
+    response, body = await cell.call("POST", PATH, headers={"X-Request-Id": "r1"})
+    assert response.status == 504
+    assert body["error"]["outcome"] == "unknown"
+    assert body["request"] == "r1"
+    assert list_runs(cell) == ["r1"]
+
+
+async def test_cut_answer_of_idempotent_request_is_retried_elsewhere(cell):
+    cell.executors["x1"].cuts = cell.executors["x2"].cuts = 1
+    response, _ = await cell.call("POST", PATH, headers=IDEMPOTENT)
+    assert response.status == 200
+    assert list_runs(cell) == [response.headers["X-Request-Id"]] * 3
+    assert cell.executors["x1"].requests and cell.executors["x2"].requests
+
+
+async def test_request_that_did_not_run_is_sent_elsewhere(cell):
+    for executor in cell.executors.values():
+        executor.refusals = 1
+    response, _ = await cell.call("POST", PATH)
+    assert response.status == 200
+    assert len(list_runs(cell)) == 3
+
+
+async def test_request_that_runs_nowhere_is_not_run(cell):
+    for executor in cell.executors.values():
+        executor.refusals = 99
+    response, body = await cell.call("POST", PATH, headers={"X-Deadline-Ms": "300"})
+    assert response.status == 503
+    assert body["error"]["outcome"] == "notRun"
+    assert "Retry-After" in response.headers
+
+
+async def test_slot_of_cut_request_stays_counted(cell):
+    cell.executors["x1"].cuts = cell.executors["x2"].cuts = 1
+    await cell.call("POST", PATH)
+    await cell.gateway.router.stop()
+    assert sum(cell.home.pool.count_used().values()) == 1
+
+
+async def test_leaving_executor_gets_nothing_new(cell):
+    cell.executors["x1"].leaving = True
+    for _ in range(6):
+        await cell.call("POST", PATH)
+    assert len(cell.executors["x1"].requests) <= 1
+    assert len(cell.executors["x2"].requests) >= 5
+
+
+async def test_bad_headers_are_named(cell):
+    for name in ("X-Deadline-Ms", "X-Idempotent", "X-Request-Id"):
+        response, body = await cell.call("POST", PATH, headers={name: "?"})
+        assert response.status == 400
+        assert name in body["error"]["reason"]
+    assert list_runs(cell) == []
+
+
+async def test_long_body_is_refused(cell):
+    change = {"path": "demo/main/red", "name": "max_request_bytes", "value": 10}
+    await cell.call("PATCH", "/v1/settings", "operator", change)
+    response, body = await cell.call("POST", PATH, data=b"x" * 11)
+    assert response.status == 400
+    assert "max_request_bytes" in body["error"]["reason"]
+
+
+async def test_unknown_service_is_not_found(cell):
+    response, _ = await cell.call("POST", "/v1/requests/nothing")
+    assert response.status == 404
--- /dev/null
+++ b/tests/gateway/test_settings.py
@@ -0,0 +1,42 @@
+from cactustiller.settings import set_value
+
+
+async def test_conflict_names_the_other_change(cell):
+    _, read = await cell.call("GET", "/v1/settings", "operator")
+    other = {"path": "", "name": "share_weight", "value": 2.0, "note": "spring"}
+    await cell.call("PATCH", "/v1/settings", "operator", other)
+    body = {"expected_version": read["version"], "tree": read["tree"]}
+    response, answer = await cell.call("PUT", "/v1/settings", "operator", body)
+    assert response.status == 409
+    assert "spring" in answer["error"]["reason"]
+    assert cell.key_ids["operator"] in answer["error"]["reason"]
+    assert cell.gateway.replica.tree.values == {"share_weight": 2.0}
+
+
+async def test_tree_is_replaced_without_its_keys(cell):
+    _, read = await cell.call("GET", "/v1/settings", "operator")
+    assert "keys" not in read["tree"]
+    read["tree"]["values"] = {"share_weight": 3.0}
+    body = {"expected_version": read["version"], "tree": read["tree"]}
+    response, _ = await cell.call("PUT", "/v1/settings", "operator", body)
+    assert response.status == 200
+    assert (await cell.call("GET", "/v1/settings", "operator"))[0].status == 200
+
+
+async def test_wrong_values_are_all_listed(cell):
+    _, read = await cell.call("GET", "/v1/settings", "operator")
+    read["tree"]["values"] = {"share_weight": -1.0, "limit_tasks": "x"}
+    body = {"expected_version": read["version"], "tree": read["tree"]}
+    response, answer = await cell.call("PUT", "/v1/settings", "operator", body)
+    assert response.status == 400
+    assert "share_weight" in answer["error"]["reason"]
+    assert "limit_tasks" in answer["error"]["reason"]
+
+
+async def test_lost_answer_of_a_change_is_resolved(cell):
+    cell.table.lost_answers = 1
+    result = await cell.gateway.replica.change(
+        lambda tree: set_value(tree, "", "share_weight", 5.0), "test"
+    )
+    assert result.unwrap() == cell.gateway.replica.version
+    assert cell.gateway.replica.tree.values == {"share_weight": 5.0}
