Answer the settings status when a member has no replica

Cause: in a trial with two gateways and the stand-ins, a member that answered GetSettings otherwise made the whole status fail with 500. Change: its row says why its version is not known; a lost race to write the default tree is no warning.

--- a/libs/gateway/src/cactustiller/gateway/routes/settings.py
+++ b/libs/gateway/src/cactustiller/gateway/routes/settings.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from cactustiller.model import ErrorCode, FailureError
-from cactustiller.model.messages import GetSettings
+from cactustiller.model.messages import GetSettings, SettingsBody
 from cactustiller.settings import SettingsError, parse_tree, set_value, show_origin
 
 from ..bodies import TreeChange, ValueChange, read_body
@@ -16,6 +16,7 @@
 
 STATUS_SECONDS = 1.0
 KNOWN_VERSION = 2**62
+LONGEST_AGE_SECONDS = 1e9  # JSON has no infinity
 KEYS_REASON = "keys are changed at /v1/keys, not with the tree"
 
 
@@ -94,14 +95,15 @@
     answer = await gateway.member.peers.call(
         record.peer_address, GetSettings(known_version=KNOWN_VERSION), STATUS_SECONDS
     )
-    if answer.is_err():
-        reason = answer.unwrap_err().reason
-        return row | {"version": None, "age_seconds": None, "reason": reason}
-    body = answer.unwrap()
-    return row | _describe(body.version, body.age_ms / 1000)
+    body = answer.unwrap_or(None)
+    if isinstance(body, SettingsBody):
+        return row | _describe(body.version, body.age_ms / 1000)
+    reason = answer.unwrap_err().reason if answer.is_err() else "no settings replica"
+    return row | {"version": None, "age_seconds": None, "reason": reason}
 
 
 def _describe(version, age_seconds):
+    age_seconds = min(age_seconds, LONGEST_AGE_SECONDS)
     return {"version": version, "age_seconds": round(age_seconds, 3)}
 
 
--- a/libs/ownership/src/cactustiller/ownership/replica.py
+++ b/libs/ownership/src/cactustiller/ownership/replica.py
@@ -184,7 +184,8 @@
         tree = default_tree(self._site, self._cell)
         result = await self._commit(tree, self._member.record.member, "default")
         if result.is_err():
-            log.warning("default_settings_not_written", reason=str(result.err()))
+            # Usually another daemon was first; the next poll takes its version.
+            log.info("default_settings_not_written", reason=str(result.err()))
 
     async def _commit(self, tree, author, note):
         version = self.version + 1
