Refuse a home's writes after a hand-over and reopen after a failed one

(1) A home that had been handed over voluntarily could still commit, since the member's fence covers takeovers only. (2) When the commit of a hand-over lost a race, its partitions stayed released and refused all work. (3) A gateway learned of a member that joined after it only by its next scan, up to 2 s later, so a drain right after the start answered not found. Ruled out: load of the machine (load average 2.9 on 10 cores). Change: each write of a home is conditional on the ownership row too; a failed hand-over reopens; a joining member announces itself.

--- a/libs/ownership/src/cactustiller/ownership/claims.py
+++ b/libs/ownership/src/cactustiller/ownership/claims.py
@@ -27,13 +27,16 @@
     release : callable
         Coroutine function of a partition that stops all work under it; called
         before a voluntary hand-over.
+    reopen : callable
+        Function of a partition that resumes work after a hand-over that failed.
     interval_seconds : float
     """
 
-    def __init__(self, member, list_partitions, release, interval_seconds):
+    def __init__(self, member, list_partitions, release, reopen, interval_seconds):
         self._member = member
         self._list_partitions = list_partitions
         self._release = release
+        self._reopen = reopen
         self._interval_seconds = interval_seconds
         self._announcing = None
 
@@ -123,20 +126,27 @@
                 self._member.evidence.forget(record.member)
 
     async def _hand_over(self, limit):
+        moves = self._plan_hand_over(limit)
+        if not moves:
+            return
+        await asyncio.gather(*(self._release(partition) for partition in moves))
+        if not await self._commit_moves(moves, [], [], "hand over"):
+            for partition in moves:
+                self._reopen(partition)
+
+    def _plan_hand_over(self, limit):
+        """Return up to `limit` own partitions that others should own."""
         member = self._member
         live = self._list_live()
         if not live:
-            return
+            return {}
         desired = plan_owners(member.ownership.owners, live)
-        moves = {}
-        for partition in member.ownership.list_owned(member.member):
-            target = desired[partition]
-            if target != member.member and len(moves) < limit:
-                moves[partition] = live[target]
-        if not moves:
-            return
-        await asyncio.gather(*(self._release(partition) for partition in moves))
-        await self._commit_moves(moves, [], [], "hand over")
+        moves = {
+            partition: live[desired[partition]]
+            for partition in member.ownership.list_owned(member.member)
+            if desired[partition] != member.member
+        }
+        return dict(sorted(moves.items())[:limit])
 
     async def _commit_moves(self, moves, checks, puts, purpose):
         member = self._member
--- a/libs/ownership/src/cactustiller/ownership/member.py
+++ b/libs/ownership/src/cactustiller/ownership/member.py
@@ -134,7 +134,10 @@
         version = await self._join()
         self.committer.start(version)
         await self.refresh()
+        # Whoever does not know this member yet reads the members when it hears of it.
+        announcement = AnnounceOwnership(version=self.ownership_version)
         self._tasks = [
+            asyncio.create_task(self.announce(announcement)),
             asyncio.create_task(self._renew_lease()),
             asyncio.create_task(self._refresh_regularly()),
         ]
@@ -249,7 +252,8 @@
 
     async def _handle_message(self, message, hello):
         if isinstance(message, AnnounceOwnership):
-            if message.version > self.ownership_version:
+            is_known = hello.member in self.members
+            if message.version > self.ownership_version or not is_known:
                 await self.refresh()
             return Done()
         return await self._handle(message, hello)
--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -24,12 +24,13 @@
     RunKey,
     StopRuns,
 )
-from cactustiller.platform import Put, Write
+from cactustiller.platform import Conflict, Put, Write
 
 from .jobs import JobEntry, end_task, find_restart_pause, finish_job
 from .runs import run_row_key
 
 SUBMIT_SECONDS = 3.0
+CANCEL_SECONDS = 5.0
 WAIT_FOREVER_SECONDS = 86_400.0
 STOP_RETRY_SECONDS = 1.0
 
@@ -62,6 +63,12 @@
         self._recording = set()
         self._tasks = set()
 
+    @property
+    def is_owned(self):
+        """Whether this member owns the home under the epoch it was started with."""
+        member = self._member
+        return member.owns(self.home) and member.epoch_of(self.home) == self.epoch
+
     async def recover(self):
         """Read the home's jobs and tasks; return whether that succeeded."""
         jobs = await self._member.table.scan_rows(f"job/{self.home}/")
@@ -93,6 +100,11 @@
         self.is_recovered = False
         await asyncio.gather(*self._submitting.values(), return_exceptions=True)
 
+    def reopen(self):
+        """Place work again after a hand-over that failed."""
+        self.is_recovered = True
+        self._wake()
+
     async def submit(self, message):
         """Accept a job once; return ``Ok(JobView)`` or ``Err(Failure)``."""
         known = self.jobs.get(message.job)
@@ -143,7 +155,7 @@
                 ended_at=self._clock.now(),
             )
             write = Write(puts=[self._put_job(cancelled)])
-            answer = await self._member.committer.commit(write, "cancel")
+            answer = await self._commit(write, "cancel", CANCEL_SECONDS)
             if answer.is_err():
                 return answer
             entry.record = cancelled
@@ -189,6 +201,8 @@
         Waits until the effect is known, since the tasks must not be placed again
         before that.
         """
+        if not self.is_owned:
+            return Err(self._fail_handed_over("assign"))
         puts = []
         assigned = []
         for shard, runs in runs_by_shard.items():
@@ -252,9 +266,8 @@
             key=message.key,
         )
         try:
-            answer = await self._member.committer.commit(
-                Write(puts=[self._put_job(record)]), "submit", WAIT_FOREVER_SECONDS
-            )
+            write = Write(puts=[self._put_job(record)])
+            answer = await self._commit(write, "submit", WAIT_FOREVER_SECONDS)
         finally:
             self._submitting.pop(message.job, None)
         if answer.is_err():
@@ -265,6 +278,34 @@
         self._wake()
         return Ok(entry.make_view(detail=False))
 
+    async def _commit(self, write, purpose, seconds, wait_if_stuck=False):
+        """Commit a write on condition that this home is still owned here.
+
+        The member's fence does not cover a voluntary hand-over, so each write is
+        conditional on the ownership row as well.
+        """
+        while self.is_owned:
+            check = self._member.ownership_check()
+            answer = await self._member.committer.commit(
+                write.with_changes(checks=[*write.checks, check]),
+                purpose,
+                seconds,
+                wait_if_stuck=wait_if_stuck,
+            )
+            if answer.is_ok() or not isinstance(answer.unwrap_err(), Conflict):
+                return answer
+            await self._member.refresh()
+        return Err(self._fail_handed_over(purpose))
+
+    def _fail_handed_over(self, purpose):
+        return Failure(
+            code=ErrorCode.NOT_OWNER,
+            step=f"commit {purpose}",
+            peer=self.home,
+            reason="the home has been handed over",
+            retry_after_ms=200,
+        )
+
     def _make_assigned(self, shard, run):
         entry = self.jobs[run.job]
         previous = entry.tasks.get(run.index)
@@ -310,7 +351,7 @@
             write.deletes.extend(self._task_key(job, index) for index in after)
         self._recording.update(keys)
         try:
-            answer = await self._member.committer.commit(
+            answer = await self._commit(
                 write, "end", WAIT_FOREVER_SECONDS, wait_if_stuck=True
             )
         finally:
--- a/libs/scheduler/src/cactustiller/scheduler/incarnation.py
+++ b/libs/scheduler/src/cactustiller/scheduler/incarnation.py
@@ -79,6 +79,7 @@
             self.member,
             lambda: list_partitions(self._listing),
             self.partitions.release,
+            self.partitions.reopen,
             settings.timing.heartbeat_seconds,
         )
         self._tasks = []
--- a/libs/scheduler/src/cactustiller/scheduler/partitions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/partitions.py
@@ -53,6 +53,7 @@
         self._changed = asyncio.Event()
         self._home_owners = {}
         self._starting = {}
+        self._released = set()
 
     def note_ownership(self, _ownership):
         """Ask for the partitions to be brought in line with the ownership row."""
@@ -79,10 +80,17 @@
 
     async def release(self, partition):
         """Stop new work under a partition that is about to be handed over."""
+        self._released.add(partition)
         item = self.homes.get(partition) or self.shards.get(partition)
         if item is not None:
             await item.release()
-        self.pools.pop(partition, None)
+
+    def reopen(self, partition):
+        """Resume work under a partition whose hand-over has failed."""
+        self._released.discard(partition)
+        item = self.homes.get(partition) or self.shards.get(partition)
+        if item is not None:
+            item.reopen()
 
     async def set_listing(self, listing):
         """Take the platform's list of workers and executors."""
@@ -95,7 +103,7 @@
     def find(self, family, partition):
         """Return a recovered partition; ``None`` where it is not served here."""
         item = family.get(partition)
-        if item is None or not getattr(item, "is_recovered", True):
+        if item is None or partition in self._released:
             return None
         return item
 
@@ -117,6 +125,7 @@
                 if self._is_current(partition, item.epoch):
                     continue
                 del family[partition]
+                self._released.discard(partition)
                 if family is not self.pools:
                     await item.stop()
                 log.info("partition_stopped", partition=partition, epoch=item.epoch)
--- a/libs/scheduler/src/cactustiller/scheduler/shard.py
+++ b/libs/scheduler/src/cactustiller/scheduler/shard.py
@@ -91,6 +91,10 @@
                 return
             await asyncio.sleep(RELEASE_POLL_SECONDS)
 
+    def reopen(self):
+        """Start runs again after a hand-over that failed."""
+        self._is_releasing = False
+
     async def set_workers(self, infos):
         """Take the platform's list of the shard's workers, by worker id."""
         if not self.is_recovered:
--- /dev/null
+++ b/tests/scheduler/test_handover.py
@@ -0,0 +1,82 @@
+import pytest
+
+from cactustiller.model import ErrorCode, JobSpec, MemberRecord, Resources, TaskTemplate
+from cactustiller.model.messages import SubmitJob
+from cactustiller.ownership import OWNERSHIP_KEY, Claims, Member
+from cactustiller.platform import Put, Write
+from cactustiller.scheduler.clock import WallClock
+from cactustiller.scheduler.home import Home
+from cactustiller.settings import TimingSettings
+from tests.scheduler.memory import MemoryTable
+
+pytestmark = pytest.mark.looptime
+HOME = "home-01"
+SPEC = JobSpec(
+    name="a",
+    team="t",
+    queue="q",
+    kind="batch",
+    task_count=1,
+    template=TaskTemplate(resources=Resources(cpu_millis=1)),
+)
+
+
+async def refuse_all(message, hello):
+    raise AssertionError("no peer calls here")
+
+
+def build_record(name):
+    return MemberRecord(
+        member=name,
+        role="scheduler",
+        instance=name,
+        zone="a",
+        peer_address="127.0.0.1:1",
+        incarnation="",
+    )
+
+
+@pytest.fixture
+async def member():
+    member = Member(build_record("m1"), MemoryTable(), TimingSettings(), refuse_all)
+    await member.start()
+    yield member
+    await member.stop()
+
+
+async def give_home(member, record):
+    moved = member.ownership.assign({HOME: record})
+    put = Put(key=OWNERSHIP_KEY, value=moved.model_dump())
+    await member.committer.commit(Write(puts=[put]), "test")
+
+
+async def test_home_commits_nothing_after_a_hand_over(member):
+    await give_home(member, member.record)
+    await member.refresh()
+    home = Home(HOME, 1, member, WallClock(0.0), lambda: None)
+    assert await home.recover()
+    await give_home(member, build_record("m2"))
+    message = SubmitJob(home=HOME, job="j1", spec=SPEC, key="k")
+    failure = (await home.submit(message)).unwrap_err()
+    assert failure.code is ErrorCode.NOT_OWNER
+    assert (await member.table.scan_rows("job/")).unwrap() == []
+
+
+async def test_failed_hand_over_reopens_the_partition(member):
+    await give_home(member, member.record)
+    await member.refresh()
+    other = build_record("m2")
+    member.members["m2"] = other
+    events = []
+
+    async def release(partition):
+        events.append(("release", partition))
+        # Another member changes ownership while this one releases.
+        await give_home(member, member.record)
+
+    claims = Claims(
+        member, list, release, lambda name: events.append(("reopen", name)), 1.0
+    )
+    claims._plan_hand_over = lambda limit: {HOME: other}
+    await claims._hand_over(1)
+    assert events == [("release", HOME), ("reopen", HOME)]
