Accept a settings change only once a majority has it in force

Cause: keys stopped working 8 s into any table outage, and a change was called accepted when only its author was known to have it. Lifting the first alone would let a majority that cannot see the table miss an accepted change. Change: a change is accepted once more than half of the members have it; a daemon without the table relies on a peer that has it, or on more than half of the members seeing the outage too, so the two majorities share a member. The heartbeat's sleep has a floor, since a rounded remainder of 0 made virtual time stand still.

--- a/libs/gateway/src/cactustiller/gateway/bodies.py
+++ b/libs/gateway/src/cactustiller/gateway/bodies.py
@@ -47,6 +47,14 @@
     note: str = Field(default="", max_length=500)
 
 
+class Rollback(Record):
+    """Body of ``POST /v1/settings/rollback``."""
+
+    to_version: int = Field(ge=1)
+    expected_version: int | None = None
+    note: str = Field(default="", max_length=500)
+
+
 class TeamCreation(Record):
     """Body of ``POST /v1/teams``."""
 
--- a/libs/gateway/src/cactustiller/gateway/context.py
+++ b/libs/gateway/src/cactustiller/gateway/context.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from cactustiller.ownership import Member, Metrics, SettingsReplica
+from cactustiller.ownership import Member, Metrics, SettingsEditor, SettingsReplica
 
 from .callers import KeyGuard
 from .calls import OwnerCalls
@@ -27,6 +27,7 @@
 
     member: Member
     replica: SettingsReplica
+    editor: SettingsEditor
     guard: KeyGuard
     calls: OwnerCalls
     directory: ExecutorDirectory
--- a/libs/gateway/src/cactustiller/gateway/routes/settings.py
+++ b/libs/gateway/src/cactustiller/gateway/routes/settings.py
@@ -8,9 +8,15 @@
 
 from cactustiller.model import ErrorCode, FailureError
 from cactustiller.model.messages import GetSettings, SettingsBody
-from cactustiller.settings import SettingsError, parse_tree, set_value, show_origin
+from cactustiller.settings import (
+    SettingsError,
+    diff_trees,
+    parse_tree,
+    set_value,
+    show_origin,
+)
 
-from ..bodies import TreeChange, ValueChange, read_body
+from ..bodies import Rollback, TreeChange, ValueChange, read_body
 from ..context import get_authorization, get_gateway
 from ..errors import refuse
 
@@ -75,16 +81,67 @@
     return web.json_response({"instances": rows})
 
 
+async def show_history(request):
+    """Answer who changed what, newest first."""
+    gateway = get_gateway(request)
+    gateway.guard.identify_operator(get_authorization(request))
+    entries = take(await gateway.editor.read_history())
+    return web.json_response({"versions": [entry.model_dump() for entry in entries]})
+
+
+async def show_difference(request):
+    """Answer the values that differ between two kept versions."""
+    gateway = get_gateway(request)
+    gateway.guard.identify_operator(get_authorization(request))
+    trees = [
+        take(await gateway.editor.read_tree(_read_version(request, name)))
+        for name in ("from", "to")
+    ]
+    changes = [change.model_dump() for change in diff_trees(*trees)]
+    return web.json_response({"changes": changes})
+
+
+async def roll_back(request):
+    """Commit the tree of an earlier version, with the keys of now, as a new one."""
+    gateway = get_gateway(request)
+    operator = gateway.guard.identify_operator(get_authorization(request))
+    body = await read_body(request, Rollback)
+    version = take(
+        await gateway.editor.roll_back(
+            body.to_version, name_author(operator), body.note, body.expected_version
+        )
+    )
+    return web.json_response({"version": version})
+
+
 async def commit_edit(request, edit, note, expected_version=None, status=200, **fields):
     """Commit an operator's edit; answer its version and the given fields."""
     gateway = get_gateway(request)
     operator = gateway.guard.identify_operator(get_authorization(request))
-    author = f"{operator.name} ({operator.key})"
-    result = await gateway.replica.change(edit, author, note, expected_version)
+    author = name_author(operator)
+    version = take(await gateway.editor.change(edit, author, note, expected_version))
+    gateway.metrics.count("settings_changes")
+    return web.json_response({"version": version, **fields}, status=status)
+
+
+def name_author(operator):
+    """Return the text by which a change names its operator."""
+    return f"{operator.name} ({operator.key})"
+
+
+def take(result):
+    """Return the value of an ``Ok``; raise the failure of an ``Err``."""
     if result.is_err():
         raise FailureError(result.unwrap_err())
-    gateway.metrics.count("settings_changes")
-    return web.json_response({"version": result.unwrap(), **fields}, status=status)
+    return result.unwrap()
+
+
+def _read_version(request, name):
+    text = request.query.get(name, "")
+    if not (text.isascii() and text.isdigit()):
+        reason = f"{name}: must be the number of a version"
+        raise refuse(ErrorCode.INVALID, "compare settings", reason)
+    return int(text)
 
 
 async def _ask_member(gateway, record):
@@ -113,4 +170,7 @@
     web.patch("/v1/settings", change_value),
     web.get("/v1/settings/show", show_values),
     web.get("/v1/settings/status", show_status),
+    web.get("/v1/settings/history", show_history),
+    web.get("/v1/settings/diff", show_difference),
+    web.post("/v1/settings/rollback", roll_back),
 )
--- a/libs/gateway/src/cactustiller/gateway/serving.py
+++ b/libs/gateway/src/cactustiller/gateway/serving.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from cactustiller.model import MemberRecord, Role
-from cactustiller.ownership import Member, Metrics, SettingsReplica
+from cactustiller.ownership import Member, Metrics, SettingsEditor, SettingsReplica
 from cactustiller.platform import HttpInstanceList, HttpTable
 
 from .bodies import MAX_JSON_BYTES
@@ -45,7 +45,7 @@
         return await answer_peer(message, gateway, hello)
 
     member = Member(_make_record(settings), table, settings.timing, handle)
-    replica = SettingsReplica(member, settings.site, settings.cell, settings.timing)
+    replica = SettingsReplica(member, settings.timing, settings.peers)
     directory = ExecutorDirectory(
         HttpInstanceList(session, settings.platform.instances)
     )
@@ -53,6 +53,7 @@
     gateway = Gateway(
         member=member,
         replica=replica,
+        editor=SettingsEditor(replica, member, settings.site, settings.cell),
         guard=KeyGuard(
             replica, settings.site, settings.cell, settings.first_operator_key_file
         ),
@@ -80,6 +81,7 @@
         await gateway.member.listen()
         await gateway.member.start()
         await gateway.replica.start()
+        await gateway.editor.create_default()
         await gateway.directory.start()
         runner = web.AppRunner(build_app(gateway), shutdown_timeout=DRAIN_SECONDS)
         await runner.setup()
--- a/libs/model/src/cactustiller/model/messages.capnp
+++ b/libs/model/src/cactustiller/model/messages.capnp
@@ -211,5 +211,11 @@
 
 struct Announcement { version @0 :UInt64; origin @1 :Text; }
 struct GetSettings { knownVersion @0 :UInt64; }
-struct SettingsBody { version @0 :UInt64; text @1 :Text; ageMs @2 :UInt64; }
+struct SettingsBody {
+  version @0 :UInt64;
+  text @1 :Text;
+  ageMs @2 :UInt64;
+  tableDown @3 :Bool;
+  memberCount @4 :UInt32;
+}
 struct Stats { text @0 :Text; }
--- a/libs/model/src/cactustiller/model/messages.py
+++ b/libs/model/src/cactustiller/model/messages.py
@@ -299,12 +299,16 @@
 class SettingsBody(Record):
     """Settings version and its text; empty text where not newer.
 
-    `age_ms` is the time since the version was last confirmed to be in force.
+    `age_ms` is the time since the version was last confirmed to be in force,
+    `table_down` whether the sender's last read of the table service failed, and
+    `member_count` how many members it knows.
     """
 
     version: int
     text: str = ""
     age_ms: int = 0
+    table_down: bool = False
+    member_count: int = 0
 
 
 class AnnounceOwnership(Record):
--- a/libs/ownership/src/cactustiller/ownership/__init__.py
+++ b/libs/ownership/src/cactustiller/ownership/__init__.py
@@ -1,6 +1,7 @@
 """Members, their leases, and the single owner of each partition."""
 
 from .claims import Claims
+from .editor import SettingsEditor
 from .member import Member
 from .metrics import Metrics, merge_stats
 from .partitions import (
@@ -22,6 +23,7 @@
     "Owner",
     "Ownership",
     "SettingsChange",
+    "SettingsEditor",
     "SettingsReplica",
     "home_of_team",
     "list_homes",
--- /dev/null
+++ b/libs/ownership/src/cactustiller/ownership/editor.py
@@ -0,0 +1,267 @@
+"""Changes of the settings: conditional on the version, logged, never reversed."""
+
+import asyncio
+import secrets
+import time
+from typing import NamedTuple
+
+import structlog
+from result import Err, Ok
+
+from cactustiller.model import ErrorCode, Failure, Outcome
+from cactustiller.model.messages import AnnounceSettings, SettingsBody
+from cactustiller.platform import Check, Put, Write
+from cactustiller.settings import default_tree, diff_trees, dump_tree, parse_tree
+
+from .freshness import is_majority
+from .settingsrows import (
+    HEAD_KEY,
+    KEPT_BODIES,
+    KEPT_LOG_ENTRIES,
+    LOG_PREFIX,
+    SettingsBodyRow,
+    SettingsHead,
+    SettingsLogEntry,
+    body_key,
+    describe_changes,
+    digest_text,
+    log_key,
+)
+
+ANNOUNCE_SECONDS = 1.5
+COMMIT_SECONDS = 5.0
+MAX_EDIT_ATTEMPTS = 5
+SPREAD_ROUNDS = 3
+
+log = structlog.get_logger(__name__)
+
+
+class _Version(NamedTuple):
+    """Version about to be committed."""
+
+    head: SettingsHead
+    text: str
+    tree: object
+
+
+class SettingsEditor:
+    """Commits changes of the settings on behalf of operators.
+
+    Parameters
+    ----------
+    replica : SettingsReplica
+    member : Member
+        Gives committer, peers and the list of members.
+    site, cell : str
+        Cell of the default tree, which the first daemon writes.
+    """
+
+    def __init__(self, replica, member, site, cell):
+        self._replica = replica
+        self._member = member
+        self._site = site
+        self._cell = cell
+
+    async def create_default(self):
+        """Write the first version where the table service has none."""
+        await self._replica.poll()
+        if not self._replica.is_missing:
+            return
+        tree = default_tree(self._site, self._cell)
+        result = await self._commit(tree, self._member.record.member, "default")
+        if result.is_err():
+            log.info("default_settings_not_written", reason=str(result.err()))
+            await self._replica.poll()
+
+    async def change(self, edit, author, note="", expected_version=None):
+        """Commit an edited tree and return ``Ok(version)`` or ``Err(Failure)``.
+
+        ``Ok`` means that more than half of the members have the version in force;
+        a failure whose outcome is unknown names the version to look for.
+
+        Parameters
+        ----------
+        edit : callable
+            Returns a `Result` of the new tree or a list of `SettingsError`.
+        author : str
+            Name and key id of the operator.
+        note : str
+        expected_version : int, optional
+            Version that the operator read. Without it the edit is applied to the
+            newest version, again after a conflict.
+        """
+        replica = self._replica
+        for _ in range(MAX_EDIT_ATTEMPTS):
+            await replica.poll()
+            if not replica.is_fresh:
+                return Err(_refuse("the settings in force are not known"))
+            if expected_version not in (None, replica.version):
+                return Err(await self._describe_conflict(expected_version))
+            edited = edit(replica.tree)
+            if edited.is_err():
+                reason = "; ".join(str(error) for error in edited.unwrap_err())
+                return Err(_refuse(reason, ErrorCode.INVALID))
+            result = await self._commit(edited.unwrap(), author, note)
+            if result.is_ok() or result.unwrap_err().code is not ErrorCode.CONFLICT:
+                return result
+        return result
+
+    async def read_history(self):
+        """Return ``Ok(list of SettingsLogEntry)``, newest first."""
+        rows = await self._member.table.scan_rows(LOG_PREFIX)
+        return rows.map(
+            lambda found: [
+                SettingsLogEntry.model_validate(row.value) for row in reversed(found)
+            ]
+        )
+
+    async def read_tree(self, version):
+        """Return ``Ok(SettingsTree)`` of one of the kept versions."""
+        answer = await self._member.table.read_row(body_key(version))
+        if answer.is_err():
+            return answer
+        if answer.unwrap().value is None:
+            reason = f"version {version} is not kept; the last {KEPT_BODIES} are"
+            return Err(_refuse(reason, ErrorCode.NOT_FOUND))
+        text = SettingsBodyRow.model_validate(answer.unwrap().value).text
+        return parse_tree(text, f"settings version {version}").map_err(
+            lambda errors: _refuse("; ".join(map(str, errors)), ErrorCode.INVALID)
+        )
+
+    async def roll_back(self, to_version, author, note="", expected_version=None):
+        """Commit the tree of an earlier version as a new version.
+
+        Keys are not rolled back, so that a withdrawn key stays withdrawn.
+        """
+        found = await self.read_tree(to_version)
+        if found.is_err():
+            return found
+        old = found.unwrap()
+
+        def edit(tree):
+            return parse_tree(dump_tree(old.with_changes(keys=tree.keys)), "rollback")
+
+        text = f"roll back to version {to_version}"
+        note = f"{text}: {note}" if note else text
+        return await self.change(edit, author, note, expected_version)
+
+    async def _commit(self, tree, author, note):
+        version = self._make_version(tree, author, note)
+        started = asyncio.get_running_loop().time()
+        result = await self._member.committer.commit(
+            self._make_write(version), "settings", COMMIT_SECONDS
+        )
+        if result.is_err():
+            return await self._resolve_failure(result.unwrap_err(), version)
+        self._replica.head_row = max(self._replica.head_row, result.unwrap())
+        self._replica.confirm(started)
+        return await self._bring_into_force(version)
+
+    def _make_version(self, tree, author, note):
+        text = dump_tree(tree)
+        head = SettingsHead(
+            version=self._replica.version + 1,
+            author=author,
+            note=note,
+            at=time.time(),
+            digest=digest_text(text),
+            token=secrets.token_hex(8),
+        )
+        return _Version(head, text, tree)
+
+    def _make_write(self, version):
+        head, text, tree = version
+        before = self._replica.tree
+        changes = describe_changes(diff_trees(before, tree)) if before else []
+        entry = SettingsLogEntry(
+            version=head.version,
+            author=head.author,
+            note=head.note,
+            at=head.at,
+            changes=changes,
+        )
+        body = SettingsBodyRow(version=head.version, token=head.token, text=text)
+        return Write(
+            checks=[Check(key=HEAD_KEY, version=self._replica.head_row)],
+            puts=[
+                Put(key=HEAD_KEY, value=head.model_dump()),
+                Put(key=body_key(head.version), value=body.model_dump()),
+                Put(key=log_key(head.version), value=entry.model_dump()),
+            ],
+            deletes=[
+                body_key(max(0, head.version - KEPT_BODIES)),
+                log_key(max(0, head.version - KEPT_LOG_ENTRIES)),
+            ],
+        )
+
+    async def _bring_into_force(self, version):
+        """Adopt a committed version and wait until a majority has adopted it."""
+        number = version.head.version
+        self._replica.adopt(number, version.text)
+        message = AnnounceSettings(version=number, origin=self._member.record.member)
+        for _ in range(SPREAD_ROUNDS):
+            records = self._member.list_members()
+            answers = await asyncio.gather(
+                *(
+                    self._member.peers.call(
+                        record.peer_address, message, ANNOUNCE_SECONDS
+                    )
+                    for record in records
+                    if record.member != self._member.record.member
+                )
+            )
+            in_force = 1 + sum(_has_version(answer, number) for answer in answers)
+            if in_force == len(records) or is_majority(in_force, len(records)):
+                return Ok(number)
+            await self._member.refresh()
+        return Err(_fail_unspread(number, in_force, len(records)))
+
+    async def _resolve_failure(self, failure, version):
+        """Read back whether a change took effect whose answer was lost."""
+        number = version.head.version
+        if failure.outcome is not Outcome.UNKNOWN:
+            if failure.code is ErrorCode.CONFLICT:
+                return Err(await self._describe_conflict(number - 1))
+            return Err(failure)
+        answer = await self._member.table.read_row(body_key(number))
+        if answer.is_ok() and answer.unwrap().value is not None:
+            if answer.unwrap().value["token"] == version.head.token:
+                return await self._bring_into_force(version)
+            return Err(await self._describe_conflict(number - 1))
+        reason = f"not known whether version {number} was committed; read it"
+        return Err(failure.with_changes(step="change settings", reason=reason))
+
+    async def _describe_conflict(self, expected_version):
+        """Return a failure that names the change that came first."""
+        answer = await self._member.table.read_row(log_key(expected_version + 1))
+        reason = f"version {expected_version} is not in force"
+        if answer.is_ok() and answer.unwrap().value is not None:
+            other = SettingsLogEntry.model_validate(answer.unwrap().value)
+            at = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(other.at))
+            reason = (
+                f"{other.author} committed version {other.version} at {at}"
+                f" ({other.note or 'no note'}); read it and try again"
+            )
+        return _refuse(reason, ErrorCode.CONFLICT)
+
+
+def _has_version(answer, number):
+    body = answer.unwrap_or(None)
+    return isinstance(body, SettingsBody) and body.version >= number
+
+
+def _fail_unspread(number, in_force, members):
+    return Failure(
+        code=ErrorCode.UNAVAILABLE,
+        step="bring settings into force",
+        reason=(
+            f"version {number} is committed, but in force on {in_force} of {members} "
+            "members only; see settings status"
+        ),
+        outcome=Outcome.UNKNOWN,
+        retry_after_ms=1000,
+    )
+
+
+def _refuse(reason, code=ErrorCode.UNAVAILABLE):
+    return Failure(code=code, step="change settings", reason=reason)
--- a/libs/ownership/src/cactustiller/ownership/member.py
+++ b/libs/ownership/src/cactustiller/ownership/member.py
@@ -32,6 +32,7 @@
 JOIN_RETRY_SECONDS = 0.5
 SCAN_EVERY_SECONDS = 2.0
 ANNOUNCE_SECONDS = 1.0
+SHORTEST_SLEEP_SECONDS = 0.001
 
 log = structlog.get_logger(__name__)
 
@@ -290,7 +291,7 @@
             now = asyncio.get_running_loop().time()
             due = self.committer.confirmed_at + interval
             if now < due:
-                await asyncio.sleep(due - now)
+                await asyncio.sleep(max(due - now, SHORTEST_SLEEP_SECONDS))
                 continue
             answer = await self.committer.commit(Write(), "heartbeat")
             if answer.is_err():
--- a/libs/ownership/src/cactustiller/ownership/replica.py
+++ b/libs/ownership/src/cactustiller/ownership/replica.py
@@ -1,46 +1,31 @@
-"""Replica of the settings tree in one daemon.
-
-The row ``settings/head`` names the version in force and ``settings/body/<version>``
-holds its text. A change is conditional on the head row, so racing changes conflict.
-"""
+"""Replica of the settings tree in one daemon."""
 
 import asyncio
-import hashlib
 import random
-import secrets
-import time
 
 import structlog
 from reactivex.subject import Subject
-from result import Err, Ok
 
-from cactustiller.model import ErrorCode, Failure, Outcome, Record
+from cactustiller.model import Record
 from cactustiller.model.messages import AnnounceSettings, GetSettings, SettingsBody
-from cactustiller.platform import Check, Put, Write
-from cactustiller.settings import default_tree, dump_tree, parse_tree
+from cactustiller.settings import parse_tree
+
+from .freshness import PeerAnswer, find_confirmation
+from .settingsrows import (
+    HEAD_KEY,
+    SettingsBodyRow,
+    SettingsHead,
+    body_key,
+    digest_text,
+)
 
-HEAD_KEY = "settings/head"
-BODY_PREFIX = "settings/body/"
 PEER_SECONDS = 1.0
-COMMIT_SECONDS = 5.0
-MAX_EDIT_ATTEMPTS = 5
 POLL_JITTER = 0.2
 LONGEST_AGE_SECONDS = 1e9
 
 log = structlog.get_logger(__name__)
 
 
-class SettingsHead(Record):
-    """Row ``settings/head``; `at` is seconds since the Unix epoch."""
-
-    version: int
-    author: str
-    note: str = ""
-    at: float
-    digest: str
-    token: str
-
-
 class SettingsChange(Record):
     """Version that came into force on this daemon."""
 
@@ -53,11 +38,11 @@
     Parameters
     ----------
     member : Member
-        Gives table, committer, peers and the list of members.
-    site, cell : str
-        Cell of the default tree, which the first daemon writes.
+        Gives table, peers and the list of members.
     timing : TimingSettings
         ``settings_poll_seconds`` and ``freshness_seconds`` are used.
+    seed_peers : sequence of str
+        Peer addresses that are asked while no member is known.
     seed : int
         Seed of the jitter.
 
@@ -65,25 +50,31 @@
     ----------
     tree : SettingsTree or None
         None until a version is known.
+    text : str
+        Text of the tree.
     version : int
         Never decreases.
+    head_row : int
+        Version of the row ``settings/head`` when it was last read.
+    is_missing : bool
+        Whether the table service has no settings yet.
     changes : reactivex.Subject of SettingsChange
     """
 
-    def __init__(self, member, site, cell, timing, seed=0):
+    def __init__(self, member, timing, seed_peers=(), seed=0):
         self.tree = None
+        self.text = ""
         self.version = 0
+        self.head_row = 0
+        self.is_missing = False
         self.changes = Subject()
         self._member = member
-        self._site = site
-        self._cell = cell
         self._timing = timing
+        self._seed_peers = tuple(seed_peers)
         self._random = random.Random(seed)
-        self._text = ""
-        self._head_row = 0
         self._confirmed_at = float("-inf")
+        self._table_down = False
         self._task = None
-        self._aside = set()
 
     @property
     def age_seconds(self):
@@ -104,189 +95,51 @@
 
     async def stop(self):
         """Stop polling."""
-        tasks = [task for task in (self._task, *self._aside) if task is not None]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
 
     async def poll(self):
-        """Confirm the version with the table service, else ask the peers."""
+        """Confirm the version with the table service, else with the peers."""
         started = asyncio.get_running_loop().time()
-        answer = await self._member.table.read_row(HEAD_KEY, self._head_row)
+        answer = await self._member.table.read_row(HEAD_KEY, self.head_row)
+        self._table_down = answer.is_err()
         if answer.is_err():
-            await self._ask_peers(started)
+            await self._ask_peers()
             return
         row = answer.unwrap()
+        self.is_missing = row.version == 0 and self.version == 0
         if row.version == 0:
-            await self._create_default()
+            if self.version:
+                log.error("settings_head_missing", version=self.version)
             return
         if row.unchanged:
-            self._confirmed_at = max(self._confirmed_at, started)
+            self.confirm(started)
             return
         head = SettingsHead.model_validate(row.value)
-        if await self._load(head.version, head.digest):
-            self._head_row = row.version
-            self._confirmed_at = max(self._confirmed_at, started)
-
-    async def change(self, edit, author, note="", expected_version=None):
-        """Commit an edited tree and return ``Ok(version)`` or ``Err(Failure)``.
-
-        Parameters
-        ----------
-        edit : callable
-            Returns a `Result` of the new tree or a list of `SettingsError`.
-        author : str
-            Key id of the operator.
-        note : str
-        expected_version : int, optional
-            Version that the operator read. Without it the edit is applied to the
-            newest version, again after a conflict.
-        """
-        for _ in range(MAX_EDIT_ATTEMPTS):
-            await self.poll()
-            if self.tree is None or self.age_seconds > self._timing.freshness_seconds:
-                return Err(_refuse("the settings in force are not known"))
-            if expected_version not in (None, self.version):
-                return Err(await self._describe_conflict(expected_version))
-            edited = edit(self.tree)
-            if edited.is_err():
-                reason = "; ".join(str(error) for error in edited.unwrap_err())
-                return Err(_refuse(reason, ErrorCode.INVALID))
-            result = await self._commit(edited.unwrap(), author, note)
-            if result.is_ok() or result.unwrap_err().code is not ErrorCode.CONFLICT:
-                return result
-        return result
+        if await self._load(head):
+            self.head_row = max(self.head_row, row.version)
+            self.confirm(started)
 
     async def answer(self, message, hello):
-        """Answer `AnnounceSettings` or `GetSettings` of a peer."""
+        """Answer `AnnounceSettings`, after taking the version, or `GetSettings`."""
         if isinstance(message, AnnounceSettings) and message.version > self.version:
-            self._run_aside(self._fetch_from(hello.member))
+            await self._fetch_from_member(message.origin or hello.member)
         known = getattr(message, "known_version", self.version)
-        text = self._text if self.version > known else ""
         age_ms = int(min(self.age_seconds, LONGEST_AGE_SECONDS) * 1000)
-        return SettingsBody(version=self.version, text=text, age_ms=age_ms)
-
-    def _run_aside(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._aside.add(task)
-        task.add_done_callback(self._aside.discard)
-
-    async def _poll_regularly(self):
-        while True:
-            jitter = self._random.uniform(1 - POLL_JITTER, 1)
-            await asyncio.sleep(self._timing.settings_poll_seconds * jitter)
-            await self.poll()
-
-    async def _create_default(self):
-        if self.version:
-            log.error("settings_head_missing", version=self.version)
-            return
-        tree = default_tree(self._site, self._cell)
-        result = await self._commit(tree, self._member.record.member, "default")
-        if result.is_err():
-            # Usually another daemon was first; the next poll takes its version.
-            log.info("default_settings_not_written", reason=str(result.err()))
-
-    async def _commit(self, tree, author, note):
-        version = self.version + 1
-        text = dump_tree(tree)
-        head = SettingsHead(
-            version=version,
-            author=author,
-            note=note,
-            at=time.time(),
-            digest=_digest(text),
-            token=secrets.token_hex(8),
-        )
-        write = Write(
-            checks=[Check(key=HEAD_KEY, version=self._head_row)],
-            puts=[
-                Put(key=HEAD_KEY, value=head.model_dump()),
-                Put(
-                    key=f"{BODY_PREFIX}{version}",
-                    value={"text": text, **head.model_dump()},
-                ),
-            ],
+        return SettingsBody(
+            version=self.version,
+            text=self.text if self.version > known else "",
+            age_ms=max(0, age_ms),
+            table_down=self._table_down,
+            member_count=len(self._member.list_members()),
         )
-        started = asyncio.get_running_loop().time()
-        result = await self._member.committer.commit(write, "settings", COMMIT_SECONDS)
-        if result.is_err():
-            return await self._resolve_failure(result.unwrap_err(), head, text)
-        self._head_row = max(self._head_row, result.unwrap())
-        self._confirmed_at = max(self._confirmed_at, started)
-        return self._announce(head.version, text)
-
-    def _announce(self, version, text):
-        self._adopt(version, text)
-        origin = self._member.record.member
-        message = AnnounceSettings(version=version, origin=origin)
-        self._run_aside(self._member.announce(message))
-        return Ok(version)
-
-    async def _resolve_failure(self, failure, head, text):
-        """Read back whether a change took effect whose answer was lost."""
-        if failure.outcome is not Outcome.UNKNOWN:
-            if failure.code is ErrorCode.CONFLICT:
-                return Err(await self._describe_conflict(head.version - 1))
-            return Err(failure)
-        answer = await self._member.table.read_row(f"{BODY_PREFIX}{head.version}")
-        if answer.is_ok() and answer.unwrap().value is not None:
-            if answer.unwrap().value["token"] == head.token:
-                return self._announce(head.version, text)
-            return Err(await self._describe_conflict(head.version - 1))
-        reason = f"not known whether version {head.version} was committed; read it"
-        return Err(failure.with_changes(step="change settings", reason=reason))
-
-    async def _describe_conflict(self, expected_version):
-        """Return a failure that names the change that came first."""
-        answer = await self._member.table.read_row(
-            f"{BODY_PREFIX}{expected_version + 1}"
-        )
-        reason = f"version {expected_version} is not in force"
-        if answer.is_ok() and answer.unwrap().value is not None:
-            other = answer.unwrap().value
-            at = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(other["at"]))
-            reason = (
-                f"{other['author']} committed version {other['version']} at {at}"
-                f" ({other['note'] or 'no note'}); read it and try again"
-            )
-        return _refuse(reason, ErrorCode.CONFLICT)
-
-    async def _load(self, version, digest):
-        if version <= self.version:
-            return True
-        answer = await self._member.table.read_row(f"{BODY_PREFIX}{version}")
-        if answer.is_err() or answer.unwrap().value is None:
-            return False
-        text = answer.unwrap().value["text"]
-        if _digest(text) != digest:
-            log.error("settings_body_damaged", version=version)
-            return False
-        return self._adopt(version, text)
-
-    async def _ask_peers(self, started):
-        """Take the highest version among the members that can be reached."""
-        records = [
-            record
-            for record in self._member.list_members()
-            if record.member != self._member.record.member
-        ]
-        calls = [self._fetch_from(record.member) for record in records]
-        await asyncio.gather(*calls)
 
-    async def _fetch_from(self, name):
-        record = self._member.members.get(name)
-        if record is None:
-            return
-        answer = await self._member.peers.call(
-            record.peer_address, GetSettings(known_version=self.version), PEER_SECONDS
-        )
-        if answer.is_ok() and isinstance(answer.unwrap(), SettingsBody):
-            body = answer.unwrap()
-            if body.text:
-                self._adopt(body.version, body.text)
+    def confirm(self, moment):
+        """Note that the version in force was the newest at a loop time."""
+        self._confirmed_at = max(self._confirmed_at, moment)
 
-    def _adopt(self, version, text):
+    def adopt(self, version, text):
         """Bring a version into force unless a newer one is; return success."""
         if version <= self.version:
             return True
@@ -296,17 +149,66 @@
             log.error("settings_refused", version=version, reason=reason)
             return False
         self.tree = parsed.unwrap()
+        self.text = text
         self.version = version
-        self._text = text
         self._member.note_settings_version(version)
         log.info("settings_in_force", version=version)
         self.changes.on_next(SettingsChange(version=version))
         return True
 
+    async def _poll_regularly(self):
+        while True:
+            jitter = self._random.uniform(1 - POLL_JITTER, 1)
+            await asyncio.sleep(self._timing.settings_poll_seconds * jitter)
+            await self.poll()
+
+    async def _load(self, head):
+        if head.version <= self.version:
+            return True
+        answer = await self._member.table.read_row(body_key(head.version))
+        if answer.is_err() or answer.unwrap().value is None:
+            return False
+        row = SettingsBodyRow.model_validate(answer.unwrap().value)
+        if digest_text(row.text) != head.digest:
+            log.error("settings_body_damaged", version=head.version)
+            return False
+        return self.adopt(head.version, row.text)
 
-def _digest(text):
-    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
+    async def _ask_peers(self):
+        """Take the highest version among the peers; confirm it if they allow that."""
+        asked_at = asyncio.get_running_loop().time()
+        bodies = await asyncio.gather(
+            *(self._fetch(address) for address in self._list_addresses())
+        )
+        answers = [
+            PeerAnswer(body.age_ms / 1000, body.table_down, body.member_count)
+            for body in bodies
+            if body is not None and body.version <= self.version
+        ]
+        if self.version:
+            members = len(self._member.list_members())
+            self.confirm(find_confirmation(answers, asked_at, members))
 
+    def _list_addresses(self):
+        addresses = [
+            record.peer_address
+            for record in self._member.list_members()
+            if record.member != self._member.record.member
+        ]
+        return addresses or list(self._seed_peers)
 
-def _refuse(reason, code=ErrorCode.UNAVAILABLE):
-    return Failure(code=code, step="change settings", reason=reason)
+    async def _fetch_from_member(self, name):
+        record = self._member.members.get(name)
+        if record is not None:
+            await self._fetch(record.peer_address)
+
+    async def _fetch(self, address):
+        """Adopt a peer's newer version; return its `SettingsBody` or None."""
+        message = GetSettings(known_version=self.version)
+        answer = await self._member.peers.call(address, message, PEER_SECONDS)
+        if answer.is_err() or not isinstance(answer.unwrap(), SettingsBody):
+            return None
+        body = answer.unwrap()
+        if body.text:
+            self.adopt(body.version, body.text)
+        return body
--- a/libs/scheduler/src/cactustiller/scheduler/incarnation.py
+++ b/libs/scheduler/src/cactustiller/scheduler/incarnation.py
@@ -56,9 +56,7 @@
         self.member = Member(
             record, ports.table, settings.timing, self._handle, peers=peers
         )
-        self.replica = SettingsReplica(
-            self.member, settings.site, settings.cell, settings.timing
-        )
+        self.replica = SettingsReplica(self.member, settings.timing, settings.peers)
         self.view = CellView()
         self.partitions = Partitions(
             self.member, ports.workers, settings.timing, WallClock(), lambda: None
--- a/libs/settings/src/cactustiller/settings/instance.py
+++ b/libs/settings/src/cactustiller/settings/instance.py
@@ -97,7 +97,11 @@
 
 
 class InstanceSettings(StrictRecord):
-    """Whole settings file; `gateway`, `scheduler` or both are present."""
+    """Whole settings file; `gateway`, `scheduler` or both are present.
+
+    `peers` are peer addresses of other instances, which a daemon that starts while
+    the table service is down asks for the settings.
+    """
 
     instance: Name
     zone: Name
@@ -107,6 +111,7 @@
     gateway: GatewaySettings | None = None
     scheduler: SchedulerSettings | None = None
     platform: PlatformSettings
+    peers: tuple[Address, ...] = ()
     first_operator_key_file: FilePath | None = None
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     timing: TimingSettings = TimingSettings()
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -21,6 +21,7 @@
     GetSettings,
     JobView,
     ReturnPermits,
+    SettingsBody,
     SubmitJob,
 )
 from cactustiller.ownership import (
@@ -29,6 +30,7 @@
     Metrics,
     Owner,
     Ownership,
+    SettingsEditor,
     SettingsReplica,
     list_homes,
     pool_of_service,
@@ -144,7 +146,9 @@
             return self.pool.give_back(message)
         if isinstance(message, SubmitJob):
             return self._submit(message)
-        if isinstance(message, AnnounceSettings | GetSettings):
+        if isinstance(message, AnnounceSettings):
+            return SettingsBody(version=message.version)
+        if isinstance(message, GetSettings):
             return Done()
         if message.job not in self.jobs:
             return Failure(code=ErrorCode.NOT_FOUND, step="find job", reason="no job")
@@ -300,8 +304,10 @@
             build_record("g1"), self.table, self.timing, None, peers=self.peers
         )
         await member.start()
-        replica = SettingsReplica(member, "demo", "main", self.timing)
+        replica = SettingsReplica(member, self.timing)
+        editor = SettingsEditor(replica, member, "demo", "main")
         await replica.start()
+        await editor.create_default()
         directory = ExecutorDirectory(FakeList(backends))
         await directory.start()
         self.session = create_session()
@@ -309,6 +315,7 @@
         return Gateway(
             member=member,
             replica=replica,
+            editor=editor,
             guard=KeyGuard(replica, "demo", "main"),
             calls=OwnerCalls(member),
             directory=directory,
@@ -333,4 +340,4 @@
         self.key_ids[name] = record.key_id
 
     async def _change(self, edit):
-        return (await self.gateway.replica.change(edit, "test")).unwrap()
+        return (await self.gateway.editor.change(edit, "test")).unwrap()
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -43,7 +43,7 @@
 
 async def test_lost_answer_of_a_change_is_resolved(cell):
     cell.table.lost_answers = 1
-    result = await cell.gateway.replica.change(
+    result = await cell.gateway.editor.change(
         lambda tree: set_value(tree, "", "share_weight", 5.0), "test"
     )
     assert result.unwrap() == cell.gateway.replica.version
--- a/tests/ownership/test_replica.py
+++ b/tests/ownership/test_replica.py
@@ -2,51 +2,21 @@
 
 import pytest
 
+from cactustiller.model import ErrorCode, Outcome
 from cactustiller.model.messages import AnnounceSettings, GetSettings, Hello
-from cactustiller.ownership import Member, SettingsReplica
-from cactustiller.settings import TimingSettings, set_value
-from tests.gateway.builders import FakePeers, FakeTable, build_record
+from cactustiller.ownership.freshness import PeerAnswer, find_confirmation
+from cactustiller.settings import (
+    add_key,
+    create_key,
+    set_value,
+    verify_key,
+    withdraw_key,
+)
+from tests.ownership.builders import TIMING, Daemon, Daemons, set_weight
 
-TIMING = TimingSettings(commit_delay_ms=0)
 pytestmark = pytest.mark.looptime
 
 
-def set_weight(weight):
-    return lambda tree: set_value(tree, "", "share_weight", weight)
-
-
-class Daemons:
-    """Several replicas over one table and peers in memory."""
-
-    def __init__(self):
-        self.table = FakeTable()
-        self.peers = FakePeers()
-        self.replicas = []
-        self.members = []
-
-    async def add(self, name):
-        member = Member(
-            build_record(name, address=name), self.table, TIMING, None, peers=self.peers
-        )
-        await member.start()
-        replica = SettingsReplica(member, "demo", "main", TIMING)
-
-        async def answer(message):
-            hello = Hello(member=getattr(message, "origin", ""), role="", zone="")
-            return await replica.answer(message, hello)
-
-        self.peers.handlers[name] = answer
-        await replica.start()
-        self.replicas.append(replica)
-        self.members.append(member)
-        return replica
-
-    async def stop(self):
-        for replica, member in zip(self.replicas, self.members, strict=True):
-            await replica.stop()
-            await member.stop()
-
-
 @pytest.fixture
 async def daemons():
     daemons = Daemons()
@@ -54,27 +24,38 @@
     await daemons.stop()
 
 
+async def add_three(daemons):
+    return [await daemons.add(name) for name in ("g1", "g2", "g3")]
+
+
 async def test_only_one_daemon_writes_the_default_tree(daemons):
     first, second = [await daemons.add(name) for name in ("g1", "g2")]
-    assert first.version == second.version == 1
-    assert first.is_fresh and second.is_fresh
+    assert first.replica.version == second.replica.version == 1
+    assert first.replica.is_fresh and second.replica.is_fresh
 
 
-async def test_change_reaches_peers_before_their_poll(daemons):
-    first, second = [await daemons.add(name) for name in ("g1", "g2")]
-    await daemons.members[0].refresh()
-    versions = []
-    second.changes.subscribe(lambda change: versions.append(change.version))
-    await first.change(set_weight(2.0), "ann")
-    await asyncio.sleep(0.01)
-    assert versions == [2]
+async def test_change_is_in_force_at_its_peers_when_it_is_accepted(daemons):
+    first, *others = await add_three(daemons)
+    assert (await first.editor.change(set_weight(2.0), "ann")).unwrap() == 2
+    assert [daemon.replica.version for daemon in others] == [2, 2]
+
+
+async def test_change_without_a_majority_is_unknown_and_spreads_later(daemons):
+    first, *others = await add_three(daemons)
+    for daemon in others:
+        daemons.cut_peers(daemon.name)
+    failure = (await first.editor.change(set_weight(2.0), "ann")).unwrap_err()
+    assert failure.outcome is Outcome.UNKNOWN
+    assert "version 2" in failure.reason
+    await asyncio.sleep(2 * TIMING.settings_poll_seconds)
+    assert [daemon.replica.version for daemon in others] == [2, 2]
 
 
 async def test_racing_changes_conflict_by_expected_version(daemons):
     first, second = [await daemons.add(name) for name in ("g1", "g2")]
     results = await asyncio.gather(
-        first.change(set_weight(2.0), "ann", "spring", 1),
-        second.change(set_weight(3.0), "bob", "autumn", 1),
+        first.editor.change(set_weight(2.0), "ann", "spring", 1),
+        second.editor.change(set_weight(3.0), "bob", "autumn", 1),
     )
     lost = [result.unwrap_err() for result in results if result.is_err()]
     winner = next(
@@ -87,38 +68,125 @@
 async def test_edits_without_expected_version_are_both_kept(daemons):
     first, second = [await daemons.add(name) for name in ("g1", "g2")]
     await asyncio.gather(
-        first.change(set_weight(2.0), "ann"),
-        second.change(lambda tree: set_value(tree, "", "limit_tasks", 7), "bob"),
+        first.editor.change(set_weight(2.0), "ann"),
+        second.editor.change(lambda tree: set_value(tree, "", "limit_tasks", 7), "bob"),
     )
-    await first.poll()
-    assert first.tree.values == {"share_weight": 2.0, "limit_tasks": 7}
+    await first.replica.poll()
+    assert first.replica.tree.values == {"share_weight": 2.0, "limit_tasks": 7}
 
 
 async def test_version_never_decreases(daemons):
-    replica = await daemons.add("g1")
-    old = (await replica.answer(GetSettings(), None)).text
-    await replica.change(set_weight(2.0), "ann")
-    replica._adopt(1, old)
-    assert replica.version == 2
-    assert replica.tree.values == {"share_weight": 2.0}
+    daemon = await daemons.add("g1")
+    old = (await daemon.replica.answer(GetSettings(), None)).text
+    await daemon.editor.change(set_weight(2.0), "ann")
+    daemon.replica.adopt(1, old)
+    assert daemon.replica.version == 2
+    assert daemon.replica.tree.values == {"share_weight": 2.0}
+
+
+async def test_rollback_is_a_new_version_and_revives_no_key(daemons):
+    daemon = await daemons.add("g1")
+    key, text = create_key(None, "k", True, 1.0)
+    await daemon.editor.change(lambda tree: add_key(tree, key), "ann")
+    await daemon.editor.change(set_weight(2.0), "ann")
+    await daemon.editor.change(lambda tree: withdraw_key(tree, key.key_id, 9.0), "ann")
+    assert (await daemon.editor.roll_back(2, "bob")).unwrap() == 5
+    assert daemon.replica.tree.values == {}
+    assert verify_key(daemon.replica.tree, text).is_err()
+    history = (await daemon.editor.read_history()).unwrap()
+    assert [entry.version for entry in history] == [5, 4, 3, 2, 1]
+    assert history[0].changes == ["(system) share_weight: 2.0 -> None"]
+    missing = (await daemon.editor.roll_back(7, "bob")).unwrap_err()
+    assert missing.code is ErrorCode.NOT_FOUND
+
+
+async def test_daemon_cut_off_from_table_and_peers_stops_accepting(daemons):
+    first, *_ = await add_three(daemons)
+    first.table.is_cut = True
+    first.member.peers = type(first.member.peers)()
+    await asyncio.sleep(TIMING.freshness_seconds + 1)
+    assert not first.replica.is_fresh
+    first.table.is_cut = False
+    await asyncio.sleep(10)
+    assert first.replica.is_fresh
+
 
+async def test_daemon_cut_off_from_the_table_alone_follows_its_peers(daemons):
+    first, second, _ = await add_three(daemons)
+    first.table.is_cut = True
+    await asyncio.sleep(TIMING.freshness_seconds + 5)
+    assert first.replica.is_fresh
+    daemons.cut_peers("g1")
+    await second.editor.change(set_weight(2.0), "ann")
+    await asyncio.sleep(TIMING.settings_poll_seconds + 3)
+    assert first.replica.version == 2
 
-async def test_outage_ends_freshness_and_recovery_restores_it(daemons):
-    replica = await daemons.add("g1")
+
+async def test_outage_for_a_majority_keeps_keys_valid(daemons):
+    replicas = [daemon.replica for daemon in await add_three(daemons)]
     daemons.table.is_down = True
-    await asyncio.sleep(TIMING.freshness_seconds + 1)
-    assert not replica.is_fresh
-    daemons.table.is_down = False
-    await asyncio.sleep(10)
-    assert replica.is_fresh
+    await asyncio.sleep(120)
+    assert all(replica.is_fresh for replica in replicas)
+
+
+async def test_minority_that_sees_an_outage_stops(daemons):
+    first, second, _ = await add_three(daemons)
+    daemons.table.is_down = True
+    for name in ("g2", "g3"):
+        daemons.cut_peers(name)
+    await asyncio.sleep(TIMING.freshness_seconds + 2)
+    assert not first.replica.is_fresh
+    # The others can still ask g1, so that two of three agree.
+    assert second.replica.is_fresh
+
+
+async def test_daemon_that_starts_in_an_outage_asks_its_seed_peers(daemons):
+    await add_three(daemons)
+    daemons.table.is_down = True
+    await asyncio.sleep(5)
+    late = Daemon("g4", daemons.table, daemons.peers, ["g1", "g2", "g3"])
+    await late.replica.poll()
+    assert late.replica.version == 1
+    assert late.replica.is_fresh
+    alone = Daemon("g5", daemons.table, daemons.peers)
+    await alone.replica.poll()
+    assert alone.replica.version == 0
+    assert not alone.replica.is_fresh
 
 
 async def test_announced_version_is_fetched_during_an_outage(daemons):
     first, second = [await daemons.add(name) for name in ("g1", "g2")]
-    await daemons.members[1].refresh()
-    await first.change(set_weight(2.0), "ann")
+    daemons.cut_peers("g2")
+    await first.editor.change(set_weight(2.0), "ann")
     daemons.table.is_down = True
     message = AnnounceSettings(version=2, origin="g1")
-    await second.answer(message, Hello(member="g1", role="", zone=""))
-    await asyncio.sleep(0.01)
-    assert second.version == 2
+    await second.replica.answer(message, Hello(member="g1", role="", zone=""))
+    assert second.replica.version == 2
+
+
+@pytest.mark.parametrize(
+    ("answers", "members", "confirmed"),
+    [
+        ([], 1, False),
+        ([PeerAnswer(100.0, True, 3)], 3, True),
+        ([PeerAnswer(100.0, True, 3)], 4, False),
+        ([PeerAnswer(100.0, True, 5)], 3, False),
+        ([PeerAnswer(100.0, False, 3)], 3, False),
+    ],
+)
+def test_outage_needs_more_than_half_of_the_members(answers, members, confirmed):
+    assert (find_confirmation(answers, 50.0, members) == 50.0) == confirmed
+
+
+async def test_change_that_a_blind_majority_cannot_know_is_not_accepted(daemons):
+    first, second, third = await add_three(daemons)
+    second.table.is_cut = third.table.is_cut = True
+    daemons.cut_peers("g1")
+    result = await first.editor.change(set_weight(2.0), "ann")
+    assert result.unwrap_err().outcome is Outcome.UNKNOWN
+    await asyncio.sleep(12)
+    # They may go on under version 1, since version 2 is not accepted.
+    assert second.replica.is_fresh and second.replica.version == 1
+    daemons.peers.handlers["g1"] = first.answer
+    await asyncio.sleep(2)
+    assert second.replica.version == third.replica.version == 2
