Add make chaos: seeded faults under load, judged from histories

Cause: nothing showed what the cell does under kills, pauses, table outages and lost answers together.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,11 @@
 SCHEDULERS ?= 3
 WORKERS ?= 24
 BASE_PORT ?= 21000
+SEED ?= 1
+SECONDS ?= 60
+MINUTES ?= 5
 
-.PHONY: setup test lint format demo cell bench-idle
+.PHONY: setup test lint format demo cell chaos soak bench-idle bench-recovery
 
 setup: $(VENV)/.ready
 
@@ -35,5 +38,14 @@
 	$(PYTHON) -m demo.cell --gateways $(GATEWAYS) --schedulers $(SCHEDULERS) \
 	  --workers $(WORKERS) --base-port $(BASE_PORT)
 
+chaos: setup
+	$(PYTHON) -m demo.chaos --seed $(SEED) --seconds $(SECONDS) --base-port $(BASE_PORT)
+
+soak: setup
+	SOAK_SEED=$(SEED) SOAK_MINUTES=$(MINUTES) $(PYTHON) -m pytest -s tests/scheduler/test_recovery_machine.py
+
+bench-recovery: setup
+	$(PYTHON) -m benchmarks.recovery
+
 bench-idle: setup
 	$(PYTHON) -m benchmarks.idle
--- a/demo/cell.py
+++ b/demo/cell.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import tempfile
+from collections import defaultdict
 from pathlib import Path
 
 import typer
@@ -54,6 +55,7 @@
         self.operator_key = ""
         self._key_file = None
         self._children = {}
+        self._restarts = defaultdict(asyncio.Lock)
 
     async def __aenter__(self):
         try:
@@ -117,9 +119,16 @@
     async def restart(self, name):
         """Stop the process if it runs, start it again and wait until ready."""
         child = self._find(name)
-        await child.stop()
-        await child.start()
-        await self._wait_until_ready(child)
+        async with self._restarts[name]:
+            await child.stop()
+            await child.start()
+            await self._wait_until_ready(child)
+
+    def list_crashed(self):
+        """Return the processes that ended though nobody ended them."""
+        return [
+            child.name for child in self._children.values() if child.has_ended_by_itself
+        ]
 
     def _find(self, name):
         if name not in self._children:
