Keep a commit's conditions, lease and outcome true when answers are lost

Cause: (a) a batch kept one check a row, so a write conditional on an older version (of the ownership row, say) was committed under another write's newer version, and one conditional on a row that the batch itself wrote was committed too; (b) the lease counted from the copy that was answered, though an earlier copy had rewritten the row; (c) a batch whose first copy took effect before a takeover was answered notRun. Change: writes that do not agree on a row's version never share a transaction; the lease counts from the first copy sent; an unanswered copy makes the outcome unknown; a stopped writer settles its batch in flight. Batches have a module of their own.

--- a/libs/platform/src/cactustiller/platform/commits.py
+++ b/libs/platform/src/cactustiller/platform/commits.py
@@ -11,15 +11,16 @@
 import secrets
 from collections import deque
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import structlog
 from result import Err, Ok
 
 from cactustiller.model import ErrorCode, Failure, Outcome
 
-from .records import Check, Put, Write
+from .batches import Batch, Operation
+from .records import Check, Put, TransactReply, Write
 
-MAX_BATCH_RECORDS = 2000
 FIRST_BACKOFF_SECONDS = 0.05
 LONGEST_BACKOFF_SECONDS = 1.0
 REFUSE_AFTER_SECONDS = 1.0
@@ -27,48 +28,15 @@
 log = structlog.get_logger(__name__)
 
 
-@dataclass
-class _Operation:
-    write: Write
-    purpose: str
-    done: asyncio.Future
-    is_sent: bool = False
-
-    @property
-    def size(self):
-        return len(self.write.puts) + len(self.write.deletes)
-
+class _Sending(NamedTuple):
+    """Answer to a transaction and what its copies may have done before.
 
-class _Batch:
-    """Operations that one transaction can carry without changing their meaning."""
-
-    def __init__(self):
-        self.operations = []
-        self._size = 0
-        self._written = set()
-        self._checked = {}
-
-    def accepts(self, operation):
-        if not self.operations:
-            return True
-        if self._size + operation.size > MAX_BATCH_RECORDS:
-            return False
-        written = _list_written_keys(operation.write)
-        if written & (self._written | self._checked.keys()):
-            return False
-        return all(
-            check.key not in self._written
-            and self._checked.get(check.key, check.version) == check.version
-            for check in operation.write.checks
-        )
+    `is_repeated` tells whether an earlier copy may have taken effect.
+    """
 
-    def add(self, operation):
-        operation.is_sent = True
-        self.operations.append(operation)
-        self._size += operation.size
-        self._written |= _list_written_keys(operation.write)
-        for check in operation.write.checks:
-            self._checked[check.key] = check.version
+    reply: TransactReply
+    first_sent_at: float
+    is_repeated: bool
 
 
 @dataclass
@@ -113,6 +81,7 @@
         self._random = random.Random(seed)
         self._version = 0
         self._queue = deque()
+        self._in_flight = []
         self._wake = asyncio.Event()
         self._stuck_since = None
         self._task = None
@@ -133,8 +102,11 @@
             return
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
+        for operation in self._in_flight:
+            _resolve(operation, _fail_in_flight(operation))
         for operation in self._queue:
             _resolve(operation, _refuse("the writer has stopped"))
+        self._queue.clear()
 
     @property
     def is_stuck(self):
@@ -156,7 +128,7 @@
             return _fence_failure()
         if self.is_stuck and not wait_if_stuck:
             return _refuse("the table service does not answer")
-        operation = _Operation(write, purpose, asyncio.Future())
+        operation = Operation(write, purpose, asyncio.Future())
         self._queue.append(operation)
         self._wake.set()
         try:
@@ -197,32 +169,27 @@
                 self._wake.set()
 
     def _take_batch(self):
-        batch = []
-        size = 0
-        keys = set()
-        while self._queue:
-            operation = self._queue[0]
-            written = _list_written_keys(operation.write)
-            if batch and (size + operation.size > MAX_BATCH_RECORDS or keys & written):
-                break
-            self._queue.popleft()
-            operation.is_sent = True
-            batch.append(operation)
-            size += operation.size
-            keys |= written | {check.key for check in operation.write.checks}
-        return batch
+        batch = Batch()
+        while self._queue and batch.accepts(self._queue[0]):
+            batch.add(self._queue.popleft())
+        return batch.operations
 
     async def _commit_batch(self, batch):
         """Commit a batch; return the operations to commit again."""
         token = secrets.token_hex(8)
         write = self._merge(batch, token)
-        sent_at, reply = await self._send_until_answered(write, token)
+        self._in_flight = batch
+        sending = await self._send_until_answered(write, token)
+        self._in_flight = []
+        reply = self._interpret(sending, token)
         if reply is None:
-            self._fence(batch)
+            self._fence(batch, sending.is_repeated)
             return []
         if reply.committed:
             self._version = reply.version
-            self.confirmed_at = sent_at
+            # An earlier copy may be the one that took effect, and others count
+            # the lease from there.
+            self.confirmed_at = sending.first_sent_at
             self._count(batch)
             for operation in batch:
                 _resolve(operation, Ok(reply.version))
@@ -238,23 +205,29 @@
         return Write(checks=list(checks.values()), puts=puts, deletes=deletes)
 
     async def _send_until_answered(self, write, token):
-        """Repeat one transaction until its effect is known; None if fenced."""
+        """Repeat one transaction until it is answered; return the `_Sending`."""
         loop = asyncio.get_running_loop()
         backoff = FIRST_BACKOFF_SECONDS
+        first_sent_at = loop.time()
+        may_have_run = False
         while True:
             sent_at = loop.time()
             self.counters.transactions += 1
             answer = await self._port.transact(write)
             if answer.is_ok():
                 self._stuck_since = None
-                return sent_at, self._interpret(answer.unwrap(), token)
+                since = first_sent_at if may_have_run else sent_at
+                return _Sending(answer.unwrap(), since, may_have_run)
+            may_have_run |= answer.unwrap_err().outcome is not Outcome.NOT_RUN
             if self._stuck_since is None:
                 self._stuck_since = sent_at
                 log.warning("commit_retried", reason=str(answer.unwrap_err()))
             await asyncio.sleep(self._random.uniform(backoff / 2, backoff))
             backoff = min(2 * backoff, LONGEST_BACKOFF_SECONDS)
 
-    def _interpret(self, reply, token):
+    def _interpret(self, sending, token):
+        """Return the reply with a lost answer resolved; None if fenced."""
+        reply = sending.reply
         if reply.committed:
             return reply
         fence = [row for row in reply.conflicts if row.key == self._fence_key]
@@ -281,10 +254,15 @@
                 remaining.append(operation)
         return remaining
 
-    def _fence(self, batch):
+    def _fence(self, batch, is_repeated):
         self.is_fenced = True
         log.error("writer_fenced", fence=self._fence_key)
-        for operation in [*batch, *self._queue]:
+        # Where an earlier copy went unanswered, it may have taken effect before
+        # the takeover rewrote the fence row and its token.
+        outcome = Outcome.UNKNOWN if is_repeated else Outcome.NOT_RUN
+        for operation in batch:
+            _resolve(operation, _fence_failure(outcome))
+        for operation in self._queue:
             _resolve(operation, _fence_failure())
         self._queue.clear()
 
@@ -297,10 +275,6 @@
             by_purpose[operation.purpose] = previous + operation.size
 
 
-def _list_written_keys(write):
-    return {put.key for put in write.puts} | set(write.deletes)
-
-
 def _resolve(operation, result):
     if not operation.done.done():
         operation.done.set_result(result)
@@ -317,6 +291,19 @@
     )
 
 
+def _fail_in_flight(operation):
+    return Err(
+        Failure(
+            code=ErrorCode.UNAVAILABLE,
+            step=f"commit {operation.purpose}",
+            peer="table service",
+            reason="the writer stopped before the answer",
+            outcome=Outcome.UNKNOWN,
+            retry_after_ms=1000,
+        )
+    )
+
+
 def _refuse(reason):
     return Err(
         Failure(
@@ -330,14 +317,14 @@
     )
 
 
-def _fence_failure():
+def _fence_failure(outcome=Outcome.NOT_RUN):
     return Err(
         Failure(
             code=ErrorCode.FENCED,
             step="commit",
             peer="table service",
             reason="another member has taken over; this one starts again",
-            outcome=Outcome.NOT_RUN,
+            outcome=outcome,
             retry_after_ms=1000,
         )
     )
--- a/tests/scheduler/memory.py
+++ b/tests/scheduler/memory.py
@@ -1,21 +1,59 @@
-"""In-memory table port over the stand-in's logic."""
+"""In-memory table port over the stand-in's logic, with faults."""
 
-from result import Ok
+import asyncio
 
+from result import Err, Ok
+
+from cactustiller.model import ErrorCode, Failure, Outcome
 from cactustiller.platform import ReadReply, TransactReply
 from standins.table import ReadRequest, TableStore, TransactRequest
 
 
+def fail(reason, outcome=Outcome.UNKNOWN):
+    return Err(
+        Failure(
+            code=ErrorCode.TIMEOUT,
+            step="test",
+            peer="memory",
+            reason=reason,
+            outcome=outcome,
+        )
+    )
+
+
 class MemoryTable:
-    """Table service without sockets."""
+    """Table service without sockets; several may share one store."""
 
-    def __init__(self):
-        self.store = TableStore()
+    def __init__(self, store=None):
+        self.store = store or TableStore()
+        self.is_down = False
+        self.lose_next = 0
+        self.drop_next = 0
+        self.latency_seconds = 0.0
+        self.reads = 0
+        self.transactions = 0
 
     async def transact(self, write):
-        reply = self.store.transact(TransactRequest(**write.model_dump()))
-        return Ok(TransactReply.model_validate(reply.model_dump()))
+        self.transactions += 1
+        request = TransactRequest(**write.model_dump())
+        return await self._call(self.store.transact, request, TransactReply)
 
     async def read(self, read):
-        reply = self.store.read(ReadRequest(**read.model_dump()))
-        return Ok(ReadReply.model_validate(reply.model_dump()))
+        self.reads += 1
+        return await self._call(
+            self.store.read, ReadRequest(**read.model_dump()), ReadReply
+        )
+
+    async def _call(self, perform, request, reply_class):
+        await asyncio.sleep(self.latency_seconds / 2)
+        if self.is_down:
+            return fail("down")
+        if self.drop_next:
+            self.drop_next -= 1
+            return fail("dropped")
+        reply = perform(request)
+        await asyncio.sleep(self.latency_seconds / 2)
+        if self.lose_next:
+            self.lose_next -= 1
+            return fail("answer lost")
+        return Ok(reply_class.model_validate(reply.model_dump()))
