Finish jobs, let dead workers' runs lapse, restart a failed incarnation

Change: one Recorder a home writes ends and cancellations one after another; a silent worker is probed with an empty call before starts and renewals go on, a start never sent lapses after the start window; counts of usage are kept; a failed task ends its incarnation with a logged reason and a new one joins; a release also waits for starts that a silent worker may still act on.

--- a/libs/ownership/src/cactustiller/ownership/member.py
+++ b/libs/ownership/src/cactustiller/ownership/member.py
@@ -32,6 +32,7 @@
 JOIN_RETRY_SECONDS = 0.5
 SCAN_EVERY_SECONDS = 2.0
 ANNOUNCE_SECONDS = 1.0
+SHORTEST_WAIT_SECONDS = 0.001
 
 log = structlog.get_logger(__name__)
 
@@ -52,6 +53,8 @@
         Seed of the jitter.
     peers : PeerClient, optional
         Replaces the connections to peers in tests.
+    create_server : callable
+        Returns the `PeerServer` for an identity, a handler and a `Traffic`.
     server_ssl, client_ssl : ssl.SSLContext, optional
         Contexts of the peers' connections.
 
@@ -69,6 +72,7 @@
         handle,
         seed=0,
         peers=None,
+        create_server=PeerServer,
         server_ssl=None,
         client_ssl=None,
     ):
@@ -95,7 +99,7 @@
             incarnation=self.record.incarnation,
         )
         self.peers = peers or PeerClient(hello, self.traffic, client_ssl)
-        self._server = PeerServer(hello, self._handle_message, self.traffic)
+        self._server = create_server(hello, self._handle_message, self.traffic)
         self._server_ssl = server_ssl
         self._port = table_port
         self._timing = timing
@@ -290,7 +294,7 @@
             now = asyncio.get_running_loop().time()
             due = self.committer.confirmed_at + interval
             if now < due:
-                await asyncio.sleep(due - now)
+                await asyncio.sleep(max(due - now, SHORTEST_WAIT_SECONDS))
                 continue
             answer = await self.committer.commit(Write(), "heartbeat")
             if answer.is_err():
--- a/libs/scheduler/src/cactustiller/scheduler/daemon.py
+++ b/libs/scheduler/src/cactustiller/scheduler/daemon.py
@@ -1,5 +1,7 @@
 """Scheduler daemon: homes, shards and pools of one instance."""
 
+import asyncio
+
 import aiohttp
 import structlog
 
@@ -8,6 +10,8 @@
 
 from .incarnation import Incarnation, Ports
 
+RESTART_PAUSE_SECONDS = 0.2
+
 log = structlog.get_logger(__name__)
 
 
@@ -29,10 +33,25 @@
             instances=HttpInstanceList(session, settings.platform.instances),
             workers=HttpWorkers(session),
         )
-        while not stop.is_set():
-            incarnation = Incarnation(settings, _make_record(settings), ports)
-            await incarnation.run(stop)
-            log.info("scheduler_incarnation_ended", graceful=stop.is_set())
+        await run_incarnations(
+            lambda: Incarnation(settings, _make_record(settings), ports), stop
+        )
+
+
+async def run_incarnations(create_incarnation, stop):
+    """Run one incarnation after another until `stop` is set.
+
+    Parameters
+    ----------
+    create_incarnation : callable
+    stop : asyncio.Event
+    """
+    while not stop.is_set():
+        await create_incarnation().run(stop)
+        log.info("scheduler_incarnation_ended", graceful=stop.is_set())
+        if not stop.is_set():
+            # A fault of the program may well return at once.
+            await asyncio.sleep(RESTART_PAUSE_SECONDS)
 
 
 def _make_record(settings):
--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -1,17 +1,13 @@
 """Home: the single writer of some teams' jobs, queues and running counts."""
 
 import asyncio
+from collections import defaultdict
 
 import structlog
 from result import Err, Ok
 
 from cactustiller.model import (
-    NOTHING,
-    ErrorCode,
-    Failure,
     JobRecord,
-    JobState,
-    Outcome,
     RunRecord,
     RunState,
     TaskRecord,
@@ -26,11 +22,19 @@
 )
 from cactustiller.platform import Conflict, Put, Write
 
-from .jobs import JobEntry, end_task, find_restart_pause, finish_job
+from .jobs import JobEntry, TeamUsage, finish_job
+from .recorder import Recorder, put_job, put_task
+from .refusals import (
+    fail_handed_over,
+    fail_over,
+    fail_unknown,
+    fail_unknown_job,
+    refuse_cancel,
+)
 from .runs import run_row_key
+from .supervision import watch_task
 
 SUBMIT_SECONDS = 3.0
-CANCEL_SECONDS = 5.0
 WAIT_FOREVER_SECONDS = 86_400.0
 STOP_RETRY_SECONDS = 1.0
 
@@ -56,12 +60,15 @@
         self.jobs = {}
         self.is_recovered = False
         self.explanations = {}
+        self.on_failure = lambda error: None
         self._member = member
         self._clock = clock
         self._wake = wake
         self._submitting = {}
-        self._recording = set()
+        self._unfinished = {}
+        self._usage = defaultdict(TeamUsage)
         self._tasks = set()
+        self._recorder = Recorder(home, self.jobs, clock, self._commit, wake)
 
     @property
     def is_owned(self):
@@ -81,11 +88,11 @@
             by_job.setdefault(task.job, []).append(task)
         for row in jobs.unwrap():
             record = JobRecord.model_validate(row.value)
-            entry = JobEntry.recover(record, by_job.get(record.job, []))
-            self.jobs[record.job] = entry
+            self._add_job(record, by_job.get(record.job, []))
         self.is_recovered = True
         log.info("home_recovered", home=self.home, jobs=len(self.jobs))
-        self._spawn(self._stop_cancelled())
+        self._spawn(self._recorder.run())
+        self._close_finished()
         self._wake()
         return True
 
@@ -118,13 +125,13 @@
             async with asyncio.timeout(SUBMIT_SECONDS):
                 return await asyncio.shield(task)
         except TimeoutError:
-            return Err(_fail_unknown(message.job))
+            return Err(fail_unknown(message.job, SUBMIT_SECONDS))
 
     def get(self, message):
         """Return ``Ok(JobView)`` of a job."""
         entry = self.jobs.get(message.job)
         if entry is None:
-            return Err(self._fail_unknown_job(message.job))
+            return Err(fail_unknown_job(self.home, message.job))
         return Ok(entry.make_view(message.detail))
 
     def list_jobs(self, message):
@@ -140,45 +147,35 @@
     def explain(self, message):
         """Return ``Ok(Explanation)`` of why a job waits or how it was placed."""
         if message.job not in self.jobs:
-            return Err(self._fail_unknown_job(message.job))
+            return Err(fail_unknown_job(self.home, message.job))
         return Ok(Explanation(lines=self.explanations.get(message.job, [])))
 
     async def cancel(self, message):
         """Cancel a job; return ``Ok(JobView)`` once that is recorded."""
         entry = self.jobs.get(message.job)
         if entry is None:
-            return Err(self._fail_unknown_job(message.job))
+            return Err(fail_unknown_job(self.home, message.job))
         if not entry.record.state.is_final:
-            cancelled = entry.record.with_changes(
-                state=JobState.CANCELLED,
-                reason="cancelled",
-                ended_at=self._clock.now(),
-            )
-            write = Write(puts=[self._put_job(cancelled)])
-            answer = await self._commit(write, "cancel", CANCEL_SECONDS)
+            if self._member.committer.is_stuck:
+                return Err(refuse_cancel())
+            answer = await self._recorder.cancel(entry.job)
             if answer.is_err():
                 return answer
-            entry.record = cancelled
-            entry.waiting.clear()
             self._spawn(self._stop_holding(entry))
         return Ok(entry.make_view(message.detail))
 
     def list_waiting(self):
         """Return the jobs that have tasks to place."""
         now = self._clock.now()
-        return [entry for entry in self.jobs.values() if entry.list_ready(now)]
+        self._unfinished = {
+            job: entry for job, entry in self._unfinished.items() if not entry.is_over
+        }
+        return [entry for entry in self._unfinished.values() if entry.list_ready(now)]
 
     def find_usage(self, team):
         """Return resources and number of the team's tasks that hold capacity."""
-        used = NOTHING
-        count = 0
-        for entry in self.jobs.values():
-            if entry.record.spec.team != team:
-                continue
-            holding = len(entry.list_holding()) + len(entry.placing)
-            used = used + entry.record.spec.template.resources.times(holding)
-            count += holding
-        return used, count
+        usage = self._usage[team]
+        return usage.used, usage.tasks
 
     def make_run(self, entry, index, worker):
         """Return the `RunRecord` of a task's next attempt on a worker."""
@@ -202,14 +199,16 @@
         before that.
         """
         if not self.is_owned:
-            return Err(self._fail_handed_over("assign"))
+            return Err(fail_handed_over(self.home, "assign"))
         puts = []
         assigned = []
         for shard, runs in runs_by_shard.items():
             for run in runs:
+                if self.jobs[run.job].record.state.is_final:
+                    return Err(fail_over(run.job))
                 task = self._make_assigned(shard, run)
                 assigned.append(task)
-                puts.append(self._put_task(task))
+                puts.append(put_task(self.home, task))
                 key = run_row_key(shard, run.job, run.index)
                 puts.append(Put(key=key, value=run.model_dump(mode="json")))
         write = Write(checks=[self._member.ownership_check()], puts=puts)
@@ -218,9 +217,7 @@
         )
         if answer.is_ok():
             for task in assigned:
-                entry = self.jobs[task.job]
-                entry.placing.discard(task.index)
-                entry.tasks[task.index] = task
+                self.jobs[task.job].assign(task)
         return answer
 
     async def unassign(self, runs):
@@ -229,7 +226,7 @@
             _Ended(run, RunState.LAPSED, "not started: " + reason)
             for run, reason in runs
         ]
-        await self._record_ends(reports)
+        await self._recorder.record_ends(reports)
 
     async def record_reports(self, message):
         """Take a shard's reports; return which ends are recorded."""
@@ -242,10 +239,9 @@
                 recorded.append(report.run)
             elif report.state is RunState.RUNNING:
                 self._note_running(entry, task)
-            elif report.run not in self._recording:
+            else:
                 ended.append(report)
-        if ended:
-            recorded += await self._record_ends(ended)
+        recorded += await self._recorder.record_ends(ended)
         return ReportAnswer(recorded=recorded)
 
     def list_assigned(self):
@@ -266,14 +262,13 @@
             key=message.key,
         )
         try:
-            write = Write(puts=[self._put_job(record)])
+            write = Write(puts=[put_job(self.home, record)])
             answer = await self._commit(write, "submit", WAIT_FOREVER_SECONDS)
         finally:
             self._submitting.pop(message.job, None)
         if answer.is_err():
             return answer
-        entry = JobEntry.recover(record, [])
-        self.jobs[record.job] = entry
+        entry = self._add_job(record, [])
         log.info("job_accepted", job=record.job, team=record.spec.team)
         self._wake()
         return Ok(entry.make_view(detail=False))
@@ -295,16 +290,7 @@
             if answer.is_ok() or not isinstance(answer.unwrap_err(), Conflict):
                 return answer
             await self._member.refresh()
-        return Err(self._fail_handed_over(purpose))
-
-    def _fail_handed_over(self, purpose):
-        return Failure(
-            code=ErrorCode.NOT_OWNER,
-            step=f"commit {purpose}",
-            peer=self.home,
-            reason="the home has been handed over",
-            retry_after_ms=200,
-        )
+        return Err(fail_handed_over(self.home, purpose))
 
     def _make_assigned(self, shard, run):
         entry = self.jobs[run.job]
@@ -323,71 +309,32 @@
     def _note_running(self, entry, task):
         if task.state is TaskState.RUNNING:
             return
-        entry.tasks[task.index] = task.with_changes(state=TaskState.RUNNING)
+        entry.set_task(task.with_changes(state=TaskState.RUNNING))
         entry.note_started(self._clock.now())
 
-    async def _record_ends(self, reports):
-        """Commit the ends of attempts; return the keys of the recorded ones."""
-        now = self._clock.now()
-        keys = [report.run for report in reports]
-        changes = {}
-        write = Write(puts=[], deletes=[])
-        for report in reports:
-            entry = self.jobs[report.run.job]
-            task = entry.tasks[report.run.index]
-            ended = end_task(entry, task, report, now)
-            changes.setdefault(entry.job, {})[task.index] = ended
-            write.deletes.append(run_row_key(task.shard, task.job, task.index))
-        finished = {}
-        for job, tasks in changes.items():
-            entry = self.jobs[job]
-            after = entry.tasks | tasks
-            final = finish_job(entry.record, after, now)
-            if final is None:
-                write.puts.extend(self._put_task(task) for task in tasks.values())
-                continue
-            finished[job] = final
-            write.puts.append(self._put_job(final))
-            write.deletes.extend(self._task_key(job, index) for index in after)
-        self._recording.update(keys)
-        try:
-            answer = await self._commit(
-                write, "end", WAIT_FOREVER_SECONDS, wait_if_stuck=True
-            )
-        finally:
-            self._recording.difference_update(keys)
-        if answer.is_err():
-            return []
-        self._apply_ends(changes, finished, now)
-        return keys
-
-    def _apply_ends(self, changes, finished, now):
-        for job, tasks in changes.items():
-            entry = self.jobs[job]
-            for index, task in tasks.items():
-                entry.tasks[index] = task
-                if task.state is not TaskState.WAITING:
-                    continue
-                if entry.record.state is JobState.CANCELLED:
-                    continue
-                entry.restart_at[index] = now + find_restart_pause(task.failures)
-                entry.put_back(index)
-            if job in finished:
-                entry.record = finished[job]
-                log.info("job_ended", job=job, state=entry.record.state)
-        self._wake()
+    def _add_job(self, record, tasks):
+        usage = self._usage[record.spec.team]
+        entry = JobEntry.recover(record, tasks, usage)
+        self.jobs[record.job] = entry
+        if not entry.is_over:
+            self._unfinished[record.job] = entry
+        return entry
 
-    async def _stop_cancelled(self):
-        """After a takeover, stop what cancelled jobs still hold."""
-        for entry in list(self.jobs.values()):
-            if entry.record.state is JobState.CANCELLED and entry.list_holding():
+    def _close_finished(self):
+        """After a takeover, go on with what the former owner left half done."""
+        now = self._clock.now()
+        for entry in self.jobs.values():
+            if entry.record.state.is_final and entry.tasks:
                 self._spawn(self._stop_holding(entry))
+            elif finish_job(entry.record, entry.tasks, now) is not None:
+                self._spawn(self._recorder.close(entry.job))
 
     async def _stop_holding(self, entry):
-        """Ask the shards to stop a cancelled job's tasks until all have ended."""
+        """Stop a cancelled job's tasks until all have ended, then tidy up."""
         while True:
             holding = entry.list_holding()
-            if not holding and not entry.placing:
+            if not entry.is_busy:
+                await self._recorder.close(entry.job)
                 return
             by_shard = {}
             for task in holding:
@@ -398,31 +345,13 @@
                 await self._member.call_owner(shard, message)
             await asyncio.sleep(STOP_RETRY_SECONDS)
 
-    def _put_job(self, record):
-        key = f"job/{self.home}/{record.job}"
-        return Put(key=key, value=record.model_dump(mode="json"))
-
-    def _task_key(self, job, index):
-        return f"task/{self.home}/{job}/{index}"
-
-    def _put_task(self, task):
-        key = self._task_key(task.job, task.index)
-        return Put(key=key, value=task.model_dump(mode="json"))
-
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        watch_task(task, self.on_failure)
         return task
 
-    def _fail_unknown_job(self, job):
-        return Failure(
-            code=ErrorCode.NOT_FOUND,
-            step="find job",
-            peer=self.home,
-            reason=f"no job {job}",
-        )
-
 
 class _Ended:
     """End of an attempt that the home itself has found."""
@@ -438,14 +367,3 @@
     if task is None or task.attempt != report.run.attempt:
         return True
     return not task.state.holds_capacity
-
-
-def _fail_unknown(job):
-    return Failure(
-        code=ErrorCode.TIMEOUT,
-        step="commit job",
-        peer="table service",
-        reason=f"no answer within {SUBMIT_SECONDS} s; ask again for job {job}",
-        outcome=Outcome.UNKNOWN,
-        retry_after_ms=1000,
-    )
--- a/libs/scheduler/src/cactustiller/scheduler/incarnation.py
+++ b/libs/scheduler/src/cactustiller/scheduler/incarnation.py
@@ -18,6 +18,7 @@
 from .exchange import Exchange
 from .handlers import Handlers
 from .partitions import Partitions
+from .supervision import watch_task
 from .views import CellView
 
 LIST_SECONDS = 1.0
@@ -44,24 +45,25 @@
     settings : InstanceSettings
     record : MemberRecord
     ports : Ports
-    peers : PeerClient, optional
-        Replaces the connections to peers in tests.
+    transport : dict
+        Arguments of `Member` that replace the connections to peers in tests.
     """
 
-    def __init__(self, settings, record, ports, peers=None):
+    def __init__(self, settings, record, ports, **transport):
         self._settings = settings
         self._ports = ports
         self._listing = InstanceListing()
         self._drain_asked = asyncio.Event()
+        self._failure = None
         self.member = Member(
-            record, ports.table, settings.timing, self._handle, peers=peers
+            record, ports.table, settings.timing, self._handle, **transport
         )
         self.replica = SettingsReplica(
             self.member, settings.site, settings.cell, settings.timing
         )
         self.view = CellView()
         self.partitions = Partitions(
-            self.member, ports.workers, settings.timing, WallClock(), lambda: None
+            self.member, ports.workers, settings.timing, WallClock(), self._note_failure
         )
         self.dispatcher = Dispatcher(
             self.member,
@@ -85,10 +87,11 @@
         self._tasks = []
 
     async def run(self, stop):
-        """Join, work until fenced or told to stop, then hand over."""
+        """Join and work until fenced, failed or told to stop; then hand over."""
         await self.member.listen()
         try:
-            await self._work(stop)
+            if await self._start(stop):
+                await self._work(stop)
         finally:
             for task in self._tasks:
                 task.cancel()
@@ -98,8 +101,20 @@
             await self.partitions.stop()
             await self.member.stop()
 
+    async def _start(self, stop):
+        """Join the cell; return False if told to stop before that is done."""
+        joining = asyncio.create_task(self.member.start())
+        stopping = asyncio.create_task(stop.wait())
+        await asyncio.wait({joining, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        stopping.cancel()
+        if not joining.done():
+            joining.cancel()
+            await asyncio.gather(joining, return_exceptions=True)
+            return False
+        joining.result()
+        return True
+
     async def _work(self, stop):
-        await self.member.start()
         await self.replica.start()
         self.member.ownership_changes.subscribe(self.partitions.note_ownership)
         self.partitions.note_ownership(self.member.ownership)
@@ -115,22 +130,28 @@
                 self._list_regularly(),
             )
         ]
-        await self._wait_for_end(stop)
-        if not self.member.is_fenced:
+        for task in self._tasks:
+            watch_task(task, self._note_failure)
+        if await self._wait_for_end(stop):
             await self._drain()
 
     async def _wait_for_end(self, stop):
+        """Wait until the work ends; return whether to hand over."""
         while not (stop.is_set() or self._drain_asked.is_set()):
-            if self.member.is_fenced:
-                return
-            self._raise_failed_task()
+            if self.member.is_fenced or self._failure is not None:
+                return False
             await asyncio.sleep(FENCE_POLL_SECONDS)
         stop.set()
-
-    def _raise_failed_task(self):
-        for task in self._tasks:
-            if task.done() and not task.cancelled():
-                task.result()
+        return not self.member.is_fenced
+
+    def _note_failure(self, error):
+        """End the incarnation after a fault of the program."""
+        log.error(
+            "incarnation_failed",
+            reason=f"{type(error).__name__}: {error}",
+            exc_info=error,
+        )
+        self._failure = error
 
     async def _drain(self):
         """Hand every partition over, as far as others can take them."""
--- a/libs/scheduler/src/cactustiller/scheduler/jobs.py
+++ b/libs/scheduler/src/cactustiller/scheduler/jobs.py
@@ -4,9 +4,11 @@
 from dataclasses import dataclass, field
 
 from cactustiller.model import (
+    NOTHING,
     Attempt,
     JobRecord,
     JobState,
+    Resources,
     RunState,
     TaskRecord,
     TaskState,
@@ -18,6 +20,22 @@
 LONGEST_RESTART_SECONDS = 60.0
 
 
+@dataclass
+class TeamUsage:
+    """Resources and number of a team's tasks that hold capacity."""
+
+    used: Resources = NOTHING
+    tasks: int = 0
+
+    def count(self, resources, change):
+        """Count that `change` more tasks of this size hold capacity."""
+        self.tasks += change
+        if change > 0:
+            self.used = self.used + resources.times(change)
+        elif change < 0:
+            self.used = self.used - resources.times(-change)
+
+
 @dataclass
 class JobEntry:
     """One job with its tasks.
@@ -33,20 +51,28 @@
         Indices whose placement is under way.
     restart_at : dict of int to float
         Wall-clock seconds before which a failed service task stays down.
+    usage : TeamUsage
+        Counts of the job's team, shared by its jobs.
+    held : int
+        Number of tasks that are assigned, running or being placed.
     """
 
     record: JobRecord
     tasks: dict[int, TaskRecord] = field(default_factory=dict)
     waiting: list[int] = field(default_factory=list)
     placing: set[int] = field(default_factory=set)
+    usage: TeamUsage = field(default_factory=TeamUsage)
+    held: int = 0
     restart_at: dict[int, float] = field(default_factory=dict)
     first_start_seconds: float = -1.0
     last_start_seconds: float = -1.0
 
     @classmethod
-    def recover(cls, record, tasks):
+    def recover(cls, record, tasks, usage=None):
         """Return the entry of a job as its rows describe it."""
-        entry = cls(record, {task.index: task for task in tasks})
+        entry = cls(record, usage=usage or TeamUsage())
+        for task in tasks:
+            entry.set_task(task)
         if not record.state.is_final:
             states = {task.index: task.state for task in tasks}
             entry.waiting = [
@@ -61,10 +87,33 @@
         """Id of the job."""
         return self.record.job
 
+    @property
+    def is_busy(self):
+        """Whether a task holds capacity or is being placed."""
+        return self.held > 0
+
     @property
     def is_over(self):
         """Whether no task holds capacity or may yet run."""
-        return self.record.state.is_final and not self.list_holding()
+        return self.record.state.is_final and not self.is_busy
+
+    def set_task(self, task):
+        """Take a task's new record and count what it holds."""
+        previous = self.tasks.get(task.index)
+        held = previous is not None and previous.state.holds_capacity
+        self.tasks[task.index] = task
+        self._count_held(task.state.holds_capacity - held)
+
+    def assign(self, task):
+        """Take the record of a task whose assignment is committed."""
+        if task.index in self.placing:
+            self.placing.discard(task.index)
+            self._count_held(-1)
+        self.set_task(task)
+
+    def _count_held(self, change):
+        self.held += change
+        self.usage.count(self.record.spec.template.resources, change)
 
     def list_holding(self):
         """Return the tasks that are assigned or running."""
@@ -82,11 +131,14 @@
         """Take a waiting task out for placement."""
         self.waiting.remove(index)
         self.placing.add(index)
+        self._count_held(1)
 
     def put_back(self, index):
         """Return a task whose placement failed to the waiting ones."""
-        self.placing.discard(index)
-        if self.record.state is not JobState.CANCELLED:
+        if index in self.placing:
+            self.placing.discard(index)
+            self._count_held(-1)
+        if not self.record.state.is_final:
             insort(self.waiting, index)
 
     def next_attempt(self, index):
@@ -139,15 +191,15 @@
         return JobState.RUNNING if self.list_holding() else JobState.WAITING
 
 
-def end_task(entry, task, report, now):
+def end_task(record, task, report, now):
     """Return the task's next record after the end of an attempt.
 
     A lapsed or stopped attempt is repeated without counting as a failure; a service
     is always started again; a failed attempt is repeated up to the job's limit.
     """
-    spec = entry.record.spec
+    spec = record.spec
     failures = task.failures + (report.state is RunState.FAILED)
-    if entry.record.state is JobState.CANCELLED:
+    if record.state is JobState.CANCELLED:
         state = TaskState.CANCELLED
     elif spec.kind is WorkloadKind.SERVICE:
         state = TaskState.WAITING
--- a/libs/scheduler/src/cactustiller/scheduler/partitions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/partitions.py
@@ -12,6 +12,7 @@
 from .home import Home
 from .pools import Pool
 from .shard import Shard
+from .supervision import watch_task
 
 RECOVER_RETRY_SECONDS = 0.5
 GATEWAY_CALL_SECONDS = 1.0
@@ -28,6 +29,8 @@
     worker_port : WorkerPort
     timing : TimingSettings
     clock : WallClock
+    note_failure : callable
+        Function of an exception that has ended a background task.
 
     Attributes
     ----------
@@ -38,14 +41,15 @@
         Called with a home that has been recovered.
     """
 
-    def __init__(self, member, worker_port, timing, clock, nothing):
+    def __init__(self, member, worker_port, timing, clock, note_failure):
         self.homes = {}
         self.shards = {}
         self.pools = {}
         self.clock = clock
-        self.wake_dispatcher = nothing
-        self.wake_exchange = nothing
+        self.wake_dispatcher = lambda: None
+        self.wake_exchange = lambda: None
         self.resume_home = lambda home: None
+        self._note_failure = note_failure
         self._member = member
         self._worker_port = worker_port
         self._timing = timing
@@ -149,6 +153,7 @@
             if is_served or key in self._starting or not member.owns(partition):
                 continue
             task = asyncio.create_task(self._start(partition, epoch))
+            watch_task(task, self._note_failure)
             self._starting[key] = task
             task.add_done_callback(lambda _, key=key: self._starting.pop(key, None))
 
@@ -162,6 +167,7 @@
 
     async def _start_home(self, partition, epoch):
         home = Home(partition, epoch, self._member, self.clock, self.wake_dispatcher)
+        home.on_failure = self._note_failure
         while not await home.recover():
             await asyncio.sleep(RECOVER_RETRY_SECONDS)
         self.homes[partition] = home
@@ -170,6 +176,7 @@
     async def _start_shard(self, partition, epoch):
         shard = Shard(partition, epoch, self._member, self._worker_port, self._timing)
         shard.on_change = self.wake_exchange
+        shard.on_failure = self._note_failure
         while not await shard.recover():
             await asyncio.sleep(RECOVER_RETRY_SECONDS)
         self.shards[partition] = shard
--- /dev/null
+++ b/libs/scheduler/src/cactustiller/scheduler/recorder.py
@@ -0,0 +1,244 @@
+"""Recorder of ends and cancellations in one home, one write at a time.
+
+A job's final state follows from all its tasks together, so a write about one of
+them must be decided on the state that the previous write has left.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import structlog
+from result import Err, Ok
+
+from cactustiller.model import ErrorCode, Failure, JobState, Outcome, TaskState
+from cactustiller.platform import Put, Write
+
+from .jobs import end_task, find_restart_pause, finish_job
+from .runs import run_row_key
+
+MAX_ENDS_PER_WRITE = 500
+CANCEL_SECONDS = 5.0
+WAIT_FOREVER_SECONDS = 86_400.0
+
+log = structlog.get_logger(__name__)
+
+
+@dataclass
+class _Round:
+    """What one write records, and what becomes true in memory with it."""
+
+    ends: dict = field(default_factory=dict)
+    cancels: dict = field(default_factory=dict)
+    closes: dict = field(default_factory=dict)
+    records: dict = field(default_factory=dict)
+    tasks: dict = field(default_factory=dict)
+    write: Write = field(default_factory=Write)
+
+    def resolve(self, cancelled, recorded):
+        """Settle the futures of everybody who waits for this round."""
+        for future in (*self.cancels.values(), *self.closes.values()):
+            if not future.done():
+                future.set_result(cancelled)
+        for _, future in self.ends.values():
+            if not future.done():
+                future.set_result(recorded)
+
+
+class Recorder:
+    """Writes of a home about tasks and jobs that end.
+
+    Parameters
+    ----------
+    home : PartitionId
+    jobs : dict of JobId to JobEntry
+    clock : WallClock
+    commit : callable
+        Coroutine function of a write, a purpose, a time limit in seconds and
+        whether to wait for a table service that does not answer.
+    note_recorded : callable
+        Called after each write.
+    """
+
+    def __init__(self, home, jobs, clock, commit, note_recorded):
+        self._home = home
+        self._jobs = jobs
+        self._clock = clock
+        self._commit = commit
+        self._note_recorded = note_recorded
+        self._ends = {}
+        self._cancels = {}
+        self._closes = {}
+        self._wake = asyncio.Event()
+
+    async def record_ends(self, reports):
+        """Return the keys among the reports' whose ends are in the table."""
+        waiting = []
+        for report in reports:
+            entry = self._ends.get(report.run)
+            if entry is None:
+                entry = self._ends[report.run] = (report, self._make_future())
+            waiting.append((report.run, entry[1]))
+        self._wake.set()
+        return [key for key, future in waiting if await asyncio.shield(future)]
+
+    async def cancel(self, job):
+        """Record that a job is cancelled; ``Ok`` or ``Err(Failure)``."""
+        future = self._cancels.get(job)
+        if future is None:
+            future = self._cancels[job] = self._make_future()
+            self._wake.set()
+        try:
+            async with asyncio.timeout(CANCEL_SECONDS):
+                return await asyncio.shield(future)
+        except TimeoutError:
+            is_pending = self._cancels.pop(job, None) is not None
+            outcome = Outcome.NOT_RUN if is_pending else Outcome.UNKNOWN
+            return Err(_fail_late(job, outcome))
+
+    async def close(self, job):
+        """Delete the task rows of a job that is over; return the ``Result``."""
+        if job not in self._closes:
+            self._closes[job] = self._make_future()
+            self._wake.set()
+        return await asyncio.shield(self._closes[job])
+
+    async def run(self):
+        """Write until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._ends or self._cancels or self._closes:
+                await self._write_round()
+
+    async def _write_round(self):
+        current = self._take_round()
+        if not current.write.puts and not current.write.deletes:
+            current.resolve(Ok(None), True)
+            return
+        must_wait = bool(current.ends)
+        seconds = WAIT_FOREVER_SECONDS if must_wait else CANCEL_SECONDS
+        answer = await self._commit(current.write, "end", seconds, must_wait)
+        if answer.is_ok():
+            self._apply(current)
+        current.resolve(answer, answer.is_ok())
+        self._note_recorded()
+
+    def _take_round(self):
+        current = _Round(write=Write(puts=[], deletes=[]))
+        current.cancels, self._cancels = self._cancels, {}
+        current.closes, self._closes = self._closes, {}
+        for key in list(self._ends)[:MAX_ENDS_PER_WRITE]:
+            current.ends[key] = self._ends.pop(key)
+        now = self._clock.now()
+        for job in current.cancels:
+            self._cancel(current, self._jobs[job], now)
+        for report, _ in current.ends.values():
+            self._end(current, report, now)
+        for job, tasks in current.tasks.items():
+            self._finish(current, self._jobs[job], tasks, now)
+        for job in current.closes:
+            self._close(current, self._jobs[job], now)
+        current.write.puts.extend(
+            self._put_job(record) for record in current.records.values()
+        )
+        return current
+
+    def _cancel(self, current, entry, now):
+        if not entry.record.state.is_final:
+            current.records[entry.job] = entry.record.with_changes(
+                state=JobState.CANCELLED, reason="cancelled", ended_at=now
+            )
+
+    def _end(self, current, report, now):
+        entry = self._jobs[report.run.job]
+        task = entry.tasks[report.run.index]
+        if task.attempt != report.run.attempt or not task.state.holds_capacity:
+            return
+        record = current.records.get(entry.job, entry.record)
+        ended = end_task(record, task, report, now)
+        current.tasks.setdefault(entry.job, {})[task.index] = ended
+        current.write.deletes.append(run_row_key(task.shard, task.job, task.index))
+
+    def _finish(self, current, entry, tasks, now):
+        """Write a job's ended tasks, or its end if they were the last."""
+        record = current.records.get(entry.job, entry.record)
+        after = entry.tasks | tasks
+        final = None if record.state.is_final else finish_job(record, after, now)
+        if final is None:
+            current.write.puts.extend(self._put_task(task) for task in tasks.values())
+            return
+        current.records[entry.job] = final
+        current.write.deletes.extend(self._task_key(entry.job, i) for i in after)
+
+    def _close(self, current, entry, now):
+        """Delete the task rows of a job that holds nothing any more."""
+        record = current.records.get(entry.job, entry.record)
+        if not record.state.is_final:
+            record = finish_job(record, entry.tasks, now)
+        if record is None or entry.job in current.tasks or entry.is_busy:
+            return
+        current.records[entry.job] = record.with_changes(
+            succeeded=max(record.succeeded, entry.count(TaskState.SUCCEEDED)),
+            failed=max(record.failed, entry.count(TaskState.FAILED)),
+        )
+        current.write.deletes.extend(self._task_key(entry.job, i) for i in entry.tasks)
+
+    def _apply(self, current):
+        for job, record in current.records.items():
+            entry = self._jobs[job]
+            was_final = entry.record.state.is_final
+            entry.record = record
+            if record.state is JobState.CANCELLED:
+                entry.waiting.clear()
+            if not was_final:
+                log.info("job_ended", job=job, state=record.state)
+        for job, tasks in current.tasks.items():
+            self._apply_tasks(self._jobs[job], tasks)
+
+    def _apply_tasks(self, entry, tasks):
+        for index, task in tasks.items():
+            entry.set_task(task)
+            if task.state is TaskState.WAITING and not entry.record.state.is_final:
+                pause = find_restart_pause(task.failures)
+                entry.restart_at[index] = self._clock.now() + pause
+                entry.put_back(index)
+
+    def _put_job(self, record):
+        return put_job(self._home, record)
+
+    def _put_task(self, task):
+        return put_task(self._home, task)
+
+    def _task_key(self, job, index):
+        return task_row_key(self._home, job, index)
+
+    def _make_future(self):
+        return asyncio.get_running_loop().create_future()
+
+
+def task_row_key(home, job, index):
+    """Return the key of a task's row."""
+    return f"task/{home}/{job}/{index}"
+
+
+def put_job(home, record):
+    """Return the write of a job's row."""
+    key = f"job/{home}/{record.job}"
+    return Put(key=key, value=record.model_dump(mode="json"))
+
+
+def put_task(home, task):
+    """Return the write of a task's row."""
+    key = task_row_key(home, task.job, task.index)
+    return Put(key=key, value=task.model_dump(mode="json"))
+
+
+def _fail_late(job, outcome):
+    return Failure(
+        code=ErrorCode.TIMEOUT,
+        step="cancel job",
+        peer="table service",
+        reason=f"no answer within {CANCEL_SECONDS} s; ask again for job {job}",
+        outcome=outcome,
+        retry_after_ms=1000,
+    )
--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -16,6 +16,7 @@
 
 from .clock import WorkerClock
 from .runs import RunPhase, key_of
+from .supervision import watch_task
 
 WATCH_SECONDS = 15.0
 FIRST_RETRY_SECONDS = 0.1
@@ -60,6 +61,7 @@
         self._orphans = []
         self._tasks = []
         self._created_at = asyncio.get_running_loop().time()
+        self._unreachable_since = self._created_at
 
     @property
     def is_usable(self):
@@ -72,9 +74,19 @@
 
     @property
     def is_starting(self):
-        """Whether a start message may be under way to the reachable worker."""
-        return self.is_reachable and any(
-            entry.phase is RunPhase.STARTING for entry in self.entries.values()
+        """Whether a start message may be under way to the worker."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            entry.phase is RunPhase.STARTING and self._may_start(entry, now)
+            for entry in self.entries.values()
+        )
+
+    def _may_start(self, entry, now):
+        """Return whether a start is due, or a copy may yet be acted upon."""
+        if self.is_reachable:
+            return True
+        return entry.start_before > 0.0 and not self._clock.has_surely_passed(
+            entry.start_before, now
         )
 
     @property
@@ -84,12 +96,14 @@
             return NOTHING
         return self.info.resources - self.used
 
-    def start(self):
-        """Begin to watch the worker."""
+    def start(self, note_failure):
+        """Begin to watch the worker; a failed task's exception is passed on."""
         self._tasks = [
             asyncio.create_task(self._watch_regularly()),
             asyncio.create_task(self._apply_regularly()),
         ]
+        for task in self._tasks:
+            watch_task(task, note_failure)
 
     async def stop(self):
         """Stop all calls to the worker."""
@@ -166,9 +180,13 @@
             # was fenced.
             grant = OUTAGE_GRANT_SECONDS + self._timing.task_lease_seconds
             has_lapsed = now >= self._created_at + grant
+        elif entry.start_before == entry.lease_until == 0.0:
+            # No start was ever sent to it.
+            window = self._timing.start_window_seconds
+            has_lapsed = now >= self._unreachable_since + window
         else:
             moment = max(entry.lease_until, entry.start_before)
-            has_lapsed = bool(moment) and self._clock.has_surely_passed(moment, now)
+            has_lapsed = self._clock.has_surely_passed(moment, now)
         if has_lapsed and not self.is_reachable:
             self.end(entry, RunState.LAPSED, "lease lapsed on an unreachable worker")
             return
@@ -178,7 +196,9 @@
     def _may_renew(self, entry):
         # A run that does not stop when asked to stops when its lease lapses.
         is_wanted = entry.phase is RunPhase.RUNNING and not entry.is_stopping
-        return is_wanted and self._authority.may_renew()
+        # A renewal that is not answered counts as granted, so renewing on would
+        # keep the runs of a dead worker for ever.
+        return is_wanted and self.is_reachable and self._authority.may_renew()
 
     def _check_renewal(self, entry, now):
         lease = self._timing.task_lease_seconds
@@ -213,6 +233,7 @@
             return True
         if self.is_reachable:
             log.warning("worker_unreachable", reason=str(failure))
+            self._unreachable_since = asyncio.get_running_loop().time()
         self.is_reachable = False
         self.failure_reason = failure.reason
         self._on_change(self)
@@ -279,6 +300,7 @@
                 self.request_start(entry)
 
     async def _apply_regularly(self):
+        retry_seconds = FIRST_RETRY_SECONDS
         while True:
             await self._wake.wait()
             self._wake.clear()
@@ -291,29 +313,38 @@
                 continue
             answer = await self._port.apply(self.info, apply)
             if answer.is_ok():
+                retry_seconds = FIRST_RETRY_SECONDS
                 self._take_apply(apply, answer.unwrap())
             elif self._take_failure(answer.unwrap_err()):
                 return
             else:
-                await asyncio.sleep(FIRST_RETRY_SECONDS)
+                pause = self._random.uniform(retry_seconds / 2, retry_seconds)
+                await asyncio.sleep(pause)
+                retry_seconds = min(2 * retry_seconds, LONGEST_RETRY_SECONDS)
                 self._wake.set()
 
     def _build_apply(self):
-        """Return the `Apply` with everything that the worker must be told."""
+        """Return the `Apply` with everything that the worker must be told.
+
+        A worker that does not answer is first asked with nothing that could run.
+        """
         now = asyncio.get_running_loop().time()
         starts, renewals, stops = [], [], list(self._orphans)
+        is_probe = False
         for entry in self.entries.values():
             if not entry.needs_apply or not entry.holds_capacity:
                 continue
             if entry.is_stopping:
                 stops.append(_make_stop(entry))
-            if entry.phase is RunPhase.STARTING and not entry.is_stopping:
+            if not self.is_reachable:
+                is_probe = True
+            elif entry.phase is RunPhase.STARTING and not entry.is_stopping:
                 start = self._make_start(entry, now)
                 if start is not None:
                     starts.append(start)
             elif self._may_renew(entry):
                 renewals.append(self._make_renewal(entry, now))
-        if not (starts or renewals or stops):
+        if not (starts or renewals or stops or is_probe):
             return None
         return Apply(
             shard=self._authority.shard,
@@ -377,6 +408,8 @@
         for stop in apply.stops:
             self._take_stop(self.entries.get(key_of(stop)))
         self._orphans = [stop for stop in self._orphans if stop not in apply.stops]
+        if not (apply.starts or apply.renew or apply.stops):
+            self.wake()
         self._on_change(self)
 
     def _take_stop(self, entry):
--- a/libs/scheduler/src/cactustiller/scheduler/shard.py
+++ b/libs/scheduler/src/cactustiller/scheduler/shard.py
@@ -27,6 +27,7 @@
 from .authority import ShardAuthority
 from .runs import RunEntry, RunPhase, key_of, run_row_key
 from .sessions import WorkerSession
+from .supervision import watch_task
 
 CHECK_SECONDS = 0.5
 SETTLED_KEYS = 50_000
@@ -54,6 +55,7 @@
         self.changed_workers = set()
         self.is_recovered = False
         self.on_change = lambda: None
+        self.on_failure = lambda error: None
         self._authority = ShardAuthority(shard, epoch, member)
         self._member = member
         self._port = port
@@ -74,6 +76,7 @@
         log.info("shard_recovered", shard=self.shard, runs=len(answer.unwrap()))
         self.is_recovered = True
         self._task = asyncio.create_task(self._check_regularly())
+        watch_task(self._task, self.on_failure)
         return True
 
     async def stop(self):
@@ -210,7 +213,7 @@
         for record in self._recovered.pop(info.worker, []):
             entry = RunEntry(record, RunPhase.RECOVERED, lease_until=None)
             session.add(entry)
-        session.start()
+        session.start(self.on_failure)
 
     async def _drop_removed(self, worker):
         """End the runs of a worker that neither the platform nor we can see."""
