Count the control cost of daemons; ask for the instance list by entity tag

Change: daemons count processor time, resident memory, frames between daemons, whole HTTP messages to the platform and table operations by purpose; `/v1/stats` shows them for each member. It is now asked for by its entity tag (If-None-Match), and a platform without tags is read as before.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of a cell on one machine."""
--- a/libs/gateway/src/cactustiller/gateway/context.py
+++ b/libs/gateway/src/cactustiller/gateway/context.py
@@ -33,6 +33,7 @@
     router: RequestRouter
     metrics: Metrics
     stop: asyncio.Event
+    ports: dict[str, object] = field(default_factory=dict)
     phase: Phase = Phase.SERVING
     in_flight: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
--- a/libs/gateway/src/cactustiller/gateway/inbox.py
+++ b/libs/gateway/src/cactustiller/gateway/inbox.py
@@ -13,6 +13,7 @@
     ReportPermits,
     Stats,
 )
+from cactustiller.ownership import count_control
 
 
 @singledispatch
@@ -51,12 +52,5 @@
 def export_stats(gateway):
     """Return the counters and histograms of this gateway."""
     export = gateway.metrics.export()
-    traffic = gateway.member.traffic
-    export["counters"] |= {
-        "peer_sent_messages": traffic.sent_messages,
-        "peer_sent_bytes": traffic.sent_bytes,
-        "peer_received_messages": traffic.received_messages,
-        "peer_received_bytes": traffic.received_bytes,
-        "table_transactions": gateway.member.committer.counters.transactions,
-    }
+    export["counters"] |= count_control(gateway.member, gateway.ports)
     return export
--- a/libs/gateway/src/cactustiller/gateway/routes/instances.py
+++ b/libs/gateway/src/cactustiller/gateway/routes/instances.py
@@ -47,7 +47,7 @@
 
 
 async def show_stats(request):
-    """Answer the sum of every member's counters and histograms."""
+    """Answer the cell's counters and histograms, and each member's counters."""
     gateway = get_gateway(request)
     gateway.guard.identify_operator(get_authorization(request))
     records = [
@@ -60,14 +60,17 @@
         for record in records
     ]
     answers = await asyncio.gather(*calls)
-    exports = [export_stats(gateway)]
+    exports = {gateway.member.record.member: export_stats(gateway)}
     missing = []
     for record, answer in zip(records, answers, strict=True):
         if answer.is_ok() and isinstance(answer.unwrap(), Stats):
-            exports.append(json.loads(answer.unwrap().text))
+            exports[record.member] = json.loads(answer.unwrap().text)
         else:
             missing.append(record.member)
-    return web.json_response({**merge_stats(exports), "missing": missing})
+    members = {name: export["counters"] for name, export in exports.items()}
+    return web.json_response(
+        {**merge_stats(exports.values()), "members": members, "missing": missing}
+    )
 
 
 async def _drain(gateway, record):
--- a/libs/gateway/src/cactustiller/gateway/serving.py
+++ b/libs/gateway/src/cactustiller/gateway/serving.py
@@ -46,9 +46,8 @@
 
     member = Member(_make_record(settings), table, settings.timing, handle)
     replica = SettingsReplica(member, settings.site, settings.cell, settings.timing)
-    directory = ExecutorDirectory(
-        HttpInstanceList(session, settings.platform.instances)
-    )
+    instances = HttpInstanceList(session, settings.platform.instances)
+    directory = ExecutorDirectory(instances)
     metrics = Metrics()
     gateway = Gateway(
         member=member,
@@ -61,6 +60,7 @@
         router=RequestRouter(member, directory, executor_session, metrics),
         metrics=metrics,
         stop=stop,
+        ports={"table": table, "instances": instances},
     )
     return gateway
 
--- a/libs/ownership/src/cactustiller/ownership/__init__.py
+++ b/libs/ownership/src/cactustiller/ownership/__init__.py
@@ -1,6 +1,7 @@
 """Members, their leases, and the single owner of each partition."""
 
 from .claims import Claims
+from .control import count_control
 from .member import Member
 from .metrics import Metrics, merge_stats
 from .partitions import (
@@ -23,6 +24,7 @@
     "Ownership",
     "SettingsChange",
     "SettingsReplica",
+    "count_control",
     "home_of_team",
     "list_homes",
     "list_partitions",
--- a/libs/platform/src/cactustiller/platform/__init__.py
+++ b/libs/platform/src/cactustiller/platform/__init__.py
@@ -1,6 +1,7 @@
 """Ports to the table service, object store, instance list and workers."""
 
 from .commits import Committer, Conflict
+from .http import CallCounters
 from .records import (
     Apply,
     ApplyReply,
@@ -36,6 +37,7 @@
     "Apply",
     "ApplyReply",
     "BackendInfo",
+    "CallCounters",
     "Check",
     "Committer",
     "Conflict",
--- a/libs/platform/src/cactustiller/platform/http.py
+++ b/libs/platform/src/cactustiller/platform/http.py
@@ -1,6 +1,7 @@
 """JSON calls to outside systems, with failures that name step and peer."""
 
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import aiohttp
 from pydantic import ValidationError
@@ -9,17 +10,39 @@
 from cactustiller.model import ErrorCode, Failure, Outcome
 
 CONNECT_SECONDS = 1.0
+# What surrounds method, path and reason, the empty line that ends a head included.
+REQUEST_LINE_BYTES = len("  HTTP/1.1\r\n\r\n")
+STATUS_LINE_BYTES = len("HTTP/1.1 200 \r\n\r\n")
+FIELD_BYTES = len(": \r\n")
 
 
 @dataclass
 class CallCounters:
-    """Calls and bytes exchanged with outside systems."""
+    """Calls and bytes of HTTP, heads included, exchanged with outside systems.
+
+    Not counted: what TCP/IP adds, and calls that ended without an answer.
+    """
 
     calls: int = 0
     failures: int = 0
     sent_bytes: int = 0
     received_bytes: int = 0
 
+    def count_exchange(self, response, sent_body_bytes, received_body_bytes):
+        """Count the bytes of one request and its answer."""
+        request = response.request_info
+        request_line = len(request.method) + len(request.url.raw_path_qs)
+        self.sent_bytes += REQUEST_LINE_BYTES + request_line + sent_body_bytes
+        self.sent_bytes += _count_head_bytes(request.headers.items())
+        self.received_bytes += STATUS_LINE_BYTES + len(response.reason or "")
+        self.received_bytes += _count_head_bytes(response.raw_headers)
+        self.received_bytes += received_body_bytes
+
+
+def _count_head_bytes(pairs):
+    ends = FIELD_BYTES * len(pairs)
+    return ends + sum(len(name) + len(value) for name, value in pairs)
+
 
 def _fail(code, step, address, reason, outcome):
     return Err(
@@ -45,14 +68,52 @@
     seconds : float
         Deadline of the whole call.
     """
-    counters.calls += 1
     data = body.model_dump_json().encode() if body is not None else None
-    method = "GET" if body is None else "POST"
-    timeout = aiohttp.ClientTimeout(total=seconds, sock_connect=CONNECT_SECONDS)
     headers = {"Content-Type": "application/json"} if data is not None else {}
+    answer = await _exchange(
+        session, counters, step, address, path, data, headers, seconds
+    )
+    return answer.and_then(
+        lambda found: _read_reply(counters, step, address, reply_class, found)
+    )
+
+
+async def read_if_changed(
+    session, counters, step, address, path, reply_class, seconds, etag
+):
+    """Read JSON that the peer need not send again; parameters as for `call_json`.
+
+    Parameters
+    ----------
+    etag : str
+        Entity tag of the known answer; empty asks for the whole answer.
+
+    Returns
+    -------
+    Result of (reply_class, str)
+        The reply, None where the known answer still holds, and its entity tag.
+    """
+    headers = {"If-None-Match": etag} if etag else {}
+    answer = await _exchange(
+        session, counters, step, address, path, None, headers, seconds
+    )
+    if answer.is_err():
+        return answer
+    response, _ = answer.unwrap()
+    if etag and response.status == HTTPStatus.NOT_MODIFIED:
+        return Ok((None, etag))
+    found_etag = response.headers.get("ETag", "")
+    reply = _read_reply(counters, step, address, reply_class, answer.unwrap())
+    return reply.map(lambda record: (record, found_etag))
+
+
+async def _exchange(session, counters, step, address, path, data, headers, seconds):
+    """Return ``Ok((response, bytes))`` of one request."""
+    counters.calls += 1
+    timeout = aiohttp.ClientTimeout(total=seconds, sock_connect=CONNECT_SECONDS)
     try:
         async with session.request(
-            method,
+            "GET" if data is None else "POST",
             f"http://{address}{path}",
             data=data,
             headers=headers,
@@ -67,9 +128,13 @@
         counters.failures += 1
         reason = str(error) or f"no answer within {seconds} s"
         return _fail(ErrorCode.TIMEOUT, step, address, reason, Outcome.UNKNOWN)
-    counters.sent_bytes += len(data or b"")
-    counters.received_bytes += len(text)
-    if response.status != 200:
+    counters.count_exchange(response, len(data or b""), len(text))
+    return Ok((response, text))
+
+
+def _read_reply(counters, step, address, reply_class, found):
+    response, text = found
+    if response.status != HTTPStatus.OK:
         counters.failures += 1
         return _fail_status(response.status, text, step, address)
     try:
--- a/libs/platform/src/cactustiller/platform/services.py
+++ b/libs/platform/src/cactustiller/platform/services.py
@@ -7,7 +7,7 @@
 
 from cactustiller.model import ErrorCode, Failure, Outcome
 
-from .http import CallCounters, call_json
+from .http import CallCounters, call_json, read_if_changed
 from .records import Apply, ApplyReply, InstanceListing, Watch, WatchReply, WorkerInfo
 
 LIST_SECONDS = 2.0
@@ -38,25 +38,32 @@
 
 
 class HttpInstanceList:
-    """Instance list over HTTP."""
+    """Instance list over HTTP; a list that has not changed is not sent again."""
 
     def __init__(self, session, address):
         self.counters = CallCounters()
         self._session = session
         self._address = address
+        self._listing = InstanceListing()
+        self._etag = ""
 
     async def list_instances(self):
         """Return the list as the platform knows it."""
-        return await call_json(
+        answer = await read_if_changed(
             self._session,
             self.counters,
             "list instances",
             self._address,
             "/v1/instances",
-            None,
             InstanceListing,
             LIST_SECONDS,
+            self._etag,
         )
+        if answer.is_err():
+            return answer
+        listing, self._etag = answer.unwrap()
+        self._listing = self._listing if listing is None else listing
+        return Ok(self._listing)
 
 
 class HttpWorkers:
--- a/libs/platform/src/cactustiller/platform/table.py
+++ b/libs/platform/src/cactustiller/platform/table.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections import Counter
 from typing import Protocol
 
 from result import Err, Result
@@ -75,9 +76,15 @@
     port : TablePort
     seed : int
         Seed of the back-off's jitter.
+
+    Attributes
+    ----------
+    reads_by_purpose : Counter of str
+        Calls by the family of the first row or prefix that they ask for.
     """
 
     def __init__(self, port, seed=0):
+        self.reads_by_purpose = Counter()
         self._port = port
         self._random = random.Random(seed)
         self.breaker = Breaker(self._random)
@@ -87,6 +94,7 @@
         for attempt in range(READ_ATTEMPTS):
             if not self.breaker.allows():
                 return Err(_refuse_read(self.breaker.retry_after_seconds()))
+            self.reads_by_purpose[_find_purpose(read)] += 1
             answer = await self._port.read(read)
             self.breaker.record(answer.is_ok())
             if answer.is_ok():
@@ -115,6 +123,11 @@
                 return answer.map(lambda _: rows)
 
 
+def _find_purpose(read):
+    keys = [get.key for get in read.gets] + [scan.prefix for scan in read.scans]
+    return keys[0].partition("/")[0] if keys else "nothing"
+
+
 def _refuse_read(retry_after_seconds):
     return Failure(
         code=ErrorCode.UNAVAILABLE,
--- a/libs/scheduler/src/cactustiller/scheduler/incarnation.py
+++ b/libs/scheduler/src/cactustiller/scheduler/incarnation.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import json
-import time
 from typing import NamedTuple
 
 import structlog
 
 from cactustiller.model import Role
-from cactustiller.ownership import Claims, Member, SettingsReplica, list_partitions
+from cactustiller.ownership import (
+    Claims,
+    Member,
+    Metrics,
+    SettingsReplica,
+    count_control,
+    list_partitions,
+)
 from cactustiller.platform import InstanceListPort, TablePort, WorkerPort
 from cactustiller.platform.records import InstanceListing
 from cactustiller.settings import ResolvedValues, has_path, resolve
@@ -53,6 +59,7 @@
         self._ports = ports
         self._listing = InstanceListing()
         self._drain_asked = asyncio.Event()
+        self.metrics = Metrics()
         self.member = Member(
             record, ports.table, settings.timing, self._handle, peers=peers
         )
@@ -171,20 +178,11 @@
         self._take_views(views)
 
     def export_stats(self):
-        """Return the member's counters as JSON text."""
-        commits = self.member.committer.counters
-        traffic = self.member.traffic
-        counters = {
-            "decisions": self.dispatcher.decisions,
-            "table_transactions": commits.transactions,
-            "table_records": commits.records,
-            "lost_answers_resolved": commits.lost_answers,
-            "peer_sent_bytes": traffic.sent_bytes,
-            "peer_received_bytes": traffic.received_bytes,
-            "peer_sent_messages": traffic.sent_messages,
-            "processor_milliseconds": int(time.process_time() * 1000),
-        }
-        return json.dumps({"counters": counters, "histograms": {}})
+        """Return the member's counters and histograms as JSON text."""
+        export = self.metrics.export()
+        export["counters"] |= count_control(self.member, self._ports._asdict())
+        export["counters"]["decisions"] = self.dispatcher.decisions
+        return json.dumps(export)
 
     def _take_views(self, views):
         self.view.take_views(views)
--- a/standins/instances.py
+++ b/standins/instances.py
@@ -1,6 +1,7 @@
 """Instance list: the platform's lagging view of workers, backends, entries."""
 
 import asyncio
+import hashlib
 from enum import StrEnum
 
 import aiohttp
@@ -10,11 +11,13 @@
 
 from cactustiller.model import InstanceState, Record, Resources
 
-from .faults import FaultSwitch, build_fault_routes, respond_invalid, respond_json
+from .faults import FaultSwitch, build_fault_routes, respond_invalid
 from .server import build_application, serve_until_signal
 
 LIST_PATH = "/v1/instances"
 REGISTER_TRIES = 50
+ETAG_BYTES = 16
+JSON = "application/json"
 REGISTER_PAUSE_SECONDS = 0.1
 
 
@@ -119,7 +122,12 @@
         return await handler(request)
 
     async def show(request):
-        return respond_json(register.show(switch.faults.lag_s))
+        body = register.show(switch.faults.lag_s).model_dump_json().encode()
+        digest = hashlib.blake2b(body, digest_size=ETAG_BYTES).hexdigest()
+        headers = {"ETag": f'"{digest}"'}
+        if request.headers.get("If-None-Match") == headers["ETag"]:
+            return web.Response(status=304, headers=headers)
+        return web.Response(body=body, headers=headers, content_type=JSON)
 
     async def put(request):
         kind = Kind(request.match_info["kind"])
