Plan the owners anew only when the membership changes

Cause: schedulers of an idle cell took 1.40 to 1.55 % of a core (`make bench-idle`); cProfile showed `plan_owners` in two of every heartbeat's steps. Change: the last plans are remembered by their members and partitions.

--- a/libs/ownership/src/cactustiller/ownership/planning.py
+++ b/libs/ownership/src/cactustiller/ownership/planning.py
@@ -1,11 +1,13 @@
 """Which member should own a partition: rendezvous hashing with a load bound."""
 
 import math
+from functools import lru_cache
 
 from .hashing import hash_name
 
 LOAD_BOUND = 1.25
 WATCHED_MEMBERS = 3
+REMEMBERED_PLANS = 8
 
 
 def _score(partition, member):
@@ -24,8 +26,12 @@
     partitions : iterable of PartitionId
     members : iterable of MemberId
     """
-    members = sorted(members)
-    partitions = sorted(partitions)
+    return dict(_plan(tuple(sorted(partitions)), tuple(sorted(members))))
+
+
+@lru_cache(maxsize=REMEMBERED_PLANS)
+def _plan(partitions, members):
+    # Every heartbeat asks again, and the answer changes only with the membership.
     if not members:
         return {}
     families = {}
