Measure waits, packing and shares of the whole cell; replay workloads

Cause: `stats` showed a few sums; nothing showed waiting times, packing or shares, and nothing loaded a cell as its users would. Change: schedulers record the wait from submission to first start by kind, team and queue, and export what their shards and homes hold; gateways add the histograms up bucket by bucket. `cactustiller load FILE` replays a described workload open loop, as drawn in advance from a seed, and counts times from when an arrival was due.

--- a/libs/cli/src/cactustiller/cli/commands/__init__.py
+++ b/libs/cli/src/cactustiller/cli/commands/__init__.py
@@ -1,6 +1,6 @@
 """Commands by name, one module a family."""
 
-from . import instances, jobs, key, queue, requests, settings, team
+from . import instances, jobs, key, load, queue, requests, settings, stats, team
 
 GROUPS = {
     "team": team.app,
@@ -17,7 +17,8 @@
     "request": requests.send_request,
     "instances": instances.list_instances,
     "drain": instances.drain,
-    "stats": instances.show_stats,
+    "load": load.run_load,
+    "stats": stats.show_stats,
 }
 
 
--- a/libs/cli/src/cactustiller/cli/commands/instances.py
+++ b/libs/cli/src/cactustiller/cli/commands/instances.py
@@ -1,7 +1,6 @@
-"""Instances and what the cell counts."""
+"""Instances and their graceful shutdown."""
 
 import asyncio
-import time
 from typing import Annotated
 
 import typer
@@ -11,7 +10,6 @@
 from ..session import JsonFlag, run_call, run_session, take
 
 POLL_SECONDS = 0.5
-WATCH_SECONDS = 2.0
 COLUMNS = ("member", "instance", "role", "zone", "leaving")
 
 
@@ -44,20 +42,6 @@
     show_record(reply, as_json)
 
 
-def show_stats(
-    context: typer.Context,
-    watch: Annotated[bool, typer.Option("--watch", help="Until interrupted.")] = False,
-    as_json: JsonFlag = False,
-):
-    """Show counters and histograms of the cell."""
-    while True:
-        reply = run_call(context, lambda client: client.get_stats())
-        show_record(reply, as_json)
-        if not watch:
-            return
-        time.sleep(WATCH_SECONDS)
-
-
 async def _await_gone(client, instance):
     while True:
         result = await client.list_instances()
--- a/libs/ownership/src/cactustiller/ownership/metrics.py
+++ b/libs/ownership/src/cactustiller/ownership/metrics.py
@@ -1,26 +1,63 @@
-"""Counters and histograms of a daemon."""
+"""Counters, histograms and gauges of a daemon, and their sum over the cell.
+
+Histograms of several daemons add up bucket by bucket, so that percentiles are those
+of the whole cell. A histogram's name is its family, or family and label with a colon
+between; the family settles its scale.
+"""
 
 from collections import Counter
+from typing import NamedTuple
 
 from hdrh.histogram import HdrHistogram
 
-LOWEST_MICROSECONDS = 1
-HIGHEST_MICROSECONDS = 3_600_000_000
-SIGNIFICANT_DIGITS = 2
+from .shares import measure_shares
+
 PERCENTILES = (50, 90, 99, 99.9)
+MAX_LABELS = 1000
+OTHER_LABEL = "other"
+
+
+class Scale(NamedTuple):
+    """Range and precision of a family; a value is recorded times `factor`."""
+
+    factor: float
+    highest: int
+    digits: int
+    unit: str
+    shown: float
+
+
+# A fine histogram takes 27 KB, one of the many coarse ones 3 KB.
+TIMES = Scale(1e6, 3_600_000_000, 2, "ms", 1e-3)
+LABELLED_TIMES = Scale(1e3, 86_400_000, 1, "ms", 1.0)
+RATIOS = Scale(1e4, 100_000, 2, "percent", 1e-2)
+
+SCALES = {
+    "waiting_by_team": LABELLED_TIMES,
+    "waiting_by_queue": LABELLED_TIMES,
+    "packing_reserved": RATIOS,
+    "packing_used": RATIOS,
+}
+
 
+def create_histogram(name):
+    """Return an empty histogram on the scale of the name's family."""
+    scale = find_scale(name)
+    return HdrHistogram(1, scale.highest, scale.digits)
 
-def create_histogram():
-    """Return an empty histogram of microseconds."""
-    return HdrHistogram(LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
+
+def find_scale(name):
+    """Return the `Scale` of a histogram's name."""
+    return SCALES.get(name.partition(":")[0], TIMES)
 
 
 class Metrics:
-    """Counters by name and histograms of seconds by name."""
+    """Counters by name and histograms by name."""
 
     def __init__(self):
         self.counters = Counter()
         self.histograms = {}
+        self._labels = Counter()
 
     def count(self, name, amount=1):
         """Add to a counter."""
@@ -28,46 +65,102 @@
 
     def record_seconds(self, name, seconds):
         """Record a duration."""
-        if name not in self.histograms:
-            self.histograms[name] = create_histogram()
-        self.histograms[name].record_value(max(1, int(seconds * 1e6)))
+        self.record(name, seconds)
+
+    def record_wait(self, kind, team, queue, seconds):
+        """Record the time from a submission to the first start of a task."""
+        self.record("waiting", seconds)
+        self.record("waiting_by_kind", seconds, kind)
+        self.record("waiting_by_team", seconds, team)
+        self.record("waiting_by_queue", seconds, f"{team}/{queue}")
+
+    def record(self, family, value, label=""):
+        """Record a value of a family; labels beyond `MAX_LABELS` share one."""
+        name = self._name(family, label)
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = self.histograms[name] = create_histogram(name)
+        scale = find_scale(name)
+        histogram.record_value(min(scale.highest, max(1, int(value * scale.factor))))
 
     def export(self):
         """Return counters and encoded histograms, which `merge_stats` reads."""
         return {
             "counters": dict(self.counters),
-            "histograms": {
-                name: histogram.encode().decode()
-                for name, histogram in self.histograms.items()
-            },
+            "histograms": encode_histograms(self.histograms),
         }
 
+    def _name(self, family, label):
+        if not label:
+            return family
+        name = f"{family}:{label}"
+        if name in self.histograms:
+            return name
+        if self._labels[family] >= MAX_LABELS:
+            return f"{family}:{OTHER_LABEL}"
+        self._labels[family] += 1
+        return name
+
+
+def encode_histograms(histograms):
+    """Return the histograms by name as text."""
+    return {name: histogram.encode().decode() for name, histogram in histograms.items()}
+
 
 def merge_stats(exports):
     """Return the sum of what several members exported.
 
-    Times are milliseconds; counters that are not numbers are left out.
+    Parameters
+    ----------
+    exports : iterable of dict
+        With ``counters``, ``histograms``, ``gauges`` (resources by name) and
+        ``teams``, each of them optional.
     """
     counters = Counter()
     histograms = {}
+    gauges = {}
+    teams = {}
     for export in exports:
         counters.update(export.get("counters", {}))
         for name, encoded in export.get("histograms", {}).items():
-            merged = histograms.setdefault(name, create_histogram())
+            merged = histograms.setdefault(name, create_histogram(name))
             merged.decode_and_add(encoded)
+        for name, resources in export.get("gauges", {}).items():
+            gauges.setdefault(name, Counter()).update(resources)
+        teams |= export.get("teams", {})
     return {
         "counters": dict(sorted(counters.items())),
         "histograms": {
-            name: _summarize(histogram)
+            name: summarize(name, histogram)
             for name, histogram in sorted(histograms.items())
         },
+        "gauges": {name: dict(found) for name, found in sorted(gauges.items())},
+        "packing": _measure_packing(gauges),
+        "teams": measure_shares(teams, gauges.get("capacity", {})),
     }
 
 
-def _summarize(histogram):
+def summarize(name, histogram):
+    """Return count, percentiles and maximum of a histogram with their unit."""
+    scale = find_scale(name)
     summary = {"count": histogram.get_total_count()}
     for percentile in PERCENTILES:
         value = histogram.get_value_at_percentile(percentile)
-        summary[f"p{percentile}_ms"] = value / 1000
-    summary["max_ms"] = histogram.get_max_value() / 1000
+        summary[f"p{percentile}_{scale.unit}"] = round(value * scale.shown, 3)
+    largest = histogram.get_max_value()
+    summary[f"max_{scale.unit}"] = round(largest * scale.shown, 3)
     return summary
+
+
+def _measure_packing(gauges):
+    """Return reserved and used amounts over capacity, by resource."""
+    capacity = gauges.get("capacity", {})
+    return {
+        name: {
+            resource: round(gauges[name][resource] / amount, 4)
+            for resource, amount in capacity.items()
+            if amount
+        }
+        for name in ("reserved", "used")
+        if name in gauges
+    }
--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -33,6 +33,7 @@
 CANCEL_SECONDS = 5.0
 WAIT_FOREVER_SECONDS = 86_400.0
 STOP_RETRY_SECONDS = 1.0
+FIRST_ATTEMPT = 1
 
 log = structlog.get_logger(__name__)
 
@@ -56,6 +57,7 @@
         self.jobs = {}
         self.is_recovered = False
         self.explanations = {}
+        self.record_wait = lambda kind, team, queue, seconds: None
         self._member = member
         self._clock = clock
         self._wake = wake
@@ -241,8 +243,12 @@
             if _is_settled(task, report):
                 recorded.append(report.run)
             elif report.state is RunState.RUNNING:
-                self._note_running(entry, task)
+                self._note_running(entry, task, self._clock.now())
             elif report.run not in self._recording:
+                # A short run may have ended before its start was reported.
+                started_at = self._clock.now() - report.run_seconds
+                if report.run_seconds:
+                    self._note_running(entry, task, started_at)
                 ended.append(report)
         if ended:
             recorded += await self._record_ends(ended)
@@ -320,11 +326,15 @@
             changed_at=self._clock.now(),
         )
 
-    def _note_running(self, entry, task):
+    def _note_running(self, entry, task, started_at):
         if task.state is TaskState.RUNNING:
             return
         entry.tasks[task.index] = task.with_changes(state=TaskState.RUNNING)
-        entry.note_started(self._clock.now())
+        entry.note_started(started_at)
+        if task.attempt == FIRST_ATTEMPT:
+            spec = entry.record.spec
+            seconds = max(0.0, started_at - entry.record.submitted_at)
+            self.record_wait(spec.kind, spec.team, spec.queue, seconds)
 
     async def _record_ends(self, reports):
         """Commit the ends of attempts; return the keys of the recorded ones."""
--- a/libs/scheduler/src/cactustiller/scheduler/incarnation.py
+++ b/libs/scheduler/src/cactustiller/scheduler/incarnation.py
@@ -23,6 +23,7 @@
 from .dispatch import Dispatcher
 from .exchange import Exchange
 from .handlers import Handlers
+from .measures import export_holdings
 from .partitions import Partitions
 from .views import CellView
 
@@ -80,6 +81,7 @@
         self.exchange = Exchange(self.member, self.partitions.shards, self._take_views)
         self.partitions.wake_dispatcher = self.dispatcher.wake
         self.partitions.wake_exchange = self.exchange.wake
+        self.partitions.record_wait = self.metrics.record_wait
         self.partitions.resume_home = self.dispatcher.resume
         self.handlers = Handlers(self)
         self.claims = Claims(
@@ -179,9 +181,14 @@
 
     def export_stats(self):
         """Return the member's counters and histograms as JSON text."""
-        export = self.metrics.export()
-        export["counters"] |= count_control(self.member, self._ports._asdict())
-        export["counters"]["decisions"] = self.dispatcher.decisions
+        # First, so that the export's own cost shows in the next one.
+        control = count_control(self.member, self._ports._asdict())
+        export = export_holdings(self.partitions, self.find_values)
+        counted = self.metrics.export()
+        export["histograms"] |= counted["histograms"]
+        export["counters"] = (
+            counted["counters"] | control | {"decisions": self.dispatcher.decisions}
+        )
         return json.dumps(export)
 
     def _take_views(self, views):
--- /dev/null
+++ b/libs/scheduler/src/cactustiller/scheduler/measures.py
@@ -0,0 +1,79 @@
+"""What a scheduler's homes and shards hold now, for statistics of the cell."""
+
+from cactustiller.model import NOTHING, InstanceState, TaskState
+from cactustiller.ownership import Metrics
+
+
+def export_holdings(partitions, find_values):
+    """Return gauges, teams and histograms of the member's homes and shards.
+
+    Parameters
+    ----------
+    partitions : Partitions
+    find_values : callable
+        Returns the `ResolvedValues` of a team and queue.
+    """
+    metrics = Metrics()
+    return {
+        "gauges": _measure_shards(partitions.shards.values(), metrics),
+        "teams": _measure_teams(partitions.homes.values(), find_values),
+        "histograms": metrics.export()["histograms"],
+    }
+
+
+def _measure_shards(shards, metrics):
+    capacity, reserved, used = NOTHING, NOTHING, NOTHING
+    for shard in shards:
+        for session in shard.sessions.values():
+            if session.info.state is not InstanceState.LIVE:
+                continue
+            in_use = _sum_usage(session)
+            capacity = capacity + session.info.resources
+            reserved = reserved + session.used
+            used = used + in_use
+            total = session.info.resources
+            metrics.record("packing_reserved", _find_dominant(session.used, total))
+            metrics.record("packing_used", _find_dominant(in_use, total))
+    gauges = {"capacity": capacity, "reserved": reserved, "used": used}
+    return {name: found.model_dump() for name, found in gauges.items()}
+
+
+def _sum_usage(session):
+    used = NOTHING
+    for entry in session.entries.values():
+        if entry.holds_capacity:
+            used = used + entry.usage
+    return used
+
+
+def _find_dominant(part, total):
+    pairs = zip(part.model_dump().values(), total.model_dump().values(), strict=True)
+    return max((some / whole for some, whole in pairs if whole), default=0.0)
+
+
+def _measure_teams(homes, find_values):
+    teams = {}
+    for home in homes:
+        for entry in home.jobs.values():
+            if not entry.is_over:
+                _add_job(teams, entry, find_values)
+    for team in teams.values():
+        team["used"] = team["used"].model_dump()
+    return teams
+
+
+def _add_job(teams, entry, find_values):
+    spec = entry.record.spec
+    team = teams.get(spec.team)
+    if team is None:
+        weight = find_values(spec.team, spec.queue).share_weight
+        team = teams[spec.team] = {
+            "weight": weight,
+            "used": NOTHING,
+            "running": 0,
+            "waiting": 0,
+        }
+    holding = len(entry.list_holding())
+    team["used"] = team["used"] + spec.template.resources.times(holding)
+    team["running"] += entry.count(TaskState.RUNNING)
+    team["waiting"] += len(entry.waiting) + len(entry.placing)
--- a/libs/scheduler/src/cactustiller/scheduler/partitions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/partitions.py
@@ -36,6 +36,8 @@
         Called when there is work to place or something to report.
     resume_home : callable
         Called with a home that has been recovered.
+    record_wait : callable
+        Called with kind, team, queue and waiting seconds of a task's first start.
     """
 
     def __init__(self, member, worker_port, timing, clock, nothing):
@@ -46,6 +48,7 @@
         self.wake_dispatcher = nothing
         self.wake_exchange = nothing
         self.resume_home = lambda home: None
+        self.record_wait = lambda kind, team, queue, seconds: None
         self._member = member
         self._worker_port = worker_port
         self._timing = timing
@@ -162,6 +165,7 @@
 
     async def _start_home(self, partition, epoch):
         home = Home(partition, epoch, self._member, self.clock, self.wake_dispatcher)
+        home.record_wait = self.record_wait
         while not await home.recover():
             await asyncio.sleep(RECOVER_RETRY_SECONDS)
         self.homes[partition] = home
--- a/libs/scheduler/src/cactustiller/scheduler/runs.py
+++ b/libs/scheduler/src/cactustiller/scheduler/runs.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from cactustiller.model import RunRecord, RunState
+from cactustiller.model import NOTHING, Resources, RunRecord, RunState
 from cactustiller.model.messages import RunKey, RunReport
 
 
@@ -35,6 +35,8 @@
         Whether a stop is wanted, and whether after a checkpoint.
     needs_apply : bool
         Whether the worker must be told something.
+    usage : Resources
+        What the worker last said that the run uses.
     report : RunReport or None
         Latest state for the run's home.
     is_reported : bool
@@ -49,6 +51,7 @@
     is_stopping: bool = False
     checkpoint: bool = False
     needs_apply: bool = False
+    usage: Resources = NOTHING
     report: RunReport | None = None
     is_reported: bool = True
 
--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -245,6 +245,7 @@
         if not entry.holds_capacity:
             return
         entry.lease_until = max(entry.lease_until or 0.0, status.lease_until)
+        entry.usage = status.usage
         if status.state is not RunState.RUNNING:
             self.end(entry, status.state, status.reason, status.run_seconds)
         elif entry.phase is not RunPhase.RUNNING:
