--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -28,6 +28,8 @@
 SETTLE_SECONDS = 4.0
 FILL_SECONDS = 90.0
 FILL_PART = 0.98
+# A whole cycle of lease renewals, so that the window sees neither more nor less.
+RENEWAL_SECONDS = 10.0
 STATS_SECONDS = 20.0
 CHANGES = 1.0
 FLOW_WAITS = 100
@@ -74,23 +76,22 @@
         await driver.fill(self.size.tasks)
         while loop.time() - began < FILL_SECONDS:
             await asyncio.sleep(1.0)
-            if (await self._count_running()) >= FILL_PART * self.size.tasks:
+            sample = await take_sample(self._operator)
+            if sample.running >= FILL_PART * self.size.tasks:
                 break
         self.notes["fill_seconds"] = round(loop.time() - began, 1)
-        self.notes["filled_tasks"] = await self._count_running()
-        await asyncio.sleep(SETTLE_SECONDS)
+        self.notes["filled_tasks"] = sample.running
+        await asyncio.sleep(RENEWAL_SECONDS)
 
     async def _measure(self, phase, teams=None):
         before = await take_sample(self._operator)
-        tasks_before = await self._count_running()
         await asyncio.sleep(self._window_seconds)
-        tasks_after = await self._count_running()
         after = await take_sample(self._operator)
         costs = compute_costs(before, after)
         drivers = {
             "workers": self.size.workers,
             "teams": self.size.teams if teams is None else teams,
-            "tasks": (tasks_before + tasks_after) / 2,
+            "tasks": (before.running + after.running) / 2,
             "starts": _find_rate(before, after, "decisions"),
             "changes": _find_rate(before, after, "table_records.settings") / 2,
         }
@@ -103,12 +104,6 @@
         for role in ROLES:
             print(f"  {role}: {_round(found.costs[role])}", flush=True)
 
-    async def _count_running(self):
-        answer = await self._operator.get_stats()
-        if answer.is_err():
-            raise SampleError(str(answer.unwrap_err()))
-        return sum(team["running"] for team in answer.unwrap().teams.values())
-
     async def _note_waits(self, driver):
         waits = await driver.read_flow_waits(FLOW_WAITS)
         if waits:
@@ -202,7 +197,7 @@
 def main(
     sizes: str = SIZES,
     entries: int = ENTRIES,
-    window: float = 8.0,
+    window: float = RENEWAL_SECONDS,
     base_port: int = 28000,
     record: Annotated[
         Path | None, typer.Option(help="Write the JSON object here as well.")
--- a/benchmarks/sampling.py
+++ b/benchmarks/sampling.py
@@ -12,10 +12,11 @@
 
 
 class Sample(NamedTuple):
-    """Counters of each member, read at the loop's time `at` in seconds."""
+    """Counters of each member and running tasks at the loop's time `at` in seconds."""
 
     at: float
     members: dict
+    running: int = 0
 
 
 class Cost(NamedTuple):
@@ -42,15 +43,8 @@
     stats = answer.unwrap()
     if stats.missing:
         raise SampleError(f"no statistics of {', '.join(stats.missing)}")
-    return Sample(asyncio.get_running_loop().time(), stats.members)
-
-
-async def measure_costs(client, seconds):
-    """Return the `Cost` of each member over `seconds`."""
-    before = await take_sample(client)
-    await asyncio.sleep(seconds)
-    after = await take_sample(client)
-    return compute_costs(before, after)
+    running = sum(team["running"] for team in stats.teams.values())
+    return Sample(asyncio.get_running_loop().time(), stats.members, running)
 
 
 def compute_costs(before, after):
