Finish a job whose last tasks end together on several shards

The ends reported by two shards were committed side by side; neither saw the other's, so neither found the job finished, and nothing asked again. Change: a home commits ends one after the other; what was settled meanwhile is answered as recorded. Weighed: looking again after each commit, which leaves a job unfinished if the home changes hands between the two. Before: the new test finds the job waiting for ever. After: finished, its rows gone.

--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -63,6 +63,7 @@
         self._wake = wake
         self._submitting = {}
         self._recording = set()
+        self._ending = asyncio.Lock()
         self._tasks = set()
 
     @property
@@ -338,11 +339,22 @@
 
     async def _record_ends(self, reports):
         """Commit the ends of attempts; return the keys of the recorded ones."""
-        now = self._clock.now()
         keys = [report.run for report in reports]
+        self._recording.update(keys)
+        try:
+            # One at a time: of two that end a job's last tasks together, neither
+            # would see the other's and finish the job.
+            async with self._ending:
+                return await self._commit_ends(reports)
+        finally:
+            self._recording.difference_update(keys)
+
+    async def _commit_ends(self, reports):
+        now = self._clock.now()
         changes = {}
         write = Write(puts=[], deletes=[])
-        for report in reports:
+        settled, unsettled = self._split_settled(reports)
+        for report in unsettled:
             entry = self.jobs[report.run.job]
             task = entry.tasks[report.run.index]
             ended = end_task(entry, task, report, now)
@@ -359,17 +371,26 @@
             finished[job] = final
             write.puts.append(self._put_job(final))
             write.deletes.extend(self._task_key(job, index) for index in after)
-        self._recording.update(keys)
-        try:
+        if changes:
             answer = await self._commit(
                 write, "end", WAIT_FOREVER_SECONDS, wait_if_stuck=True
             )
-        finally:
-            self._recording.difference_update(keys)
-        if answer.is_err():
-            return []
-        self._apply_ends(changes, finished, now)
-        return keys
+            if answer.is_err():
+                return settled
+            self._apply_ends(changes, finished, now)
+        return [report.run for report in reports]
+
+    def _split_settled(self, reports):
+        """Return the keys that were settled meanwhile, and the other reports."""
+        settled, unsettled = [], []
+        for report in reports:
+            entry = self.jobs.get(report.run.job)
+            task = entry.tasks.get(report.run.index) if entry else None
+            if _is_settled(task, report):
+                settled.append(report.run)
+            else:
+                unsettled.append(report)
+        return settled, unsettled
 
     def _apply_ends(self, changes, finished, now):
         for job, tasks in changes.items():
--- /dev/null
+++ b/tests/scheduler/test_ends.py
@@ -0,0 +1,69 @@
+import asyncio
+
+import pytest
+
+from cactustiller.model import JobState, RunState
+from cactustiller.model.messages import ReportRuns, RunReport, SubmitJob
+from cactustiller.scheduler.clock import WallClock
+from cactustiller.scheduler.home import Home
+from cactustiller.scheduler.runs import key_of
+from tests.scheduler.test_handover import HOME, SPEC, give_home, member  # noqa: F401
+
+pytestmark = pytest.mark.looptime
+
+
+@pytest.fixture
+async def home(member):  # noqa: F811
+    await give_home(member, member.record)
+    await member.refresh()
+    home = Home(HOME, 1, member, WallClock(0.0), lambda: None)
+    assert await home.recover()
+    yield home
+    await home.stop()
+
+
+async def start_job(home, shards):
+    spec = SPEC.with_changes(task_count=len(shards))
+    await home.submit(SubmitJob(home=HOME, job="j1", spec=spec, key="k"))
+    entry = home.jobs["j1"]
+    runs = {}
+    for index, shard in enumerate(shards):
+        entry.take(index)
+        runs[shard] = [home.make_run(entry, index, f"w-{index}")]
+    assert (await home.commit_runs(runs)).is_ok()
+    return entry, runs
+
+
+def report(shard, run, state=RunState.SUCCEEDED, run_seconds=0.0):
+    found = RunReport(
+        run=key_of(run), state=state, worker=run.worker, run_seconds=run_seconds
+    )
+    return ReportRuns(home=HOME, shard=shard, reports=[found])
+
+
+async def test_job_whose_last_tasks_end_at_once_on_several_shards_is_finished(home):
+    entry, runs = await start_job(home, ["shard-a", "shard-b", "shard-c"])
+    answers = await asyncio.gather(
+        *(home.record_reports(report(shard, run)) for shard, (run,) in runs.items())
+    )
+    assert [len(answer.recorded) for answer in answers] == [1, 1, 1]
+    assert entry.record.state is JobState.SUCCEEDED
+    (row,) = (await home._member.table.scan_rows("job/")).unwrap()
+    assert row.value["state"] == "succeeded"
+    for prefix in ("task/", "run/"):
+        assert (await home._member.table.scan_rows(prefix)).unwrap() == []
+
+
+async def test_wait_ends_with_the_start_also_of_a_run_too_short_to_be_seen(home):
+    waits = []
+    home.record_wait = lambda kind, team, queue, seconds: waits.append(
+        (kind, team, queue, seconds)
+    )
+    _, runs = await start_job(home, ["shard-a", "shard-b"])
+    await asyncio.sleep(10)
+    (seen,), (unseen,) = runs["shard-a"], runs["shard-b"]
+    await home.record_reports(report("shard-a", seen, RunState.RUNNING))
+    await home.record_reports(report("shard-a", seen, RunState.RUNNING))
+    await home.record_reports(report("shard-b", unseen, run_seconds=4.0))
+    assert [wait[:3] for wait in waits] == [("batch", "t", "q")] * 2
+    assert [wait[3] for wait in waits] == pytest.approx([10.0, 6.0], abs=0.1)
