--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -4,14 +4,15 @@
 
 import numpy as np
 
-DRIVERS = ("workers", "teams", "tasks", "starts", "changes")
+DRIVERS = ("workers", "teams", "tasks", "starts", "changes", "changed_teams")
 BASE = "base"
 
 
 class Observation(NamedTuple):
     """Drivers of one interval and the mean cost of a daemon of each role.
 
-    `starts` and `changes` are a second; `costs` is {role: {cost: value}}.
+    `starts` and `changes` are a second, `changed_teams` is changes a second times
+    teams, since each change sends the whole tree; `costs` is {role: {cost: value}}.
     """
 
     size: int
--- a/libs/cli/src/cactustiller/cli/load/picture.py
+++ b/libs/cli/src/cactustiller/cli/load/picture.py
@@ -7,7 +7,8 @@
     "pip install 'cactustiller-cli[plots]'"
 )
 SHOWN_TEAMS = 8
-SIZE_INCHES = (9, 11)
+SIZE_INCHES = (11, 11)
+BESIDE = {"loc": "upper left", "bbox_to_anchor": (1.0, 1.0), "fontsize": "small"}
 
 
 class PictureError(Exception):
@@ -63,7 +64,7 @@
     axes.set_ylabel("part of the arrivals")
     axes.set_title("Waiting time")
     if by_load:
-        axes.legend(loc="lower right")
+        axes.legend(**BESIDE)
 
 
 def _list_largest(moments):
@@ -85,7 +86,7 @@
     axes.set_title("Running tasks by team")
     axes.set_xlabel("seconds")
     axes.set_ylabel("tasks")
-    axes.legend(loc="upper left", fontsize="small")
+    axes.legend(**BESIDE)
 
 
 def _draw_distances(axes, moments, teams):
