Renew the leases of a worker's tasks in one call

Each lease was renewed when it was due by itself, up to twice a second a worker, and each renewal was published to all schedulers as a change of capacity, which woke their placement. Change: as soon as one lease is due, all of the worker are renewed in one call; a lease that is found with less left makes them due earlier; a renewal is not published. Lapsed leases are looked for only on workers that do not answer, where they matter. Weighed: a longer lease, which delays the restart of a lost worker's tasks.

--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -58,6 +58,7 @@
         self._wake = asyncio.Event()
         self._random = random.Random(info.worker)
         self._orphans = []
+        self._renew_at = float("inf")
         self._tasks = []
         self._created_at = asyncio.get_running_loop().time()
 
@@ -145,8 +146,10 @@
             if entry.phase is RunPhase.RESERVED:
                 if now >= entry.reserved_until_loop_seconds:
                     self.remove(entry.key)
-            elif entry.holds_capacity:
+            elif not self.is_reachable and entry.holds_capacity:
                 self._check_lease(entry, now)
+        if now >= self._renew_at:
+            self._renew_leases(now)
         if any(entry.needs_apply for entry in self.entries.values()):
             self.wake()
 
@@ -169,22 +172,32 @@
         else:
             moment = max(entry.lease_until, entry.start_before)
             has_lapsed = bool(moment) and self._clock.has_surely_passed(moment, now)
-        if has_lapsed and not self.is_reachable:
+        if has_lapsed:
             self.end(entry, RunState.LAPSED, "lease lapsed on an unreachable worker")
-            return
-        if self._may_renew(entry):
-            self._check_renewal(entry, now)
 
     def _may_renew(self, entry):
         # A run that does not stop when asked to stops when its lease lapses.
         is_wanted = entry.phase is RunPhase.RUNNING and not entry.is_stopping
         return is_wanted and self._authority.may_renew()
 
-    def _check_renewal(self, entry, now):
-        lease = self._timing.task_lease_seconds
-        remaining = (entry.lease_until or 0.0) - self._clock.estimate(now)
-        if remaining < lease * (1 - 1 / RENEWALS_PER_LEASE):
+    def _renew_leases(self, now):
+        """Renew all leases as soon as one is due, so that one call carries them."""
+        if not self._authority.may_renew():
+            return
+        wanted = [entry for entry in self.entries.values() if self._may_renew(entry)]
+        for entry in wanted:
             entry.needs_apply = True
+        period = self._timing.task_lease_seconds / RENEWALS_PER_LEASE
+        self._renew_at = now + period if wanted else float("inf")
+
+    def _note_running(self, entry):
+        """Record that a run has started, and when its lease has to be renewed."""
+        entry.note_state(RunState.RUNNING)
+        now = asyncio.get_running_loop().time()
+        remaining = (entry.lease_until or 0.0) - self._clock.estimate(now)
+        lease = self._timing.task_lease_seconds
+        due_in = remaining - lease * (1 - 1 / RENEWALS_PER_LEASE)
+        self._renew_at = min(self._renew_at, now + due_in)
 
     async def _watch_regularly(self):
         retry_seconds = FIRST_RETRY_SECONDS
@@ -249,7 +262,7 @@
         if status.state is not RunState.RUNNING:
             self.end(entry, status.state, status.reason, status.run_seconds)
         elif entry.phase is not RunPhase.RUNNING:
-            entry.note_state(RunState.RUNNING)
+            self._note_running(entry)
             entry.needs_apply = entry.is_stopping
             self._on_change(self)
 
@@ -359,6 +372,7 @@
 
     def _take_apply(self, apply, reply):
         self._clock = WorkerClock(reply.now, asyncio.get_running_loop().time())
+        was_usable = self.is_usable
         self.is_reachable = True
         refused = {key_of(refusal): refusal.reason for refusal in reply.refused}
         for start in apply.starts:
@@ -370,7 +384,7 @@
                 log.info("start_refused", reason=refused[entry.key], run=str(entry.key))
                 continue
             entry.needs_apply = entry.is_stopping
-            entry.note_state(RunState.RUNNING)
+            self._note_running(entry)
         for renewal in apply.renew:
             entry = self.entries.get(key_of(renewal))
             if entry is not None:
@@ -378,7 +392,9 @@
         for stop in apply.stops:
             self._take_stop(self.entries.get(key_of(stop)))
         self._orphans = [stop for stop in self._orphans if stop not in apply.stops]
-        self._on_change(self)
+        # A renewal changes no capacity, so that peers need not hear of it.
+        if apply.starts or apply.stops or not was_usable:
+            self._on_change(self)
 
     def _take_stop(self, entry):
         if entry is None:
