--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,8 @@
 SECONDS ?= 60
 MINUTES ?= 5
 
-.PHONY: setup test lint format demo cell chaos soak bench-idle bench-recovery
+.PHONY: setup test lint format demo cell chaos soak bench-idle bench-recovery \
+	bench-control
 
 setup: $(VENV)/.ready
 
@@ -49,3 +50,6 @@
 
 bench-idle: setup
 	$(PYTHON) -m benchmarks.idle
+
+bench-control: setup
+	$(PYTHON) -m benchmarks.control
--- a/libs/ownership/src/cactustiller/ownership/__init__.py
+++ b/libs/ownership/src/cactustiller/ownership/__init__.py
@@ -1,6 +1,7 @@
 """Members, their leases, and the single owner of each partition."""
 
 from .claims import Claims
+from .control import count_control
 from .editor import SettingsEditor
 from .member import Member
 from .metrics import Metrics, merge_stats
@@ -25,6 +26,7 @@
     "SettingsChange",
     "SettingsEditor",
     "SettingsReplica",
+    "count_control",
     "home_of_team",
     "list_homes",
     "list_partitions",
--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -37,6 +37,7 @@
 SUBMIT_SECONDS = 3.0
 WAIT_FOREVER_SECONDS = 86_400.0
 STOP_RETRY_SECONDS = 1.0
+FIRST_ATTEMPT = 1
 
 log = structlog.get_logger(__name__)
 
@@ -61,6 +62,7 @@
         self.is_recovered = False
         self.explanations = {}
         self.on_failure = lambda error: None
+        self.record_wait = lambda kind, team, queue, seconds: None
         self._member = member
         self._clock = clock
         self._wake = wake
@@ -238,8 +240,12 @@
             if _is_settled(task, report):
                 recorded.append(report.run)
             elif report.state is RunState.RUNNING:
-                self._note_running(entry, task)
+                self._note_running(entry, task, self._clock.now())
             else:
+                # A short run may have ended before its start was reported.
+                if report.run_seconds:
+                    started_at = self._clock.now() - report.run_seconds
+                    self._note_running(entry, task, started_at)
                 ended.append(report)
         recorded += await self._recorder.record_ends(ended)
         return ReportAnswer(recorded=recorded)
@@ -306,11 +312,15 @@
             changed_at=self._clock.now(),
         )
 
-    def _note_running(self, entry, task):
+    def _note_running(self, entry, task, started_at):
         if task.state is TaskState.RUNNING:
             return
         entry.set_task(task.with_changes(state=TaskState.RUNNING))
-        entry.note_started(self._clock.now())
+        entry.note_started(started_at)
+        if task.attempt == FIRST_ATTEMPT:
+            spec = entry.record.spec
+            seconds = max(0.0, started_at - entry.record.submitted_at)
+            self.record_wait(spec.kind, spec.team, spec.queue, seconds)
 
     def _add_job(self, record, tasks):
         usage = self._usage[record.spec.team]
--- a/libs/scheduler/src/cactustiller/scheduler/incarnation.py
+++ b/libs/scheduler/src/cactustiller/scheduler/incarnation.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import json
-import time
 from typing import NamedTuple
 
 import structlog
 
 from cactustiller.model import Role
-from cactustiller.ownership import Claims, Member, SettingsReplica, list_partitions
+from cactustiller.ownership import (
+    Claims,
+    Member,
+    Metrics,
+    SettingsReplica,
+    count_control,
+    list_partitions,
+)
 from cactustiller.platform import InstanceListPort, TablePort, WorkerPort
 from cactustiller.platform.records import InstanceListing
 from cactustiller.settings import ResolvedValues, has_path, resolve
@@ -17,6 +23,7 @@
 from .dispatch import Dispatcher
 from .exchange import Exchange
 from .handlers import Handlers
+from .measures import export_holdings
 from .partitions import Partitions
 from .supervision import watch_task
 from .views import CellView
@@ -55,6 +62,7 @@
         self._listing = InstanceListing()
         self._drain_asked = asyncio.Event()
         self._failure = None
+        self.metrics = Metrics()
         self.member = Member(
             record, ports.table, settings.timing, self._handle, **transport
         )
@@ -73,6 +81,7 @@
         self.exchange = Exchange(self.member, self.partitions.shards, self._take_views)
         self.partitions.wake_dispatcher = self.dispatcher.wake
         self.partitions.wake_exchange = self.exchange.wake
+        self.partitions.record_wait = self.metrics.record_wait
         self.partitions.resume_home = self.dispatcher.resume
         self.handlers = Handlers(self)
         self.claims = Claims(
@@ -190,20 +199,16 @@
         self._take_views(views)
 
     def export_stats(self):
-        """Return the member's counters as JSON text."""
-        commits = self.member.committer.counters
-        traffic = self.member.traffic
-        counters = {
-            "decisions": self.dispatcher.decisions,
-            "table_transactions": commits.transactions,
-            "table_records": commits.records,
-            "lost_answers_resolved": commits.lost_answers,
-            "peer_sent_bytes": traffic.sent_bytes,
-            "peer_received_bytes": traffic.received_bytes,
-            "peer_sent_messages": traffic.sent_messages,
-            "processor_milliseconds": int(time.process_time() * 1000),
-        }
-        return json.dumps({"counters": counters, "histograms": {}})
+        """Return the member's counters and histograms as JSON text."""
+        # First, so that the export's own cost shows in the next one.
+        control = count_control(self.member, self._ports._asdict())
+        export = export_holdings(self.partitions, self.find_values)
+        counted = self.metrics.export()
+        export["histograms"] |= counted["histograms"]
+        export["counters"] = (
+            counted["counters"] | control | {"decisions": self.dispatcher.decisions}
+        )
+        return json.dumps(export)
 
     def _take_views(self, views):
         self.view.take_views(views)
--- a/tests/scheduler/builders.py
+++ b/tests/scheduler/builders.py
@@ -275,7 +275,7 @@
         )
         cell.network.gates[address] = gate
         self.incarnation = LimitedIncarnation(
-            SimpleNamespace(timing=cell.timing, site="s", cell="c"),
+            SimpleNamespace(timing=cell.timing, site="s", cell="c", peers=()),
             record,
             ports,
             peers=cell.network.connect(
