--- a/libs/gateway/src/cactustiller/gateway/executors.py
+++ b/libs/gateway/src/cactustiller/gateway/executors.py
@@ -75,6 +75,10 @@
             if info.service == service and self.is_usable(info.executor)
         }
 
+    def list_services(self):
+        """Return the services of the listed executors."""
+        return {info.service for info in self._executors.values()}
+
     def has_service(self, service):
         """Return whether any executor of a service is listed."""
         return any(info.service == service for info in self._executors.values())
--- a/libs/gateway/src/cactustiller/gateway/forwarding.py
+++ b/libs/gateway/src/cactustiller/gateway/forwarding.py
@@ -6,12 +6,11 @@
 from multidict import CIMultiDict
 from result import Err, Ok
 
-from cactustiller.model import ErrorCode, Failure, Outcome
+from cactustiller.model import ErrorCode, Failure, Outcome, Urgency
 
 CONNECT_SECONDS = 0.5
 KEEPALIVE_SECONDS = 15.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
-MAX_CONNECTIONS_PER_EXECUTOR = 7
 NOT_RUN_HEADER = "x-not-run"
 LEAVING_HEADER = "x-leaving"
 REQUEST_HEADER = "x-request-id"
@@ -28,6 +27,8 @@
     idempotent: bool
     seconds: float
 
+    urgency: Urgency = Urgency.NORMAL
+
 
 class ServiceAnswer(NamedTuple):
     """Whole answer of an executor."""
@@ -47,16 +48,13 @@
 
 
 def create_session():
-    """Return the session for requests to executors."""
-    trace = aiohttp.TraceConfig()
-    trace.on_request_headers_sent.append(_note_sent)
+    """Return a session of at most one connection, which goes with one permit."""
     connector = aiohttp.TCPConnector(
-        limit=0,
-        limit_per_host=MAX_CONNECTIONS_PER_EXECUTOR,
+        limit=1,
         keepalive_timeout=KEEPALIVE_SECONDS,
     )
     return aiohttp.ClientSession(
-        connector=connector, trace_configs=[trace], auto_decompress=False
+        connector=connector, trace_configs=[_TRACE], auto_decompress=False
     )
 
 
@@ -64,6 +62,10 @@
     context.trace_request_ctx.may_be_sent = True
 
 
+_TRACE = aiohttp.TraceConfig()
+_TRACE.on_request_headers_sent.append(_note_sent)
+
+
 async def forward(session, info, request, seconds):
     """Send a request once; return ``Ok(ServiceAnswer)`` or ``Err(Failure)``.
 
--- a/libs/gateway/src/cactustiller/gateway/permits.py
+++ b/libs/gateway/src/cactustiller/gateway/permits.py
@@ -1,267 +1,407 @@
 """Permits of a gateway to use slots of a service's executors."""
 
 import asyncio
+import contextlib
+import math
 import random
-from collections import deque
-from typing import NamedTuple
 
 import structlog
 
-from cactustiller.model import ErrorCode
-from cactustiller.model.messages import (
-    AcquirePermits,
-    HeldPermits,
-    Permit,
-    Permits,
-    ReturnPermits,
-)
+from cactustiller.model.messages import AcquirePermits, HeldPermits, Permits
 from cactustiller.ownership import pool_of_service
+from cactustiller.scheduler.ballots import make_ballot
 
-from .errors import refuse
+from .admission import Admission
+from .confirmations import confirm_ballot
+from .slots import Slot
+from .waiting import WaitingLine
 
 PERMITS_AHEAD = 2
 IDLE_SECONDS = 1.0
-REFRESH_SECONDS = 10.0
-SWEEP_SECONDS = 0.25
+SHORT_IDLE_SECONDS = 0.05
+AHEAD_SECONDS = 2.0
+RENEW_SECONDS = 1.0
+QUEUED_SECONDS = 0.1
+CONFIRM_BEFORE_SECONDS = 2.5
+LINGER_SECONDS = 0.25
 FIRST_PAUSE_SECONDS = 0.01
+FIRST_LONGEST_MS = 2000
 LONGEST_PAUSE_SECONDS = 0.1
 CALL_SECONDS = 1.0
-RETRY_AFTER_MS = 1000
 
 log = structlog.get_logger(__name__)
 
 
-class OwnedPermit(NamedTuple):
-    """Permit with the loop times of its request, return and end."""
-
-    permit: Permit
-    requested_at: float
-    idle_since: float
-    expires_at: float
-
-
 class PermitStore:
-    """Permits of one service: acquired ahead of need, reused, returned.
+    """Permits of one service: acquired ahead of need, reused, renewed together.
+
+    All permits end at one time. The owner's answer moves it on; while the owner
+    does not answer, the confirmation of a majority of the gateways does.
 
     Parameters
     ----------
     service : ServiceName
     member : Member
-    is_usable : callable
-        Returns whether an executor may be given new requests.
+    directory : ExecutorDirectory
+    health : ExecutorHealth
     seed : int
-        Seed of the back-off's jitter.
+        Seed of the back-off's jitter and of the choice of executors.
     """
 
-    def __init__(self, service, member, is_usable, seed=0):
+    def __init__(self, service, member, directory, health, seed=0):
+        self.admission = Admission(service)
         self._service = service
+        self._partition = pool_of_service(service)
         self._member = member
-        self._is_usable = is_usable
+        self._directory = directory
+        self._health = health
         self._random = random.Random(seed)
-        self._idle = deque()
+        self._idle = {}
         self._in_use = {}
-        self._waiters = deque()
-        self._epoch = 0
+        self._lingering = {}
+        self._closing = set()
+        self._line = WaitingLine()
+        self._ballot = 0
+        self._renewed_ballot = 0
+        self._valid_until = float("-inf")
+        self._timer = None
+        self._wanted_ms = FIRST_LONGEST_MS
+        self._known_ms = 0
+        self._must_renew = False
+        self._renewed = asyncio.Event()
+        self._sequence = 0
+        self._used_at = float("-inf")
+        self._share = 0
+        self._queued = 0
         self._wake = asyncio.Event()
-        self._tasks = []
+        self._task = None
 
     @property
     def waiting(self):
-        """Requests that wait for a permit."""
-        return len(self._waiters)
+        """Number of requests that wait for a slot."""
+        return len(self._line)
+
+    @property
+    def held(self):
+        """Number of permits held."""
+        idle = sum(map(len, self._idle.values()))
+        return idle + len(self._in_use) + len(self._lingering)
+
+    @property
+    def longest_seconds(self):
+        """Longest deadline that the pool's owner knows of."""
+        return self._known_ms / 1000
+
+    @property
+    def ballot(self):
+        """Highest ballot known of the pool, 0 for none."""
+        epoch = self._member.epoch_of(self._partition)
+        return max(self._ballot, make_ballot(epoch))
+
+    @property
+    def name(self):
+        """Name under which this incarnation holds permits."""
+        record = self._member.record
+        return f"{record.member}/{record.incarnation}"
 
     def start(self):
-        """Begin to acquire and return permits."""
-        self._tasks = [
-            asyncio.create_task(self._fill()),
-            asyncio.create_task(self._sweep_regularly()),
-        ]
+        """Begin to acquire and renew permits."""
+        self._task = asyncio.create_task(self._run())
 
     async def stop(self):
-        """Stop and return every permit that is not in use."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._give_back(list(self._idle))
+        """Stop and give every permit back that is not in use."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self._timer is not None:
+            self._timer.cancel()
+        slots = [slot for slots in self._idle.values() for slot in slots]
         self._idle.clear()
+        await asyncio.gather(*(slot.close() for slot in slots), *self._closing)
+        await self._call_owner(0)
+
+    def take(self, excluded=()):
+        """Return an idle `Slot`, ``None`` if none suits."""
+        self._used_at = asyncio.get_running_loop().time()
+        if self._used_at >= self._valid_until:
+            return None
+        executor = self._choose(excluded)
+        if executor is None:
+            return None
+        slots = self._idle[executor]
+        slot = slots.pop()
+        if not slots:
+            del self._idle[executor]
+        if len(self._idle) < PERMITS_AHEAD and self._count_missing():
+            self._wake.set()
+        return self._use(slot)
 
-    async def take(self, seconds, max_waiting, excluded=()):
-        """Return an `OwnedPermit` that lasts for `seconds`.
+    async def wait(self, urgency, seconds, max_waiting, excluded=()):
+        """Return a `Slot`, waiting for one in the order of urgency.
 
         Raises
         ------
         FailureError
-            If too many requests wait or none is free in time; not run.
+            If too many wait or none can be expected in time; not run.
         """
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + seconds
-        owned = self._take_idle(deadline, excluded)
-        if owned is not None:
-            self._wake.set()
-            return owned
-        if self.waiting >= max_waiting:
-            reason = f"{self.waiting} requests for {self._service} wait already"
-            raise self._refuse(reason)
-        waiter = (loop.create_future(), deadline, excluded)
-        self._waiters.append(waiter)
+        ahead = self._line.count_ahead(urgency)
+        self.admission.check(ahead, self.waiting, self.held, seconds, max_waiting)
+        waiter = self._line.add(urgency, tuple(excluded))
         self._wake.set()
         try:
-            async with asyncio.timeout_at(deadline):
-                return await waiter[0]
-        except TimeoutError:
-            raise self._refuse("no slot became free in time") from None
+            async with asyncio.timeout(self.admission.limit_wait(seconds)):
+                slot = await waiter.future
+        except (TimeoutError, asyncio.CancelledError) as error:
+            if waiter.future.done() and not waiter.future.cancelled():
+                self.put(waiter.future.result())
+            if isinstance(error, TimeoutError):
+                reason = "no slot became free in time"
+                raise self.admission.refuse(reason) from None
+            raise
         finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
-
-    def put(self, owned):
-        """Take a permit back whose slot is free again."""
-        if self._in_use.pop(_identify(owned.permit), None) is None:
+            self._line.remove(waiter)
+        if slot.is_cut or asyncio.get_running_loop().time() >= self._valid_until:
+            self.put(slot)
+            raise self.admission.refuse("the permits have just ended")
+        return self._use(slot)
+
+    def put(self, slot, seconds=None):
+        """Take a slot back that is free again after `seconds` of work."""
+        if seconds is not None:
+            self.admission.record(seconds)
+        if self._in_use.pop(slot.permit.number, None) is None:
+            self._close_aside(slot)
             return
-        now = asyncio.get_running_loop().time()
-        self._offer(owned._replace(idle_since=now))
+        slot.task = None
+        self._offer(slot)
 
-    def abandon(self, owned):
-        """Let a permit expire, since its slot may still be in use."""
-        # It stays in `_in_use`, so that a new owner of the pool hears of it.
-        log.info("permit_abandoned", executor=owned.permit.executor)
+    def abandon(self, slot, free_at):
+        """Keep a slot unused until `free_at`, since its executor may still work."""
+        if self._in_use.pop(slot.permit.number, None) is None:
+            self._close_aside(slot)
+            return
+        slot.task = None
+        self._lingering[slot.permit.number] = slot
+        asyncio.get_running_loop().call_at(
+            free_at + LINGER_SECONDS, self._end_lingering, slot
+        )
 
     def list_candidates(self):
         """Return the executors of the idle permits, sorted."""
-        return sorted({owned.permit.executor for owned in self._idle})
+        return sorted(self._idle)
+
+    def report(self, ballot):
+        """Follow a ballot and return the permits held; 0 only asks."""
+        self._ballot = max(self._ballot, ballot)
+        permits = self._list_held() if ballot else []
+        return HeldPermits(
+            permits=permits,
+            epoch=self.ballot,
+            gateway=self.name,
+            longest_ms=self._wanted_ms,
+        )
 
-    def report(self, epoch):
-        """Return the permits held to a new owner of the pool."""
-        self._epoch = max(self._epoch, epoch)
-        now = asyncio.get_running_loop().time()
-        held = [
-            owned.permit.with_changes(life_ms=int((owned.expires_at - now) * 1000))
-            for owned in (*self._idle, *self._in_use.values())
-            if owned.expires_at > now
+    async def limit_seconds(self, seconds):
+        """Return for how long a request may run, at most `seconds`.
+
+        The pool's owner has to know the longest deadline before a request with it
+        is sent; while it cannot be told, the request gets the longest known one.
+        """
+        if seconds * 1000 <= self._known_ms:
+            return seconds
+        self._wanted_ms = max(self._wanted_ms, math.ceil(seconds * 1000))
+        self._must_renew = True
+        self._wake.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(min(CALL_SECONDS, seconds / 2)):
+                while self._known_ms < seconds * 1000:
+                    self._renewed.clear()
+                    await self._renewed.wait()
+        return min(seconds, self._known_ms / 1000)
+
+    def _choose(self, excluded):
+        """Return the less used of two executors, own availability zone first."""
+        names = [
+            name
+            for name in self._idle
+            if name not in excluded
+            and self._directory.is_usable(name)
+            and self._health.is_admitted(name)
         ]
-        return HeldPermits(permits=held, queued=self.waiting, epoch=self._epoch)
-
-    def _take_idle(self, deadline, excluded):
-        for _ in range(len(self._idle)):
-            owned = self._idle.pop()
-            if self._suits(owned, deadline, excluded):
-                return self._use(owned)
-            self._idle.appendleft(owned)
-        return None
-
-    def _suits(self, owned, deadline, excluded):
-        executor = owned.permit.executor
-        return (
-            owned.expires_at > deadline
-            and executor not in excluded
-            and self._is_usable(executor)
-        )
+        if not names:
+            return None
+        zone = self._member.record.zone
+        near = [name for name in names if self._directory.get(name).zone == zone]
+        names = near or names
+        if len(names) > 2:
+            names = self._random.sample(names, 2)
+        return min(names, key=self._health.count_outstanding)
+
+    def _use(self, slot):
+        self._in_use[slot.permit.number] = slot
+        slot.task = asyncio.current_task()
+        return slot
+
+    def _offer(self, slot):
+        """Give a slot to the first request that it suits, else keep it idle."""
+        if self._share and self.held >= self._share:
+            self._close_aside(slot)
+            self._wake.set()
+            return
+        is_good = self._directory.is_usable(slot.executor)
+        is_good = is_good and self._health.is_admitted(slot.executor)
+        if is_good and self._line.serve(slot):
+            # It counts as held from now on, not from when the request wakes.
+            self._in_use[slot.permit.number] = slot
+            return
+        slot.idle_since = asyncio.get_running_loop().time()
+        self._idle.setdefault(slot.executor, []).append(slot)
 
-    def _use(self, owned):
-        self._in_use[_identify(owned.permit)] = owned
-        return owned
-
-    def _offer(self, owned):
-        """Give a permit to the first request that it suits, else keep it."""
-        for waiter in self._waiters:
-            future, deadline, excluded = waiter
-            if not future.done() and self._suits(owned, deadline, excluded):
-                self._waiters.remove(waiter)
-                future.set_result(self._use(owned))
-                return
-        self._idle.append(owned)
-
-    async def _fill(self):
+    def _end_lingering(self, slot):
+        if self._lingering.pop(slot.permit.number, None) is not None:
+            self._offer(slot)
+
+    def _close_aside(self, slot):
+        task = asyncio.ensure_future(slot.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    async def _run(self):
+        loop = asyncio.get_running_loop()
         pause = FIRST_PAUSE_SECONDS
+        due = loop.time()
         while True:
-            await self._wake.wait()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(due):
+                    await self._wake.wait()
             self._wake.clear()
-            granted = True
-            while self._count_missing() > 0:
-                granted = await self._acquire(self._count_missing())
-                if granted:
-                    pause = FIRST_PAUSE_SECONDS
-                    continue
-                if not self._waiters:
-                    break
-                await asyncio.sleep(self._random.uniform(pause / 2, pause))
-                pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+            missing = self._count_missing()
+            if not (missing or self._must_renew) and loop.time() < due:
+                continue
+            granted = await self._renew(missing)
+            due = loop.time() + (QUEUED_SECONDS if self._queued else RENEW_SECONDS)
+            if loop.time() + CONFIRM_BEFORE_SECONDS > self._valid_until:
+                await self._confirm()
+            if granted >= missing:
+                pause = FIRST_PAUSE_SECONDS
+                continue
+            await asyncio.sleep(self._random.uniform(pause / 2, pause))
+            pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+            if self.waiting:
+                self._wake.set()
 
     def _count_missing(self):
-        return self.waiting + PERMITS_AHEAD - len(self._idle)
+        """Return how many slots to ask for: some ahead while requests come."""
+        now = asyncio.get_running_loop().time()
+        ahead = PERMITS_AHEAD if now - self._used_at < AHEAD_SECONDS else 0
+        return max(0, self.waiting + ahead - self._count_idle())
 
-    async def _acquire(self, count):
-        """Ask the owner for permits; return whether it granted any."""
-        record = self._member.record
-        message = AcquirePermits(
-            service=self._service,
-            count=count,
-            zone=record.zone,
-            gateway=record.member,
-        )
+    def _count_idle(self):
+        return sum(map(len, self._idle.values()))
+
+    async def _renew(self, missing):
+        """Renew what is held, give surplus back, ask for more; count the gain."""
+        await self._drop_surplus()
+        self._must_renew = False
         requested_at = asyncio.get_running_loop().time()
-        partition = pool_of_service(self._service)
-        answer = await self._member.call_owner(partition, message, CALL_SECONDS)
+        longest_ms = self._wanted_ms
+        answer = await self._call_owner(missing)
         if answer.is_err():
-            log.warning("permits_not_acquired", reason=str(answer.unwrap_err()))
-            await self._member.refresh()
-            return False
+            log.warning("permits_not_renewed", reason=str(answer.unwrap_err()))
+            await self._member.refresh(scan_members=False)
+            return 0
         reply = answer.unwrap()
-        if not isinstance(reply, Permits) or reply.epoch < self._epoch:
-            log.warning("permits_ignored", service=self._service, epoch=self._epoch)
-            return False
-        self._epoch = reply.epoch
+        if not isinstance(reply, Permits) or reply.epoch < self._ballot:
+            log.warning("permits_ignored", service=self._service, ballot=self._ballot)
+            return 0
+        self._ballot = self._renewed_ballot = reply.epoch
+        self._share, self._queued = reply.share, reply.queued
+        self._known_ms = longest_ms
+        self._renewed.set()
+        for number in reply.lost:
+            self._lose(number)
+        self._extend(requested_at + reply.life_ms / 1000)
         for permit in reply.permits:
-            expires_at = requested_at + permit.life_ms / 1000
-            now = asyncio.get_running_loop().time()
-            self._offer(OwnedPermit(permit, requested_at, now, expires_at))
-        return bool(reply.permits)
-
-    async def _sweep_regularly(self):
-        while True:
-            await asyncio.sleep(SWEEP_SECONDS)
-            await self._sweep()
+            self._offer(Slot(permit))
+        return len(reply.permits)
 
-    async def _sweep(self):
-        """Return idle permits that are unused, old or of a leaving executor."""
-        now = asyncio.get_running_loop().time()
-        surplus = [owned for owned in self._idle if self._is_surplus(owned, now)]
-        for owned in surplus:
-            self._idle.remove(owned)
-        expired = [key for key, held in self._in_use.items() if held.expires_at <= now]
-        for key in expired:
-            del self._in_use[key]
-        await self._give_back([owned for owned in surplus if owned.expires_at > now])
-
-    def _is_surplus(self, owned, now):
-        return (
-            now - owned.idle_since > IDLE_SECONDS
-            or now - owned.requested_at > REFRESH_SECONDS
-            or not self._is_usable(owned.permit.executor)
+    async def _call_owner(self, count):
+        self._sequence += 1
+        message = AcquirePermits(
+            service=self._service,
+            count=count,
+            zone=self._member.record.zone,
+            gateway=self.name,
+            sequence=self._sequence,
+            longest_ms=self._wanted_ms,
+            held=self._list_held(),
+            avoid=self._health.list_ejected(),
         )
+        return await self._member.call_owner(self._partition, message, CALL_SECONDS)
 
-    async def _give_back(self, surplus):
-        if not surplus:
+    async def _confirm(self):
+        """Prolong the permits if a majority of gateways knows no newer ballot."""
+        if not self.held or self._ballot != self._renewed_ballot:
             return
-        message = ReturnPermits(
-            service=self._service,
-            permits=[owned.permit for owned in surplus],
-            gateway=self._member.record.member,
-        )
-        partition = pool_of_service(self._service)
-        answer = await self._member.call_owner(partition, message, CALL_SECONDS)
-        if answer.is_err():
-            # They count as used at the owner until they expire.
-            log.info("permits_not_returned", reason=str(answer.unwrap_err()))
-
-    def _refuse(self, reason):
-        return refuse(
-            ErrorCode.OVERLOADED,
-            f"wait for a slot of {self._service}",
-            reason,
-            retry_after_ms=RETRY_AFTER_MS,
-        )
+        asked_at = asyncio.get_running_loop().time()
+        until = await confirm_ballot(self._member, self._service, self._ballot)
+        if until is None or self.ballot != self._renewed_ballot:
+            log.warning("permits_not_confirmed", service=self._service)
+            return
+        if asked_at < self._valid_until:
+            self._extend(until)
+
+    def _list_held(self):
+        slots = [slot for slots in self._idle.values() for slot in slots]
+        slots += [*self._in_use.values(), *self._lingering.values()]
+        return [slot.permit for slot in slots]
 
+    async def _drop_surplus(self):
+        now = asyncio.get_running_loop().time()
+        kept_seconds = SHORT_IDLE_SECONDS if self._queued else IDLE_SECONDS
+        dropped = []
+        for executor in list(self._idle):
+            is_good = self._directory.is_usable(executor)
+            is_good = is_good and not self._health.is_ejected(executor)
+            kept = []
+            for slot in self._idle.pop(executor):
+                is_new = now - slot.idle_since <= kept_seconds
+                (kept if is_good and is_new else dropped).append(slot)
+            if kept:
+                self._idle[executor] = kept
+        if dropped:
+            await asyncio.gather(*(slot.close() for slot in dropped))
+
+    def _extend(self, until):
+        if until <= self._valid_until:
+            return
+        self._valid_until = until
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(until, self._end_all)
+
+    def _end_all(self):
+        """Cut the requests in flight, since others may be granted their slots.
+
+        The permits stay listed as held: an executor may still work under them.
+        """
+        log.error("permits_ended", service=self._service, held=self.held)
+        for slot in self._in_use.values():
+            slot.cut()
+        self._wake.set()
 
-def _identify(permit):
-    return permit.executor, permit.number, permit.epoch
+    def _lose(self, number):
+        slot = self._in_use.pop(number, None)
+        if slot is not None:
+            slot.cut()
+        self._lingering.pop(number, None)
+        for executor, slots in list(self._idle.items()):
+            kept = [slot for slot in slots if slot.permit.number != number]
+            for slot in slots:
+                if slot.permit.number == number:
+                    self._close_aside(slot)
+            if kept:
+                self._idle[executor] = kept
+            else:
+                del self._idle[executor]
--- a/libs/gateway/src/cactustiller/gateway/routes/requests.py
+++ b/libs/gateway/src/cactustiller/gateway/routes/requests.py
@@ -11,10 +11,8 @@
 from ..context import get_authorization, get_gateway
 from ..errors import raise_failure, refuse
 from ..forwarding import ServiceRequest
-from ..routing import LONGEST_REQUEST_SECONDS
 
 REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
-LONGEST_REQUEST_MS = int(LONGEST_REQUEST_SECONDS * 1000)
 
 
 async def send_request(request):
@@ -29,6 +27,7 @@
         headers=request.headers,
         idempotent=_read_idempotent(request),
         seconds=_read_deadline(request, values) / 1000,
+        urgency=values.urgency,
     )
     gateway.metrics.count("requests")
     try:
@@ -77,7 +76,7 @@
 
 
 def _read_deadline(request, values):
-    longest = min(values.request_timeout_ms, LONGEST_REQUEST_MS)
+    longest = values.request_timeout_ms
     return read_number(request, "X-Deadline-Ms", 1, longest, default=longest)
 
 
--- a/libs/gateway/src/cactustiller/gateway/routing.py
+++ b/libs/gateway/src/cactustiller/gateway/routing.py
@@ -2,18 +2,21 @@
 
 import asyncio
 import random
+from functools import partial
 
 import structlog
+from result import Err
 
-from cactustiller.model import ErrorCode, FailureError, Outcome
+from cactustiller.model import ErrorCode, Failure, FailureError, Outcome
 
+from .ejection import ExecutorHealth
 from .errors import refuse
 from .forwarding import forward
 from .permits import PermitStore
 
-LONGEST_REQUEST_SECONDS = 20.0
 MAX_RETRY_TOKENS = 10.0
 PAUSE_SECONDS = 0.05
+FOLLOW_SECONDS = 1.0
 
 log = structlog.get_logger(__name__)
 
@@ -43,24 +46,31 @@
     ----------
     member : Member
     directory : ExecutorDirectory
-    session : aiohttp.ClientSession
     metrics : Metrics
     seed : int
         Seed of the back-off's jitter.
     """
 
-    def __init__(self, member, directory, session, metrics, seed=0):
+    def __init__(self, member, directory, metrics, seed=0):
         self._member = member
         self._directory = directory
-        self._session = session
         self._metrics = metrics
         self._seed = seed
         self._random = random.Random(seed)
         self._stores = {}
+        self._health = {}
         self._budget = RetryBudget()
+        self._following = None
+
+    def start(self):
+        """Begin to follow the pools of all listed services."""
+        self._following = asyncio.create_task(self._follow_services())
 
     async def stop(self):
         """Return every permit."""
+        if self._following is not None:
+            self._following.cancel()
+            await asyncio.gather(self._following, return_exceptions=True)
         stores = self._stores.values()
         await asyncio.gather(*(store.stop() for store in stores))
 
@@ -85,15 +95,23 @@
         self._budget.note_request(values.request_retry_percent)
         deadline = asyncio.get_running_loop().time() + request.seconds
         store = self._get_store(request.service)
+        if request.seconds > store.longest_seconds:
+            started = asyncio.get_running_loop().time()
+            deadline = started + await store.limit_seconds(request.seconds)
+        health = self._health[request.service]
         tried = []
         failure = None
         while True:
-            owned = await self._take(store, request, values, deadline, tried, failure)
-            answer = await self._send(store, owned, request, deadline, len(tried))
+            slot = store.take(tried)
+            if slot is None:
+                slot = await self._wait(
+                    store, request, values, deadline, tried, failure
+                )
+            answer = await self._send(store, health, slot, request, deadline, tried)
             if answer.is_ok():
                 return answer.unwrap()
             failure = _keep_worst(failure, answer.unwrap_err())
-            tried.append(owned.permit.executor)
+            tried.append(slot.executor)
             if not self._may_retry(request, answer.unwrap_err(), deadline):
                 raise FailureError(failure)
             self._metrics.count("request_retries")
@@ -105,49 +123,64 @@
             tried.clear()
             await asyncio.sleep(self._random.uniform(PAUSE_SECONDS / 2, PAUSE_SECONDS))
 
-    async def _take(self, store, request, values, deadline, tried, failure):
+    async def _wait(self, store, request, values, deadline, tried, failure):
         loop = asyncio.get_running_loop()
         started = loop.time()
-        seconds = deadline - started
         try:
-            owned = await store.take(seconds, values.max_queued_requests, tried)
+            slot = await store.wait(
+                request.urgency, deadline - started, values.max_queued_requests, tried
+            )
         except FailureError:
             self._metrics.count("requests_refused")
             if failure is not None:
                 raise FailureError(failure) from None
             raise
         self._metrics.record_seconds("slot_wait", loop.time() - started)
-        return owned
+        return slot
 
-    async def _send(self, store, owned, request, deadline, attempts):
+    async def _send(self, store, health, slot, request, deadline, tried):
         loop = asyncio.get_running_loop()
-        permit = owned.permit
-        info = self._directory.get(permit.executor)
+        executor = slot.executor
+        info = self._directory.get(executor)
+        if info is None:
+            store.put(slot)
+            return Err(_describe_unlisted(executor))
         log.info(
             "route_decided",
             request=request.id,
             service=request.service,
-            executor=permit.executor,
-            slot=permit.number,
+            executor=executor,
+            slot=slot.permit.number,
             considered=store.list_candidates(),
-            reason="retry elsewhere" if attempts else "freshest permit held",
-            epoch=permit.epoch,
+            reason="retry elsewhere" if tried else "fewest outstanding, own zone first",
+            ballot=slot.permit.epoch,
         )
         started = loop.time()
+        health.note_start(executor)
         try:
             answer = await forward(
-                self._session, info, request, max(0.001, deadline - started)
+                slot.session, info, request, max(0.001, deadline - started)
             )
         except asyncio.CancelledError:
-            store.abandon(owned)
-            raise
-        self._metrics.record_seconds("executor_time", loop.time() - started)
-        if answer.is_err() and answer.unwrap_err().outcome is Outcome.UNKNOWN:
-            store.abandon(owned)
-        else:
-            if answer.is_ok() and answer.unwrap().leaving:
-                self._directory.mark_leaving(permit.executor)
-            store.put(owned)
+            health.note_abort(executor)
+            store.abandon(slot, deadline)
+            if not slot.is_cut:
+                self._metrics.count("requests_cancelled")
+                raise
+            asyncio.current_task().uncancel()
+            self._metrics.count("requests_cut")
+            return Err(_describe_cut(info))
+        seconds = loop.time() - started
+        self._metrics.record_seconds("executor_time", seconds)
+        failure = answer.err()
+        is_good = failure is None or failure.code is ErrorCode.OVERLOADED
+        health.note_end(executor, seconds, is_good)
+        if failure is not None and failure.outcome is Outcome.UNKNOWN:
+            store.abandon(slot, deadline)
+            return answer
+        if failure is None and answer.unwrap().leaving:
+            self._directory.mark_leaving(executor)
+        store.put(slot, seconds)
         return answer
 
     def _may_retry(self, request, failure, deadline):
@@ -157,16 +190,45 @@
             return False
         return self._budget.spend()
 
+    async def _follow_services(self):
+        # A gateway without requests confirms ballots for the others too.
+        while True:
+            for service in self._directory.list_services():
+                self._get_store(service)
+            await asyncio.sleep(FOLLOW_SECONDS)
+
     def _get_store(self, service):
         store = self._stores.get(service)
         if store is None:
-            usable = self._directory.is_usable
-            store = PermitStore(service, self._member, usable, self._seed)
+            health = ExecutorHealth(partial(self._directory.list_usable, service))
+            store = PermitStore(
+                service, self._member, self._directory, health, self._seed
+            )
             store.start()
+            self._health[service] = health
             self._stores[service] = store
         return store
 
 
+def _describe_unlisted(executor):
+    return Failure(
+        code=ErrorCode.UNAVAILABLE,
+        step="send request",
+        peer=executor,
+        reason="the executor is no longer listed",
+    )
+
+
+def _describe_cut(info):
+    return Failure(
+        code=ErrorCode.UNAVAILABLE,
+        step="run request",
+        peer=f"{info.executor} ({info.address})",
+        reason="the permit for the slot ended before the answer",
+        outcome=Outcome.UNKNOWN,
+    )
+
+
 def _keep_worst(first, second):
     """Return the failure that says least about the request's effect."""
     if first is not None and first.outcome is Outcome.UNKNOWN:
--- a/libs/gateway/src/cactustiller/gateway/serving.py
+++ b/libs/gateway/src/cactustiller/gateway/serving.py
@@ -17,7 +17,6 @@
 from .context import GATEWAY, Gateway, Phase, count_in_flight
 from .errors import render_failures
 from .executors import ExecutorDirectory
-from .forwarding import create_session
 from .inbox import answer_peer
 from .routes import list_routes
 from .routing import RequestRouter
@@ -37,7 +36,7 @@
     return app
 
 
-def build_gateway(settings, session, executor_session, stop):
+def build_gateway(settings, session, stop):
     """Return the parts of a gateway, not yet started."""
     table = HttpTable(session, settings.platform.table)
 
@@ -58,7 +57,7 @@
         ),
         calls=OwnerCalls(member),
         directory=directory,
-        router=RequestRouter(member, directory, executor_session, metrics),
+        router=RequestRouter(member, directory, metrics),
         metrics=metrics,
         stop=stop,
     )
@@ -75,13 +74,17 @@
     """
     async with AsyncExitStack() as stack:
         session = await stack.enter_async_context(aiohttp.ClientSession())
-        executor_session = await stack.enter_async_context(create_session())
-        gateway = build_gateway(settings, session, executor_session, stop)
+        gateway = build_gateway(settings, session, stop)
         await gateway.member.listen()
         await gateway.member.start()
         await gateway.replica.start()
         await gateway.directory.start()
-        runner = web.AppRunner(build_app(gateway), shutdown_timeout=DRAIN_SECONDS)
+        gateway.router.start()
+        runner = web.AppRunner(
+            build_app(gateway),
+            shutdown_timeout=DRAIN_SECONDS,
+            handler_cancellation=True,
+        )
         await runner.setup()
         host, port = settings.gateway.host, settings.gateway.http_port
         await web.TCPSite(runner, host, port).start()
--- a/libs/model/src/cactustiller/model/messages.capnp
+++ b/libs/model/src/cactustiller/model/messages.capnp
@@ -27,9 +27,9 @@
     publishWorkers @20 :PublishWorkers;
     acquirePermits @21 :AcquirePermits;
     permits @22 :Permits;
-    returnPermits @23 :ReturnPermits;
+    unusedReturnPermits @23 :Void;
     reportPermits @24 :ReportPermits;
-    heldPermits @25 :Permits;
+    heldPermits @25 :HeldPermits;
     announceSettings @26 :Announcement;
     getSettings @27 :GetSettings;
     settingsBody @28 :SettingsBody;
@@ -202,11 +202,31 @@
   executor @0 :Text;
   number @1 :UInt64;
   epoch @2 :UInt64;
+}
+struct AcquirePermits {
+  service @0 :Text;
+  count @1 :UInt32;
+  zone @2 :Text;
+  gateway @3 :Text;
+  sequence @4 :UInt64;
+  held @5 :List(Permit);
+  avoid @6 :List(Text);
+  longestMs @7 :UInt32;
+}
+struct Permits {
+  permits @0 :List(Permit);
+  queued @1 :UInt32;
+  epoch @2 :UInt64;
   lifeMs @3 :UInt32;
+  share @4 :UInt32;
+  lost @5 :List(UInt64);
+}
+struct HeldPermits {
+  permits @0 :List(Permit);
+  epoch @1 :UInt64;
+  gateway @2 :Text;
+  longestMs @3 :UInt32;
 }
-struct AcquirePermits { service @0 :Text; count @1 :UInt32; zone @2 :Text; gateway @3 :Text; }
-struct Permits { permits @0 :List(Permit); queued @1 :UInt32; epoch @2 :UInt64; }
-struct ReturnPermits { service @0 :Text; permits @1 :List(Permit); gateway @2 :Text; }
 struct ReportPermits { service @0 :Text; epoch @1 :UInt64; }
 
 struct Announcement { version @0 :UInt64; origin @1 :Text; }
--- a/libs/model/src/cactustiller/model/messages.py
+++ b/libs/model/src/cactustiller/model/messages.py
@@ -239,48 +239,63 @@
 
 
 class Permit(Record):
-    """Right to use one slot of an executor for `life_ms` from the request."""
+    """Right to use one slot of an executor; `epoch` is the ballot of its grant."""
 
     executor: ExecutorId
     number: int
     epoch: int
-    life_ms: int
 
 
 class AcquirePermits(Record):
-    """Asks the owner of a service's slots for permits."""
+    """Renews every held permit of a gateway, frees its others and asks for more.
+
+    `gateway` names the member and its incarnation; a message with a lower
+    `sequence` than the last one of that gateway is ignored. No request that it
+    sends has a deadline of more than `longest_ms`.
+    """
 
     service: ServiceName
     count: int
     zone: str
-    gateway: MemberId
+    gateway: str
+    sequence: int
+    longest_ms: int = 0
+    held: list[Permit] = []
+    avoid: list[ExecutorId] = []
 
 
 class Permits(Record):
-    """Granted permits and the number of requests that wait for more."""
+    """Granted permits; the held ones but `lost` are renewed for `life_ms`.
+
+    `queued` counts the slots that gateways wait for; `share` is the most that one
+    gateway may hold while there is a queue, 0 for no limit.
+    """
 
     permits: list[Permit]
     queued: int = 0
     epoch: int = 0
-
-
-class ReturnPermits(Record):
-    """Gives permits back whose slots are free again."""
-
-    service: ServiceName
-    permits: list[Permit]
-    gateway: MemberId
+    life_ms: int = 0
+    share: int = 0
+    lost: list[int] = []
 
 
 class ReportPermits(Record):
-    """Asks a gateway which permits it holds, after a takeover."""
+    """Asks a gateway to follow a ballot and to name the permits it holds.
+
+    `epoch` 0 only asks for the highest ballot that it follows.
+    """
 
     service: ServiceName
     epoch: int
 
 
-class HeldPermits(Permits):
-    """Permits that a gateway holds."""
+class HeldPermits(Record):
+    """Permits that a gateway holds, and the highest ballot that it follows."""
+
+    permits: list[Permit]
+    epoch: int = 0
+    gateway: str = ""
+    longest_ms: int = 0
 
 
 class AnnounceSettings(Record):
@@ -350,7 +365,6 @@
     PublishWorkers,
     AcquirePermits,
     Permits,
-    ReturnPermits,
     ReportPermits,
     HeldPermits,
     AnnounceSettings,
--- a/libs/scheduler/src/cactustiller/scheduler/handlers.py
+++ b/libs/scheduler/src/cactustiller/scheduler/handlers.py
@@ -20,7 +20,6 @@
     ReleaseRuns,
     ReportRuns,
     ReserveRuns,
-    ReturnPermits,
     StartRuns,
     Stats,
     StopRuns,
@@ -122,10 +121,6 @@
     async def _(self, message: AcquirePermits):
         return self._ask_pool(message, lambda pool: pool.acquire(message))
 
-    @_answer.register
-    async def _(self, message: ReturnPermits):
-        return self._ask_pool(message, lambda pool: pool.give_back(message))
-
     @_answer.register
     async def _(self, message: GetStats):
         return Stats(text=self._incarnation.export_stats())
--- a/libs/scheduler/src/cactustiller/scheduler/partitions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/partitions.py
@@ -72,17 +72,18 @@
         for task in list(self._starting.values()):
             task.cancel()
         await asyncio.gather(*self._starting.values(), return_exceptions=True)
-        for family in (self.homes, self.shards):
+        for family in (self.homes, self.shards, self.pools):
             await asyncio.gather(*(item.stop() for item in family.values()))
             family.clear()
-        self.pools.clear()
 
     async def release(self, partition):
         """Stop new work under a partition that is about to be handed over."""
         item = self.homes.get(partition) or self.shards.get(partition)
         if item is not None:
             await item.release()
-        self.pools.pop(partition, None)
+        pool = self.pools.pop(partition, None)
+        if pool is not None:
+            await pool.stop()
 
     async def set_listing(self, listing):
         """Take the platform's list of workers and executors."""
@@ -117,8 +118,7 @@
                 if self._is_current(partition, item.epoch):
                     continue
                 del family[partition]
-                if family is not self.pools:
-                    await item.stop()
+                await item.stop()
                 log.info("partition_stopped", partition=partition, epoch=item.epoch)
         for (partition, epoch), task in list(self._starting.items()):
             if not self._is_current(partition, epoch):
@@ -167,9 +167,16 @@
         await shard.set_workers(self._list_workers(partition))
 
     async def _start_pool(self, partition, epoch):
+        def has_lease():
+            return self._member.has_lease() and self._is_current(partition, epoch)
+
+        # Every gateway that may hold permits joined before the takeover.
+        while not await self._member.refresh():
+            await asyncio.sleep(RECOVER_RETRY_SECONDS)
         service = partition.removeprefix(POOL_PREFIX)
-        pool = Pool(service, epoch, self._listing.backends)
+        pool = Pool(service, epoch, self._listing.backends, has_lease)
         await pool.recover(self._call_gateways)
+        pool.start(self._call_gateways)
         self.pools[partition] = pool
 
     async def _call_gateways(self, message):
--- a/libs/scheduler/src/cactustiller/scheduler/pools.py
+++ b/libs/scheduler/src/cactustiller/scheduler/pools.py
@@ -1,33 +1,62 @@
 """Pool of a service's executor slots, each granted to one gateway at a time."""
 
 import asyncio
-from collections import Counter, defaultdict
-from typing import NamedTuple
+import contextlib
+from collections import Counter
+from dataclasses import dataclass, field
 
 import structlog
 
-from cactustiller.model import InstanceState, MemberId
-from cactustiller.model.messages import Permit, Permits, ReportPermits
+from cactustiller.model import ErrorCode, Failure, InstanceState
+from cactustiller.model.messages import Permit, Permits
 
-PERMIT_LIFE_SECONDS = 30.0
-MARGIN_SECONDS = 1.0
+from .ballots import CONFIRMED_SECONDS, Ballots
+from .fairness import find_level
+
+PERMIT_LIFE_SECONDS = 4.0
+MARGIN_SECONDS = 0.5
 WAITING_SECONDS = 0.5
+CHECK_SECONDS = 0.5
+FORGET_SECONDS = 60.0
+NUMBER_BITS = 32
 
 log = structlog.get_logger(__name__)
 
 
-class Grant(NamedTuple):
-    """Slot in use by a gateway until a loop time at the latest."""
+@dataclass(slots=True)
+class Grant:
+    """Slot that a gateway may use; counted until freed, also when not renewed."""
+
+    executor: str
+    gateway: str
+    renewed_until: float
+
+
+@dataclass(slots=True)
+class Holder:
+    """One incarnation of a gateway, as the pool last heard of it."""
+
+    sequence: int = 0
+    numbers: set = field(default_factory=set)
+    waiting: int = 0
+    heard_at: float = float("-inf")
+
 
-    gateway: MemberId
-    expires_at: float
+@dataclass(slots=True)
+class Release:
+    """Grants that ended before `ended_before` are freed at `at`."""
+
+    at: float
+    ended_before: float
 
 
 class Pool:
     """Slots of the executors of one service.
 
-    A slot stays counted until its permit is returned or expires; a permit's life
-    covers the longest time that its executor may go on working.
+    A gateway names all the permits that it holds in each request, which renews
+    them; the others of its permits are free. The slots of a gateway that is silent
+    are freed only once a majority of gateways follows a newer ballot and whatever
+    was confirmed before has run out.
 
     Parameters
     ----------
@@ -35,16 +64,25 @@
     epoch : int
         Epoch of the pool's partition.
     executors : list of BackendInfo
+    has_lease : callable
+        Returns whether this owner's lease holds now.
     """
 
-    def __init__(self, service, epoch, executors):
+    def __init__(self, service, epoch, executors, has_lease):
         self.service = service
         self.epoch = epoch
+        self.ballots = Ballots(service, epoch)
+        self._has_lease = has_lease
         self._executors = {}
-        self._grants = defaultdict(dict)
-        self._waiting = {}
-        self._closed_until = 0.0
-        self._next_number = 0
+        self._grants = {}
+        self._used = Counter()
+        self._proven = Counter()
+        self._is_narrowed = False
+        self._holders = {}
+        self._release = None
+        self._longest_ms = 0
+        self._next_number = epoch << NUMBER_BITS
+        self._task = None
         self.set_executors(executors)
 
     def set_executors(self, executors):
@@ -53,8 +91,26 @@
             info.executor: info for info in executors if info.service == self.service
         }
 
+    def start(self, call_gateways):
+        """Begin to confirm the right to grant and to free what silent ones held."""
+        self._task = asyncio.create_task(self._run(call_gateways))
+
+    async def stop(self):
+        """Stop granting and renewing."""
+        self.ballots.supersede()
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+
+    def may_grant(self, now):
+        """Return whether no other owner can have granted anything by `now`."""
+        if self.ballots.is_superseded:
+            return False
+        return self._has_lease() or now < self.ballots.confirmed_until
+
     def acquire(self, message):
-        """Grant up to `count` slots, those of the gateway's zone first.
+        """Renew what the gateway holds, then grant up to `count` further slots.
 
         Parameters
         ----------
@@ -62,35 +118,43 @@
 
         Returns
         -------
-        Permits
-            `queued` is the number of slots that gateways lately asked for in vain.
+        Permits or Failure
         """
+        # The time comes first: a pause after it only shortens what is granted.
         now = asyncio.get_running_loop().time()
-        self._expire(now)
+        holder = self._holders.setdefault(message.gateway, Holder())
+        refusal = self._find_refusal(message, holder, now)
+        if refusal is not None:
+            return refusal
+        holder.sequence = message.sequence
+        holder.heard_at = now
+        self._longest_ms = max(self._longest_ms, message.longest_ms)
+        lost = self._renew(message, holder, now)
+        holder.waiting = message.count
+        share = self._find_share(now)
         permits = []
-        if now >= self._closed_until:
-            while len(permits) < message.count:
-                info = self._choose(message.zone)
-                if info is None:
-                    break
-                permits.append(self._grant(info, message.gateway, now))
-        self._waiting[message.gateway] = (now, message.count - len(permits))
+        while len(permits) < message.count:
+            if share and len(holder.numbers) >= share and self._is_owed(share, now):
+                break
+            info = self._choose(message)
+            if info is None:
+                break
+            permits.append(self._grant(info, message.gateway, now))
+        holder.waiting = message.count - len(permits)
         return Permits(
-            permits=permits, queued=self._count_waiting(now), epoch=self.epoch
+            permits=permits,
+            queued=self._count_waiting(now),
+            epoch=self.ballots.current,
+            life_ms=int(PERMIT_LIFE_SECONDS * 1000),
+            share=share if share and self._is_owed(share, now) else 0,
+            lost=lost,
         )
 
-    def give_back(self, message):
-        """Free the slots of returned permits; unknown ones are ignored."""
-        for permit in message.permits:
-            self._grants[permit.executor].pop((permit.epoch, permit.number), None)
-        now = asyncio.get_running_loop().time()
-        return Permits(permits=[], queued=self._count_waiting(now), epoch=self.epoch)
-
     async def recover(self, call_gateways):
         """Learn after a takeover which permits of earlier epochs are held.
 
-        Nothing is granted until every gateway has answered, or every permit of
-        one that has not has expired.
+        Until every gateway has answered, or what a silent one may hold has run
+        out, only slots that were reported by a gateway are granted anew.
 
         Parameters
         ----------
@@ -98,62 +162,181 @@
             Coroutine function of a message that returns a dict of `MemberId` to
             `Result` of the reply, for every gateway that may hold permits.
         """
-        loop = asyncio.get_running_loop()
-        self._closed_until = float("inf")
-        started = loop.time()
-        message = ReportPermits(service=self.service, epoch=self.epoch)
-        answers = await call_gateways(message)
-        silent = [name for name, answer in answers.items() if answer.is_err()]
-        for name, answer in answers.items():
-            for permit in answer.unwrap().permits if answer.is_ok() else ():
-                expires_at = loop.time() + permit.life_ms / 1000 + MARGIN_SECONDS
-                grant = Grant(name, expires_at)
-                self._grants[permit.executor][permit.epoch, permit.number] = grant
-        wait_seconds = PERMIT_LIFE_SECONDS + MARGIN_SECONDS
-        self._closed_until = started + wait_seconds if silent else 0.0
+        self._is_narrowed = True
+        silent = await self._ask(call_gateways, True)
         log.info(
             "pool_recovered", service=self.service, epoch=self.epoch, silent=silent
         )
 
+    async def check(self, call_gateways):
+        """Confirm the right to grant, and begin or end the release of slots."""
+        now = asyncio.get_running_loop().time()
+        self._free_due(now)
+        self._forget_holders(now)
+        has_ended = any(grant.renewed_until <= now for grant in self._grants.values())
+        must_release = self._release is None and (has_ended or self._is_narrowed)
+        if self._has_lease() and not must_release:
+            return
+        if must_release and has_ended:
+            self.ballots.raise_round()
+        await self._ask(call_gateways, must_release)
+
     def count_used(self):
         """Return the number of granted slots by executor."""
-        self._expire(asyncio.get_running_loop().time())
-        return Counter(
-            {name: len(grants) for name, grants in self._grants.items() if grants}
+        return +self._used
+
+    async def _ask(self, call_gateways, must_release):
+        """Ask the gateways to follow the ballot; return those that are silent."""
+        loop = asyncio.get_running_loop()
+        ended_before = loop.time()
+        outcome = await self.ballots.ask(call_gateways)
+        now = loop.time()
+        for reply in outcome.replies:
+            self._longest_ms = max(self._longest_ms, reply.longest_ms)
+        if self._is_narrowed:
+            for reply in outcome.replies:
+                holder = self._holders.setdefault(reply.gateway, Holder())
+                for permit in reply.permits:
+                    self._adopt(permit, reply.gateway, holder, now)
+            self._is_narrowed = bool(outcome.silent)
+        if must_release and outcome.has_majority:
+            # Executors may go on until the deadline of the last request sent.
+            seconds = CONFIRMED_SECONDS + PERMIT_LIFE_SECONDS + MARGIN_SECONDS
+            seconds += self._longest_ms / 1000
+            self._release = Release(now + seconds, ended_before)
+        return outcome.silent
+
+    def _free_due(self, now):
+        if self._release is None or now < self._release.at:
+            return
+        ended = [
+            number
+            for number, grant in self._grants.items()
+            if grant.renewed_until <= self._release.ended_before
+        ]
+        for number in ended:
+            self._free(number)
+        self._is_narrowed = False
+        self._release = None
+        log.info("slots_released", service=self.service, slots=len(ended))
+
+    def _forget_holders(self, now):
+        forgotten = [
+            name
+            for name, holder in self._holders.items()
+            if not holder.numbers and now - holder.heard_at > FORGET_SECONDS
+        ]
+        for name in forgotten:
+            del self._holders[name]
+
+    async def _run(self, call_gateways):
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            await self.check(call_gateways)
+
+    def _find_refusal(self, message, holder, now):
+        if not self.may_grant(now):
+            reason = "the owner's lease is not confirmed"
+        elif message.sequence <= holder.sequence:
+            reason = f"request {message.sequence} was overtaken"
+        else:
+            return None
+        return Failure(
+            code=ErrorCode.UNAVAILABLE,
+            step=f"grant slots of {self.service}",
+            reason=reason,
+            retry_after_ms=200,
         )
 
-    def _choose(self, zone):
+    def _renew(self, message, holder, now):
+        """Renew the held permits, free the others; return the lost numbers."""
+        named = {permit.number for permit in message.held}
+        for number in holder.numbers - named:
+            self._free(number)
+        lost = []
+        for permit in message.held:
+            if permit.number in holder.numbers:
+                self._grants[permit.number].renewed_until = _find_end(now)
+            elif not self._adopt(permit, message.gateway, holder, now):
+                lost.append(permit.number)
+        return lost
+
+    def _adopt(self, permit, gateway, holder, now):
+        """Take over a grant of an earlier owner; return whether it may stand."""
+        if permit.number in self._grants or not self._is_narrowed:
+            return False
+        if permit.number >> NUMBER_BITS >= self.epoch:
+            return False
+        info = self._executors.get(permit.executor)
+        if info is not None and self._proven[permit.executor] >= info.slots:
+            return False
+        self._proven[permit.executor] += 1
+        self._add(permit.number, permit.executor, gateway, now)
+        return True
+
+    def _choose(self, message):
         """Return the executor with most free slots, in the zone if one has any."""
-        free = [
-            (info.zone == zone, info.slots - len(self._grants[name]), name)
-            for name, info in self._executors.items()
-            if info.state is InstanceState.LIVE
-        ]
-        best = max((entry for entry in free if entry[1] > 0), default=None)
-        return self._executors[best[2]] if best else None
+        best = None
+        best_rank = (False, 0, "")
+        for name, info in self._executors.items():
+            most = self._proven[name] if self._is_narrowed else info.slots
+            free = min(most, info.slots) - self._used[name]
+            if free <= 0 or info.state is not InstanceState.LIVE:
+                continue
+            rank = (info.zone == message.zone, free, name)
+            if rank > best_rank and name not in message.avoid:
+                best, best_rank = info, rank
+        return best
 
     def _grant(self, info, gateway, now):
         self._next_number += 1
-        expires_at = now + PERMIT_LIFE_SECONDS + MARGIN_SECONDS
-        key = (self.epoch, self._next_number)
-        self._grants[info.executor][key] = Grant(gateway, expires_at)
+        self._add(self._next_number, info.executor, gateway, now)
         return Permit(
             executor=info.executor,
             number=self._next_number,
-            epoch=self.epoch,
-            life_ms=int(PERMIT_LIFE_SECONDS * 1000),
+            epoch=self.ballots.current,
         )
 
-    def _expire(self, now):
-        for grants in self._grants.values():
-            for key in [
-                key for key, grant in grants.items() if grant.expires_at <= now
-            ]:
-                del grants[key]
+    def _add(self, number, executor, gateway, now):
+        self._grants[number] = Grant(executor, gateway, _find_end(now))
+        self._holders[gateway].numbers.add(number)
+        self._used[executor] += 1
 
-    def _count_waiting(self, now):
+    def _free(self, number):
+        grant = self._grants.pop(number)
+        self._used[grant.executor] -= 1
+        self._holders[grant.gateway].numbers.discard(number)
+
+    def _find_share(self, now):
+        """Return the most that a gateway may hold, 0 while there is enough."""
+        wanted = [
+            len(holder.numbers) + self._waiting_of(holder, now)
+            for holder in self._holders.values()
+        ]
+        return find_level(wanted, self._count_slots())
+
+    def _is_owed(self, share, now):
+        """Return whether the free slots are all due to gateways below the share."""
+        owed = sum(
+            max(0, min(share - held, self._waiting_of(holder, now)))
+            for holder in self._holders.values()
+            if (held := len(holder.numbers)) < share
+        )
+        return owed > 0 and self._count_slots() - self._used.total() <= owed
+
+    def _count_slots(self):
         return sum(
-            count
-            for asked_at, count in self._waiting.values()
-            if now - asked_at < WAITING_SECONDS
+            info.slots
+            for info in self._executors.values()
+            if info.state is InstanceState.LIVE
         )
+
+    def _waiting_of(self, holder, now):
+        return holder.waiting if now - holder.heard_at < WAITING_SECONDS else 0
+
+    def _count_waiting(self, now):
+        return sum(self._waiting_of(holder, now) for holder in self._holders.values())
+
+
+def _find_end(now):
+    return now + PERMIT_LIFE_SECONDS + MARGIN_SECONDS
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -11,7 +11,6 @@
 from cactustiller.gateway.calls import OwnerCalls
 from cactustiller.gateway.context import Gateway
 from cactustiller.gateway.executors import ExecutorDirectory
-from cactustiller.gateway.forwarding import create_session
 from cactustiller.gateway.routing import RequestRouter
 from cactustiller.model import ErrorCode, Failure, MemberRecord, Outcome
 from cactustiller.model.messages import (
@@ -20,7 +19,6 @@
     Done,
     GetSettings,
     JobView,
-    ReturnPermits,
     SubmitJob,
 )
 from cactustiller.ownership import (
@@ -140,8 +138,6 @@
     async def answer(self, message):
         if isinstance(message, AcquirePermits):
             return self.pool.acquire(message)
-        if isinstance(message, ReturnPermits):
-            return self.pool.give_back(message)
         if isinstance(message, SubmitJob):
             return self._submit(message)
         if isinstance(message, AnnounceSettings | GetSettings):
@@ -255,7 +251,7 @@
         for executor in self.executors.values():
             await executor.server.start_server()
         backends = [item.describe(name) for name, item in self.executors.items()]
-        self.home.pool = Pool(SERVICE, 1, backends)
+        self.home.pool = Pool(SERVICE, 1, backends, lambda: True)
         self.gateway = await self._start_gateway(backends)
         await self._add_teams()
         self.server = TestServer(build_app(self.gateway))
@@ -270,7 +266,6 @@
         await self.gateway.directory.stop()
         await self.gateway.replica.stop()
         await self.gateway.member.stop()
-        await self.session.close()
         for executor in self.executors.values():
             await executor.server.close()
 
@@ -304,7 +299,6 @@
         await replica.start()
         directory = ExecutorDirectory(FakeList(backends))
         await directory.start()
-        self.session = create_session()
         metrics = Metrics()
         return Gateway(
             member=member,
@@ -312,7 +306,7 @@
             guard=KeyGuard(replica, "demo", "main"),
             calls=OwnerCalls(member),
             directory=directory,
-            router=RequestRouter(member, directory, self.session, metrics),
+            router=RequestRouter(member, directory, metrics),
             metrics=metrics,
             stop=asyncio.Event(),
         )
--- a/tests/scheduler/test_pools.py
+++ b/tests/scheduler/test_pools.py
@@ -4,11 +4,22 @@
 from result import Err, Ok
 
 from cactustiller.model import ErrorCode, Failure
-from cactustiller.model.messages import AcquirePermits, HeldPermits, ReturnPermits
+from cactustiller.model.messages import AcquirePermits, HeldPermits
 from cactustiller.platform import BackendInfo
-from cactustiller.scheduler.pools import PERMIT_LIFE_SECONDS, Pool
+from cactustiller.scheduler.ballots import CONFIRMED_SECONDS
+from cactustiller.scheduler.fairness import find_level
+from cactustiller.scheduler.pools import (
+    CHECK_SECONDS,
+    MARGIN_SECONDS,
+    PERMIT_LIFE_SECONDS,
+    Pool,
+)
 
 SLOTS = 8
+LIFE_SECONDS = PERMIT_LIFE_SECONDS + MARGIN_SECONDS
+LONGEST_SECONDS = 2.0
+RELEASE_SECONDS = LIFE_SECONDS + CONFIRMED_SECONDS + LONGEST_SECONDS
+SILENT = Err(Failure(code=ErrorCode.TIMEOUT, step="test", reason="silent"))
 pytestmark = pytest.mark.looptime
 
 
@@ -24,80 +35,204 @@
     )
 
 
-def acquire(pool, count, zone="a", gateway="g1"):
-    message = AcquirePermits(service="prices", count=count, zone=zone, gateway=gateway)
-    return pool.acquire(message)
+def build_pool(*executors, epoch=1, has_lease=lambda: True):
+    executors = executors or (build_executor("x1"),)
+    return Pool("prices", epoch, executors, has_lease)
+
+
+class Holder:
+    """Gateway that answers ballots and names what it holds in each request."""
+
+    def __init__(self, name="g1", zone="a"):
+        self.name = name
+        self.zone = zone
+        self.sequence = 0
+        self.ballot = 0
+        self.held = []
+
+    def acquire(self, pool, count):
+        """Ask for slots; the answer's permits are held."""
+        reply = self.ask(pool, count)
+        self.held += reply.permits
+        return reply.permits
+
+    def ask(self, pool, count):
+        self.sequence += 1
+        return pool.acquire(
+            AcquirePermits(
+                service="prices",
+                count=count,
+                zone=self.zone,
+                gateway=self.name,
+                sequence=self.sequence,
+                held=self.held,
+                longest_ms=int(LONGEST_SECONDS * 1000),
+            )
+        )
+
+    def report(self, message):
+        self.ballot = max(self.ballot, message.epoch)
+        return HeldPermits(
+            permits=self.held,
+            epoch=self.ballot,
+            gateway=self.name,
+            longest_ms=int(LONGEST_SECONDS * 1000),
+        )
+
+
+def connect(*holders, silent=()):
+    """Return what calls the gateways; those of the names in `silent` fail."""
 
+    async def call_gateways(message):
+        return {
+            holder.name: SILENT if holder.name in silent else Ok(holder.report(message))
+            for holder in holders
+        }
 
-def give_back(pool, permits, gateway="g1"):
-    return pool.give_back(
-        ReturnPermits(service="prices", permits=permits, gateway=gateway)
-    )
+    return call_gateways
 
 
 async def test_slots_are_never_granted_twice():
-    pool = Pool("prices", 1, [build_executor("x1"), build_executor("x2")])
-    granted = acquire(pool, 12).permits + acquire(pool, 12, gateway="g2").permits
+    pool = build_pool(build_executor("x1"), build_executor("x2"))
+    first, second = Holder("g1"), Holder("g2")
+    granted = first.acquire(pool, 8) + second.acquire(pool, 12)
     assert pool.count_used() == {"x1": SLOTS, "x2": SLOTS}
-    assert len(granted) == 2 * SLOTS
-    give_back(pool, granted[:1])
-    give_back(pool, granted[:1])
-    assert len(acquire(pool, 12).permits) == 1
-    assert acquire(pool, 1).queued > 0
+    assert len({permit.number for permit in granted}) == 2 * SLOTS
+    first.held.pop()
+    assert first.ask(pool, 0).queued > 0
+    assert len(second.acquire(pool, 12)) == 1
 
 
 async def test_own_zone_comes_first_while_it_has_room():
-    pool = Pool("prices", 1, [build_executor("x1", "b"), build_executor("x2")])
-    zones = [permit.executor for permit in acquire(pool, SLOTS + 1).permits]
-    assert zones == ["x2"] * SLOTS + ["x1"]
+    pool = build_pool(build_executor("x1", "b"), build_executor("x2"))
+    names = [permit.executor for permit in Holder().acquire(pool, SLOTS + 1)]
+    assert names == ["x2"] * SLOTS + ["x1"]
 
 
 async def test_leaving_executor_gets_no_grants():
-    pool = Pool("prices", 1, [build_executor("x1")])
-    permits = acquire(pool, 3).permits
+    pool, holder = build_pool(), Holder()
+    holder.acquire(pool, 3)
     pool.set_executors([build_executor("x1", state="leaving")])
-    assert acquire(pool, 1).permits == []
+    assert holder.acquire(pool, 1) == []
     assert pool.count_used() == {"x1": 3}
-    give_back(pool, permits)
+    holder.held.clear()
+    holder.ask(pool, 0)
     assert pool.count_used() == {}
 
 
-async def test_unreturned_permit_counts_until_it_expires():
-    pool = Pool("prices", 1, [build_executor("x1")])
-    acquire(pool, SLOTS)
-    await asyncio.sleep(PERMIT_LIFE_SECONDS)
-    assert acquire(pool, 1).permits == []
-    await asyncio.sleep(2)
-    assert len(acquire(pool, SLOTS).permits) == SLOTS
+async def test_overtaken_request_is_refused():
+    pool, holder = build_pool(), Holder()
+    holder.acquire(pool, 2)
+    holder.sequence -= 1
+    holder.held = []
+    assert isinstance(holder.ask(pool, 1), Failure)
+    assert pool.count_used() == {"x1": 2}
+
+
+async def test_lost_answer_frees_its_slots_with_the_next_request():
+    pool, holder = build_pool(), Holder()
+    holder.ask(pool, SLOTS)
+    assert len(holder.acquire(pool, SLOTS)) == SLOTS
+
+
+async def test_owner_without_lease_grants_only_what_a_majority_confirms():
+    holders = [Holder(f"g{number}") for number in range(3)]
+    pool = build_pool(has_lease=lambda: False)
+    assert isinstance(holders[0].ask(pool, 1), Failure)
+    await pool.check(connect(*holders, silent=["g1", "g2"]))
+    assert isinstance(holders[0].ask(pool, 1), Failure)
+    await pool.check(connect(*holders, silent=["g2"]))
+    assert len(holders[0].acquire(pool, 1)) == 1
+    await asyncio.sleep(CONFIRMED_SECONDS)
+    assert isinstance(holders[0].ask(pool, 1), Failure)
+
+
+async def test_owner_that_is_superseded_grants_nothing():
+    holders = [Holder(f"g{number}") for number in range(3)]
+    pool = build_pool()
+    await build_pool(epoch=2).recover(connect(*holders, silent=["g1", "g2"]))
+    await pool.recover(connect(*holders))
+    assert isinstance(holders[1].ask(pool, 1), Failure)
+
+
+async def test_slots_of_a_silent_gateway_are_freed_after_all_that_it_may_do():
+    pool = build_pool()
+    dead, live, other = Holder("g1"), Holder("g2"), Holder("g3")
+    dead.acquire(pool, SLOTS)
+    call_gateways = connect(dead, live, other, silent=["g1"])
+    await asyncio.sleep(LIFE_SECONDS)
+    await pool.check(call_gateways)
+    await asyncio.sleep(RELEASE_SECONDS - CHECK_SECONDS)
+    await pool.check(call_gateways)
+    assert live.acquire(pool, 1) == []
+    await asyncio.sleep(CHECK_SECONDS)
+    await pool.check(call_gateways)
+    assert len(live.acquire(pool, SLOTS)) == SLOTS
+
+
+async def test_slots_stay_counted_without_a_majority():
+    pool = build_pool()
+    dead, live = Holder("g1"), Holder("g2")
+    dead.acquire(pool, SLOTS)
+    call_gateways = connect(dead, live, Holder("g3"), silent=["g1", "g3"])
+    for _ in range(100):
+        await asyncio.sleep(CHECK_SECONDS)
+        await pool.check(call_gateways)
+    assert live.acquire(pool, 1) == []
+
+
+async def test_gateway_that_is_heard_again_keeps_its_slots():
+    pool, holder = build_pool(), Holder()
+    holder.acquire(pool, SLOTS)
+    await asyncio.sleep(LIFE_SECONDS)
+    await pool.check(connect(holder))
+    holder.ask(pool, 0)
+    await asyncio.sleep(RELEASE_SECONDS)
+    await pool.check(connect(holder))
+    assert pool.count_used() == {"x1": SLOTS}
 
 
 async def test_takeover_counts_what_gateways_hold():
-    permits = acquire(Pool("prices", 1, [build_executor("x1")]), 5).permits
-    pool = Pool("prices", 2, [build_executor("x1")])
-
-    async def call_gateways(message):
-        assert message.epoch == 2
-        assert acquire(pool, 1).permits == []
-        return {
-            "g1": Ok(HeldPermits(permits=permits)),
-            "g2": Ok(HeldPermits(permits=[])),
-        }
-
-    await pool.recover(call_gateways)
-    assert len(acquire(pool, SLOTS, gateway="g2").permits) == SLOTS - 5
-    give_back(pool, permits)
-    assert len(acquire(pool, SLOTS).permits) == 5
-
-
-async def test_takeover_waits_for_permits_of_silent_gateway():
-    pool = Pool("prices", 2, [build_executor("x1")])
-
-    async def call_gateways(message):
-        failure = Failure(code=ErrorCode.TIMEOUT, step="test", reason="silent")
-        return {"g1": Err(failure)}
-
+    first, second = Holder("g1"), Holder("g2")
+    first.acquire(build_pool(), 5)
+    pool = build_pool(epoch=2)
+    await pool.recover(connect(first, second))
+    assert len(second.acquire(pool, SLOTS)) == SLOTS - 5
+    first.held.clear()
+    first.ask(pool, 0)
+    assert len(second.acquire(pool, SLOTS)) == 5
+
+
+async def test_takeover_grants_only_reported_slots_while_one_is_silent():
+    old = build_pool()
+    silent, live, other = Holder("g1"), Holder("g2"), Holder("g3")
+    silent.acquire(old, 2)
+    live.acquire(old, 3)
+    pool = build_pool(epoch=2)
+    call_gateways = connect(silent, live, other, silent=["g1"])
     await pool.recover(call_gateways)
-    await asyncio.sleep(PERMIT_LIFE_SECONDS)
-    assert acquire(pool, 1).permits == []
-    await asyncio.sleep(2)
-    assert len(acquire(pool, SLOTS).permits) == SLOTS
+    assert other.acquire(pool, 1) == []
+    live.held.pop()
+    live.ask(pool, 0)
+    assert len(other.acquire(pool, 2)) == 1
+    await asyncio.sleep(RELEASE_SECONDS)
+    await pool.check(call_gateways)
+    assert len(other.acquire(pool, SLOTS)) == SLOTS - 3
+
+
+async def test_silent_gateway_that_comes_back_keeps_what_it_holds():
+    old = build_pool()
+    late, live, other = Holder("g1"), Holder("g2"), Holder("g3")
+    late.acquire(old, 2)
+    pool = build_pool(epoch=2)
+    await pool.recover(connect(late, live, other, silent=["g1"]))
+    assert late.ask(pool, 0).lost == []
+    assert pool.count_used() == {"x1": 2}
+
+
+@pytest.mark.parametrize(
+    ("wanted", "available", "level"),
+    [([3, 4], 7, 0), ([1, 9, 9], 11, 5), ([9, 9, 9], 9, 3), ([5, 5, 5], 2, 1)],
+)
+def test_level_shares_what_is_there(wanted, available, level):
+    assert find_level(wanted, available) == level
