--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Model-checked specifications of the protocols between our daemons."""
