--- a/specs/check.py
+++ b/specs/check.py
@@ -6,11 +6,11 @@
 
 import typer
 
-from . import runs
-from .kit import RECOVERABLE, check
+from . import gangs, leases, permits, replicas, runs
+from .kit import OPEN, RECOVERABLE, check
 from .pages import format_section, is_in_step, write_page
 
-SPECS = (runs.SPEC,)
+SPECS = (runs.SPEC, leases.SPEC, gangs.SPEC, replicas.SPEC, permits.SPEC)
 
 
 def check_spec(spec):
@@ -79,6 +79,8 @@
     if found.holds:
         print(f"  mutant SURVIVES: {mutant.flag}")
         return
+    if mutant.fault == OPEN:
+        print(f"  OPEN FAULT of the code: {mutant.what}")
     print(
         f"  mutant found wrong: {mutant.flag}: {found.violated}, "
         f"{len(found.trace)} steps, {found.states} states"
--- a/specs/kit.py
+++ b/specs/kit.py
@@ -7,7 +7,9 @@
 
 from minicheck import Protocol, check_liveness, check_safety
 
-MAX_STATES = 2_000_000
+MAX_STATES = 200_000
+OPEN = "open"
+MENDED = "mended"
 
 
 @dataclass(frozen=True)
@@ -22,14 +24,14 @@
         Property that the change violates.
     what : str
         What the code would do, in a sentence.
-    was_code : bool
-        Whether the code once did this.
+    fault : str
+        `OPEN` if the code does this, `MENDED` if it did before the model found it.
     """
 
     flag: str
     breaks: str
     what: str
-    was_code: bool = False
+    fault: str = ""
 
 
 @dataclass(frozen=True)
--- a/specs/runs.py
+++ b/specs/runs.py
@@ -10,7 +10,7 @@
 
 from typing import NamedTuple
 
-from .kit import Mutant, Spec
+from .kit import OPEN, Mutant, Spec
 
 ATTEMPTS = (1, 2)
 ENDS = ("succeeded", "failed")
@@ -260,25 +260,26 @@
     },
     goal=lambda state: state.task == "ended",
     actions={
-        "Shard.reserve": "scheduler/shard.py Shard.reserve",
-        "Dispatcher._commit": "scheduler/dispatch.py Dispatcher._commit",
-        "Home.commit_runs": "scheduler/home.py Home.commit_runs",
-        "Home.unassign": "scheduler/home.py Home.unassign",
-        "Home.record_reports": "scheduler/home.py Home.record_reports",
-        "Shard.recover": "scheduler/shard.py Shard.recover",
-        "Shard.release": "scheduler/shard.py Shard.release",
-        "Partitions._stop_lost": "scheduler/partitions.py Partitions._stop_lost",
-        "Claims._take_over": "ownership/claims.py Claims._take_over",
-        "Claims._hand_over": "ownership/claims.py Claims._hand_over",
-        "Shard._start_run": "scheduler/shard.py Shard._start_run",
-        "Shard._start_unreserved": "scheduler/shard.py Shard._start_unreserved",
-        "WorkerSession.check_times": "scheduler/sessions.py WorkerSession.check_times",
-        "WorkerSession._make_start": "scheduler/sessions.py WorkerSession._make_start",
-        "WorkerSession._take_watch": "scheduler/sessions.py WorkerSession._take_watch",
-        "WorkerSession._reconcile": "scheduler/sessions.py WorkerSession._reconcile",
-        "WorkerSession._check_lease": "scheduler/sessions.py WorkerSession._check_lease",
-        "Exchange._report": "scheduler/exchange.py Exchange._report",
+        "Shard.reserve": "scheduler/shard.py",
+        "Dispatcher._commit": "scheduler/dispatch.py",
+        "Home.commit_runs": "scheduler/home.py",
+        "Home.unassign": "scheduler/home.py",
+        "Home.record_reports": "scheduler/home.py",
+        "Shard.recover": "scheduler/shard.py",
+        "Shard.release": "scheduler/shard.py",
+        "Partitions._stop_lost": "scheduler/partitions.py",
+        "Claims._take_over": "ownership/claims.py",
+        "Claims._hand_over": "ownership/claims.py",
+        "Shard._start_run": "scheduler/shard.py",
+        "Shard._start_unreserved": "scheduler/shard.py",
+        "WorkerSession.check_times": "scheduler/sessions.py",
+        "WorkerSession._make_start": "scheduler/sessions.py",
+        "WorkerSession._take_watch": "scheduler/sessions.py",
+        "WorkerSession._reconcile": "scheduler/sessions.py",
+        "WorkerSession._check_lease": "scheduler/sessions.py",
+        "Exchange._report": "scheduler/exchange.py",
     },
+    outside=("capacity", "cancellation", "a change of the home's owner", "leases"),
     mutants=(
         Mutant(
             "no epoch condition",
@@ -289,19 +290,19 @@
             "end whatever is assigned",
             _ONE_END,
             "Home.unassign ends the task's attempt, whichever was refused",
-            was_code=True,
+            fault=OPEN,
         ),
         Mutant(
             "refusals of former owners",
             _ONE_PLACE,
             "Home.unassign believes an owner whose shard was taken over",
-            was_code=True,
+            fault=OPEN,
         ),
         Mutant(
             "reports of former owners",
             _ONE_PLACE,
             "Home.record_reports believes an owner whose shard was taken over",
-            was_code=True,
+            fault=OPEN,
         ),
         Mutant(
             "recover without rows",
