--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,8 @@
 SECONDS ?= 60
 MINUTES ?= 5
 
-.PHONY: setup test lint format demo cell chaos soak bench-idle bench-recovery \
-	bench-control
+.PHONY: setup test lint format demo cell chaos soak model bench-idle \
+	bench-recovery bench-control
 
 setup: $(VENV)/.ready
 
@@ -53,3 +53,6 @@
 
 bench-control: setup
 	$(PYTHON) -m benchmarks.control
+
+model: setup
+	$(PYTHON) -m specs.check
