Tell every daemon the patch of a settings change; no relays

Weighed: a relay for each availability zone (Fagg et al.) and a merge patch. Change: the announcement carries the patch and the digest of its result. Conclusion: the patch is taken, the relay is not.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 MINUTES ?= 5
 
 .PHONY: setup test lint format demo cell chaos soak model bench-idle \
-	bench-recovery bench-control
+	bench-recovery bench-control bench-dissemination
 
 setup: $(VENV)/.ready
 
@@ -51,6 +51,9 @@
 bench-idle: setup
 	$(PYTHON) -m benchmarks.idle
 
+bench-dissemination: setup
+	$(PYTHON) -m benchmarks.dissemination
+
 bench-control: setup
 	$(PYTHON) -m benchmarks.control
 
--- a/libs/model/src/cactustiller/model/messages.capnp
+++ b/libs/model/src/cactustiller/model/messages.capnp
@@ -30,7 +30,7 @@
     unusedReturnPermits @23 :Void;
     reportPermits @24 :ReportPermits;
     heldPermits @25 :HeldPermits;
-    announceSettings @26 :Announcement;
+    announceSettings @26 :SettingsAnnouncement;
     getSettings @27 :GetSettings;
     settingsBody @28 :SettingsBody;
     announceOwnership @29 :Announcement;
@@ -230,6 +230,13 @@
 struct ReportPermits { service @0 :Text; epoch @1 :UInt64; }
 
 struct Announcement { version @0 :UInt64; origin @1 :Text; }
+struct SettingsAnnouncement {
+  version @0 :UInt64;
+  origin @1 :Text;
+  baseVersion @2 :UInt64;
+  patch @3 :Text;
+  digest @4 :Text;
+}
 struct GetSettings { knownVersion @0 :UInt64; }
 struct SettingsBody {
   version @0 :UInt64;
--- a/libs/model/src/cactustiller/model/messages.py
+++ b/libs/model/src/cactustiller/model/messages.py
@@ -299,10 +299,17 @@
 
 
 class AnnounceSettings(Record):
-    """Tells a peer that a settings version is committed."""
+    """Tells a peer that a settings version is committed.
+
+    `patch` is the JSON merge patch (RFC 7386) that turns the text of
+    `base_version` into a text with `digest`; empty where the peer must ask.
+    """
 
     version: int
     origin: str = ""
+    base_version: int = 0
+    patch: str = ""
+    digest: str = ""
 
 
 class GetSettings(Record):
--- a/libs/ownership/src/cactustiller/ownership/editor.py
+++ b/libs/ownership/src/cactustiller/ownership/editor.py
@@ -11,7 +11,13 @@
 from cactustiller.model import ErrorCode, Failure, Outcome
 from cactustiller.model.messages import AnnounceSettings, SettingsBody
 from cactustiller.platform import Check, Put, Write
-from cactustiller.settings import default_tree, diff_trees, dump_tree, parse_tree
+from cactustiller.settings import (
+    default_tree,
+    diff_trees,
+    dump_tree,
+    make_patch,
+    parse_tree,
+)
 
 from .freshness import is_majority
 from .settingsrows import (
@@ -197,8 +203,8 @@
     async def _bring_into_force(self, version):
         """Adopt a committed version and wait until a majority has adopted it."""
         number = version.head.version
+        message = self._make_announcement(version)
         self._replica.adopt(number, version.text)
-        message = AnnounceSettings(version=number, origin=self._member.record.member)
         for _ in range(SPREAD_ROUNDS):
             records = self._member.list_members()
             answers = await asyncio.gather(
@@ -216,6 +222,16 @@
             await self._member.refresh()
         return Err(_fail_unspread(number, in_force, len(records)))
 
+    def _make_announcement(self, version):
+        base = self._replica
+        return AnnounceSettings(
+            version=version.head.version,
+            origin=self._member.record.member,
+            base_version=base.version,
+            patch=make_patch(base.text, version.text) if base.text else "",
+            digest=version.head.digest,
+        )
+
     async def _resolve_failure(self, failure, version):
         """Read back whether a change took effect whose answer was lost."""
         number = version.head.version
--- a/libs/ownership/src/cactustiller/ownership/replica.py
+++ b/libs/ownership/src/cactustiller/ownership/replica.py
@@ -8,7 +8,7 @@
 
 from cactustiller.model import Record
 from cactustiller.model.messages import AnnounceSettings, GetSettings, SettingsBody
-from cactustiller.settings import parse_tree
+from cactustiller.settings import apply_patch, dump_tree, parse_tree
 
 from .freshness import PeerAnswer, find_confirmation
 from .settingsrows import (
@@ -124,7 +124,7 @@
     async def answer(self, message, hello):
         """Answer `AnnounceSettings`, after taking the version, or `GetSettings`."""
         if isinstance(message, AnnounceSettings) and message.version > self.version:
-            await self._fetch_from_member(message.origin or hello.member)
+            await self._take_announced(message, hello)
         known = getattr(message, "known_version", self.version)
         age_ms = int(min(self.age_seconds, LONGEST_AGE_SECONDS) * 1000)
         return SettingsBody(
@@ -156,6 +156,21 @@
         self.changes.on_next(SettingsChange(version=version))
         return True
 
+    async def _take_announced(self, message, hello):
+        if not self._adopt_patch(message):
+            await self._fetch_from_member(message.origin or hello.member)
+
+    def _adopt_patch(self, message):
+        """Bring an announced version into force by its patch; return success."""
+        if not message.patch or message.base_version != self.version:
+            return False
+        patched = parse_tree(apply_patch(self.text, message.patch), "settings patch")
+        if patched.is_err():
+            return False
+        text = dump_tree(patched.unwrap())
+        # The digest is that of the committed text, so a wrong patch is not adopted.
+        return digest_text(text) == message.digest and self.adopt(message.version, text)
+
     async def _poll_regularly(self):
         while True:
             jitter = self._random.uniform(1 - POLL_JITTER, 1)
--- a/libs/settings/src/cactustiller/settings/__init__.py
+++ b/libs/settings/src/cactustiller/settings/__init__.py
@@ -15,6 +15,7 @@
 from .keys import KeyRecord, KeyRefusal, create_key, verify_key
 from .names import Level, ResolvedValues, Spread, format_names_table, get_levels
 from .parsing import SettingsError
+from .patches import apply_patch, make_patch
 from .resolution import DEFAULT_ORIGIN, ValueOrigin, resolve, show_origin
 from .tree import SettingsTree, StoredKey, default_tree, dump_tree, has_path
 
@@ -39,6 +40,7 @@
     "add_key",
     "add_queue",
     "add_team",
+    "apply_patch",
     "check_tree",
     "create_key",
     "default_tree",
@@ -48,6 +50,7 @@
     "get_levels",
     "has_path",
     "load_instance",
+    "make_patch",
     "parse_tree",
     "resolve",
     "set_value",
--- a/tests/ownership/builders.py
+++ b/tests/ownership/builders.py
@@ -29,14 +29,35 @@
         return Err(FAILED) if self.is_cut else await self.table.read(read)
 
 
+class CutPeers:
+    """One daemon's way to its peers, which can be cut."""
+
+    def __init__(self, peers):
+        self.peers = peers
+        self.is_cut = False
+
+    async def call(self, address, message, timeout_seconds=2.0):
+        if self.is_cut:
+            return Err(FAILED)
+        return await self.peers.call(address, message, timeout_seconds)
+
+    async def close(self):
+        return
+
+
 class Daemon:
     """Replica and editor of one member, whose ways out can be cut."""
 
     def __init__(self, name, table, peers, seed_peers=()):
         self.name = name
         self.table = CutTable(table)
+        self.peers = CutPeers(peers)
         self.member = Member(
-            build_record(name, address=name), self.table, TIMING, None, peers=peers
+            build_record(name, address=name),
+            self.table,
+            TIMING,
+            None,
+            peers=self.peers,
         )
         self.replica = SettingsReplica(self.member, TIMING, seed_peers)
         self.editor = SettingsEditor(self.replica, self.member, "demo", "main")
@@ -78,9 +99,17 @@
             await other.member.refresh()
         return daemon
 
-    def cut_peers(self, name):
-        """Cut a daemon off from its peers; they cannot reach it either."""
-        self.peers.handlers.pop(name)
+    def cut_peers(self, name, is_cut=True):
+        """Cut a daemon off from its peers in both directions, or mend that."""
+        self.daemons[name].peers.is_cut = is_cut
+        self.hide(name, is_cut)
+
+    def hide(self, name, is_hidden=True):
+        """Keep peers from reaching a daemon, which can still ask them."""
+        if is_hidden:
+            self.peers.handlers.pop(name, None)
+        else:
+            self.peers.handlers[name] = self.daemons[name].answer
 
     async def stop(self):
         """Stop every daemon."""
--- a/tests/ownership/test_replica.py
+++ b/tests/ownership/test_replica.py
@@ -103,7 +103,7 @@
 async def test_daemon_cut_off_from_table_and_peers_stops_accepting(daemons):
     first, *_ = await add_three(daemons)
     first.table.is_cut = True
-    first.member.peers = type(first.member.peers)()
+    daemons.cut_peers("g1")
     await asyncio.sleep(TIMING.freshness_seconds + 1)
     assert not first.replica.is_fresh
     first.table.is_cut = False
@@ -116,7 +116,7 @@
     first.table.is_cut = True
     await asyncio.sleep(TIMING.freshness_seconds + 5)
     assert first.replica.is_fresh
-    daemons.cut_peers("g1")
+    daemons.hide("g1")
     await second.editor.change(set_weight(2.0), "ann")
     await asyncio.sleep(TIMING.settings_poll_seconds + 3)
     assert first.replica.version == 2
@@ -132,11 +132,9 @@
 async def test_minority_that_sees_an_outage_stops(daemons):
     first, second, _ = await add_three(daemons)
     daemons.table.is_down = True
-    for name in ("g2", "g3"):
-        daemons.cut_peers(name)
+    daemons.cut_peers("g1")
     await asyncio.sleep(TIMING.freshness_seconds + 2)
     assert not first.replica.is_fresh
-    # The others can still ask g1, so that two of three agree.
     assert second.replica.is_fresh
 
 
@@ -156,7 +154,7 @@
 
 async def test_announced_version_is_fetched_during_an_outage(daemons):
     first, second = [await daemons.add(name) for name in ("g1", "g2")]
-    daemons.cut_peers("g2")
+    daemons.hide("g2")
     await first.editor.change(set_weight(2.0), "ann")
     daemons.table.is_down = True
     message = AnnounceSettings(version=2, origin="g1")
@@ -187,6 +185,19 @@
     await asyncio.sleep(12)
     # They may go on under version 1, since version 2 is not accepted.
     assert second.replica.is_fresh and second.replica.version == 1
-    daemons.peers.handlers["g1"] = first.answer
+    daemons.cut_peers("g1", False)
     await asyncio.sleep(2)
     assert second.replica.version == third.replica.version == 2
+
+
+async def test_announced_patch_is_taken_without_asking_and_a_wrong_one_is_not(daemons):
+    first, second, _ = await add_three(daemons)
+    daemons.peers.messages.clear()
+    await first.editor.change(set_weight(2.0), "ann")
+    asked = [m for _, m in daemons.peers.messages if isinstance(m, GetSettings)]
+    assert asked == [] and second.replica.version == 2
+    wrong = AnnounceSettings(
+        version=3, base_version=2, patch='{"values":{"share_weight":9}}', digest="0"
+    )
+    await second.replica.answer(wrong, Hello(member="none", role="", zone=""))
+    assert second.replica.version == 2
--- a/tests/ownership/test_settings_machine.py
+++ b/tests/ownership/test_settings_machine.py
@@ -72,11 +72,11 @@
 
     @rule(name=NAME, is_cut=st.booleans())
     def cut_from_peers(self, name, is_cut):
-        daemon = self.find(name)
-        if is_cut:
-            self.daemons.peers.handlers.pop(name, None)
-        else:
-            self.daemons.peers.handlers[name] = daemon.answer
+        self.daemons.cut_peers(name, is_cut)
+
+    @rule(name=NAME, is_hidden=st.booleans())
+    def hide(self, name, is_hidden):
+        self.daemons.hide(name, is_hidden)
 
     @rule(name=NAME)
     def split(self, name):
