Send a start again whose assignment could not be verified

Change: a call to the own member answers a failure as a remote one does; a dead task of the dispatcher ends the incarnation with a logged reason.

--- a/libs/ownership/src/cactustiller/ownership/member.py
+++ b/libs/ownership/src/cactustiller/ownership/member.py
@@ -7,7 +7,7 @@
 from reactivex.subject import Subject
 from result import Err, Ok
 
-from cactustiller.model import ErrorCode, Failure, MemberRecord, Role
+from cactustiller.model import ErrorCode, Failure, FailureError, MemberRecord, Role
 from cactustiller.model.messages import (
     AnnounceOwnership,
     Done,
@@ -220,7 +220,10 @@
                 )
             )
         if record.member == self.member:
-            reply = await self._handle(message, None)
+            try:
+                reply = await self._handle(message, None)
+            except FailureError as error:
+                return Err(error.failure)
             return Err(reply) if isinstance(reply, Failure) else Ok(reply)
         return await self.peers.call(record.peer_address, message, timeout_seconds)
 
--- a/libs/scheduler/src/cactustiller/scheduler/dispatch.py
+++ b/libs/scheduler/src/cactustiller/scheduler/dispatch.py
@@ -15,6 +15,7 @@
 )
 
 from .runs import key_of
+from .supervision import watch_task
 
 SETTLE_SECONDS = 0.01
 IDLE_SECONDS = 1.0
@@ -42,6 +43,7 @@
 
     def __init__(self, member, homes, view, clock, find_values):
         self.decisions = 0
+        self.on_failure = lambda error: None
         self._member = member
         self._homes = homes
         self._view = view
@@ -251,6 +253,7 @@
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        watch_task(task, self.on_failure)
 
 
 def _make_team(home, team, values):
--- a/libs/scheduler/src/cactustiller/scheduler/incarnation.py
+++ b/libs/scheduler/src/cactustiller/scheduler/incarnation.py
@@ -78,6 +78,7 @@
             self.partitions.clock,
             self.find_values,
         )
+        self.dispatcher.on_failure = self._note_failure
         self.exchange = Exchange(self.member, self.partitions.shards, self._take_views)
         self.partitions.wake_dispatcher = self.dispatcher.wake
         self.partitions.wake_exchange = self.exchange.wake
--- a/standins/simulation.py
+++ b/standins/simulation.py
@@ -20,6 +20,7 @@
 
 REMEMBER_SECONDS = 600.0
 FAIL_AFTER_SECONDS = 0.2
+SHORTEST_TIMER_SECONDS = 0.0001
 FIRST_SEQUENCE = 1  # above 0, so that an idle worker's caller waits
 
 
@@ -166,7 +167,9 @@
     def _arm(self, run):
         if run.timer is not None:
             run.timer.cancel()
-        run.timer = asyncio.get_running_loop().call_at(run.due_at, self._fire, run)
+        # Never at once: a clock that rounds down would fire for ever.
+        at = max(run.due_at, self._now() + SHORTEST_TIMER_SECONDS)
+        run.timer = asyncio.get_running_loop().call_at(at, self._fire, run)
 
     def _fire(self, run):
         self._end_if_due(run)
--- a/tests/scheduler/test_recovery.py
+++ b/tests/scheduler/test_recovery.py
@@ -252,3 +252,19 @@
     seconds = await cell.wait_for(cell.is_settled)
     # The last renewal may be a heartbeat old already; reads take milliseconds.
     assert seconds < cell.timing.lease_seconds * 1.02 + 0.5 + 0.2
+
+
+async def test_start_whose_assignment_cannot_be_read_yet_is_sent_again(cell):
+    await cell.start()
+    # The reservations expire during the commit, so each start is verified.
+    await submit(cell, "j1", tasks=20, run_seconds=1.0)
+    cell.table.is_down = True
+    await asyncio.sleep(12.0)
+    cell.table.is_down = False
+    while not cell.list_rows("run/"):
+        await asyncio.sleep(0.001)
+    cell.table.is_down = True
+    await asyncio.sleep(8.0)
+    cell.table.is_down = False
+    await cell.wait_for(lambda: is_over(cell, "j1"))
+    assert cell.assert_safe().succeeded_twice == 0
