Say unknown of a fenced commit whose answer was lost

Cause: model, gangs and replicas: a transaction takes effect, its answer is lost, a takeover rewrites the fence row; Committer._fence then said not run. Change: a batch that was sent more than once fails as unknown.

--- a/libs/platform/src/cactustiller/platform/commits.py
+++ b/libs/platform/src/cactustiller/platform/commits.py
@@ -216,9 +216,9 @@
         """Commit a batch; return the operations to commit again."""
         token = secrets.token_hex(8)
         write = self._merge(batch, token)
-        sent_at, reply = await self._send_until_answered(write, token)
+        sent_at, reply, is_repeated = await self._send_until_answered(write, token)
         if reply is None:
-            self._fence(batch)
+            self._fence(batch, is_repeated)
             return []
         if reply.committed:
             self._version = reply.version
@@ -238,16 +238,22 @@
         return Write(checks=list(checks.values()), puts=puts, deletes=deletes)
 
     async def _send_until_answered(self, write, token):
-        """Repeat one transaction until its effect is known; None if fenced."""
+        """Repeat one transaction until its effect is known.
+
+        Returns the time of the sending that was answered, the reply (None if fenced)
+        and whether an earlier sending was not answered.
+        """
         loop = asyncio.get_running_loop()
         backoff = FIRST_BACKOFF_SECONDS
+        is_repeated = False
         while True:
             sent_at = loop.time()
             self.counters.transactions += 1
             answer = await self._port.transact(write)
             if answer.is_ok():
                 self._stuck_since = None
-                return sent_at, self._interpret(answer.unwrap(), token)
+                return sent_at, self._interpret(answer.unwrap(), token), is_repeated
+            is_repeated = True
             if self._stuck_since is None:
                 self._stuck_since = sent_at
                 log.warning("commit_retried", reason=str(answer.unwrap_err()))
@@ -281,10 +287,14 @@
                 remaining.append(operation)
         return remaining
 
-    def _fence(self, batch):
+    def _fence(self, batch, is_repeated):
+        """Fail everything; a repeated batch may have taken effect before the fence."""
         self.is_fenced = True
         log.error("writer_fenced", fence=self._fence_key)
-        for operation in [*batch, *self._queue]:
+        outcome = Outcome.UNKNOWN if is_repeated else Outcome.NOT_RUN
+        for operation in batch:
+            _resolve(operation, _fence_failure(outcome))
+        for operation in self._queue:
             _resolve(operation, _fence_failure())
         self._queue.clear()
 
@@ -330,14 +340,14 @@
     )
 
 
-def _fence_failure():
+def _fence_failure(outcome=Outcome.NOT_RUN):
     return Err(
         Failure(
             code=ErrorCode.FENCED,
             step="commit",
             peer="table service",
             reason="another member has taken over; this one starts again",
-            outcome=Outcome.NOT_RUN,
+            outcome=outcome,
             retry_after_ms=1000,
         )
     )
