End attempts only on sure knowledge of the shard's current owner

Cause: model, runs: a refusal repeated after a lost answer ended the next attempt or a finished task; refusals and reports of a former owner of a shard were believed. Model, leases: a new owner gave up at the read lease of a worker without epochs, ended or freed runs while a start was under way, and started recovered runs beyond the capacity. Change: ReportRuns and StartAnswer carry the shard's epoch, on which the end's commit is conditional; settled attempts are left; sessions count unanswered starts, wait for the former owner's grant and stop recovered runs that have no room.

--- a/libs/model/src/cactustiller/model/messages.capnp
+++ b/libs/model/src/cactustiller/model/messages.capnp
@@ -160,7 +160,7 @@
 struct ReleaseRuns { shard @0 :Text; runs @1 :List(RunKey); }
 struct StartRuns { shard @0 :Text; runs @1 :List(RunRecord); epoch @2 :UInt64; }
 struct Refusal { run @0 :RunKey; reason @1 :Text; }
-struct Refusals { refused @0 :List(Refusal); }
+struct Refusals { refused @0 :List(Refusal); epoch @1 :UInt64; }
 struct StopRuns {
   shard @0 :Text;
   runs @1 :List(RunKey);
@@ -175,7 +175,7 @@
   reason @3 :Text;
   runSeconds @4 :Float64;
 }
-struct ReportRuns { home @0 :Text; shard @1 :Text; reports @2 :List(RunReport); }
+struct ReportRuns { home @0 :Text; shard @1 :Text; reports @2 :List(RunReport); epoch @3 :UInt64; }
 struct ReportAnswer { recorded @0 :List(RunKey); }
 
 struct WorkerView {
--- a/libs/model/src/cactustiller/model/messages.py
+++ b/libs/model/src/cactustiller/model/messages.py
@@ -166,8 +166,9 @@
 
 
 class StartAnswer(Record):
-    """Runs of `StartRuns` that will not start."""
+    """Runs of `StartRuns` that will not start, at the epoch of the shard's owner."""
 
+    epoch: int
     refused: list[Refusal]
 
 
@@ -191,10 +192,14 @@
 
 
 class ReportRuns(Record):
-    """Tells a home what became of runs on a shard; repeated until recorded."""
+    """Tells a home what became of runs on a shard; repeated until recorded.
+
+    `epoch` is that of the shard at the sender.
+    """
 
     home: PartitionId
     shard: PartitionId
+    epoch: int
     reports: list[RunReport]
 
 
--- a/libs/scheduler/src/cactustiller/scheduler/dispatch.py
+++ b/libs/scheduler/src/cactustiller/scheduler/dispatch.py
@@ -245,7 +245,7 @@
         ]
         if refused:
             log.info("start_refused_by_shard", shard=shard, runs=len(refused))
-            await home.unassign(refused)
+            await home.unassign(shard, answer.unwrap().epoch, refused)
 
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
--- a/libs/scheduler/src/cactustiller/scheduler/exchange.py
+++ b/libs/scheduler/src/cactustiller/scheduler/exchange.py
@@ -63,7 +63,9 @@
         task.add_done_callback(lambda _: self._reporting.discard((shard.shard, home)))
 
     async def _report(self, shard, home, reports):
-        message = ReportRuns(home=home, shard=shard.shard, reports=reports)
+        message = ReportRuns(
+            home=home, shard=shard.shard, epoch=shard.epoch, reports=reports
+        )
         answer = await self._member.call_owner(home, message)
         if answer.is_err():
             log.info("report_retried", reason=str(answer.unwrap_err()))
--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -1,6 +1,7 @@
 """Home: the single writer of some teams' jobs, queues and running counts."""
 
 import asyncio
+from types import MappingProxyType
 
 import structlog
 from result import Err, Ok
@@ -223,29 +224,35 @@
                 entry.tasks[task.index] = task
         return answer
 
-    async def unassign(self, runs):
-        """Return runs that their shard will never start to the waiting tasks."""
+    async def unassign(self, shard, epoch, runs):
+        """Return runs that their shard will never start to the waiting tasks.
+
+        Runs that have ended meanwhile, or that a new owner of the shard may have
+        started, stay as they are.
+        """
         reports = [
             _Ended(run, RunState.LAPSED, "not started: " + reason)
             for run, reason in runs
+            if not _is_settled(self._find_task(run), run.attempt)
+            and run not in self._recording
         ]
-        await self._record_ends(reports)
+        if reports:
+            await self._record_ends(reports, shard, epoch)
 
     async def record_reports(self, message):
         """Take a shard's reports; return which ends are recorded."""
         ended = []
         recorded = []
         for report in message.reports:
-            entry = self.jobs.get(report.run.job)
-            task = entry.tasks.get(report.run.index) if entry else None
-            if _is_settled(task, report):
+            task = self._find_task(report.run)
+            if _is_settled(task, report.run.attempt):
                 recorded.append(report.run)
             elif report.state is RunState.RUNNING:
-                self._note_running(entry, task)
+                self._note_running(self.jobs[task.job], task)
             elif report.run not in self._recording:
                 ended.append(report)
         if ended:
-            recorded += await self._record_ends(ended)
+            recorded += await self._record_ends(ended, message.shard, message.epoch)
         return ReportAnswer(recorded=recorded)
 
     def list_assigned(self):
@@ -278,13 +285,17 @@
         self._wake()
         return Ok(entry.make_view(detail=False))
 
-    async def _commit(self, write, purpose, seconds, wait_if_stuck=False):
+    async def _commit(
+        self, write, purpose, seconds, wait_if_stuck=False, epochs=MappingProxyType({})
+    ):
         """Commit a write on condition that this home is still owned here.
 
         The member's fence does not cover a voluntary hand-over, so each write is
-        conditional on the ownership row as well.
+        conditional on the ownership row as well, and on the `epochs` of shards.
         """
-        while self.is_owned:
+        if not self._has_epochs(epochs):
+            await self._member.refresh()
+        while self.is_owned and self._has_epochs(epochs):
             check = self._member.ownership_check()
             answer = await self._member.committer.commit(
                 write.with_changes(checks=[*write.checks, check]),
@@ -297,12 +308,16 @@
             await self._member.refresh()
         return Err(self._fail_handed_over(purpose))
 
+    def _has_epochs(self, epochs):
+        epoch_of = self._member.epoch_of
+        return all(epoch_of(shard) == epoch for shard, epoch in epochs.items())
+
     def _fail_handed_over(self, purpose):
         return Failure(
             code=ErrorCode.NOT_OWNER,
             step=f"commit {purpose}",
             peer=self.home,
-            reason="the home has been handed over",
+            reason="the home or the shard has another owner",
             retry_after_ms=200,
         )
 
@@ -320,14 +335,22 @@
             changed_at=self._clock.now(),
         )
 
+    def _find_task(self, run):
+        entry = self.jobs.get(run.job)
+        return entry.tasks.get(run.index) if entry else None
+
     def _note_running(self, entry, task):
         if task.state is TaskState.RUNNING:
             return
         entry.tasks[task.index] = task.with_changes(state=TaskState.RUNNING)
         entry.note_started(self._clock.now())
 
-    async def _record_ends(self, reports):
-        """Commit the ends of attempts; return the keys of the recorded ones."""
+    async def _record_ends(self, reports, shard, epoch):
+        """Commit the ends of attempts; return the keys of the recorded ones.
+
+        Nothing is recorded on the word of a former owner of the shard, since the new
+        one may have started or renewed the runs.
+        """
         now = self._clock.now()
         keys = [report.run for report in reports]
         changes = {}
@@ -352,7 +375,11 @@
         self._recording.update(keys)
         try:
             answer = await self._commit(
-                write, "end", WAIT_FOREVER_SECONDS, wait_if_stuck=True
+                write,
+                "end",
+                WAIT_FOREVER_SECONDS,
+                wait_if_stuck=True,
+                epochs={shard: epoch},
             )
         finally:
             self._recording.difference_update(keys)
@@ -433,9 +460,9 @@
         self.reason = reason
 
 
-def _is_settled(task, report):
-    """Return whether the table already holds what became of a reported attempt."""
-    if task is None or task.attempt != report.run.attempt:
+def _is_settled(task, attempt):
+    """Return whether the table already holds what became of an attempt."""
+    if task is None or task.attempt != attempt:
         return True
     return not task.state.holds_capacity
 
--- a/libs/scheduler/src/cactustiller/scheduler/runs.py
+++ b/libs/scheduler/src/cactustiller/scheduler/runs.py
@@ -31,6 +31,12 @@
         Latest start that any message sent so far allows; 0 if none was sent.
     lease_until : float or None
         Latest lease granted; None if a former owner granted it.
+    unanswered : int
+        Starts sent that the worker has not answered and may yet act on.
+    answered_at : float
+        The worker's clock at its last answer to a start.
+    is_inherited : bool
+        Whether a former owner may have started and renewed the run.
     is_stopping, checkpoint : bool
         Whether a stop is wanted, and whether after a checkpoint.
     needs_apply : bool
@@ -46,6 +52,9 @@
     reserved_until_loop_seconds: float = 0.0
     start_before: float = 0.0
     lease_until: float | None = 0.0
+    unanswered: int = 0
+    answered_at: float = 0.0
+    is_inherited: bool = False
     is_stopping: bool = False
     checkpoint: bool = False
     needs_apply: bool = False
--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -14,7 +14,7 @@
 )
 from cactustiller.platform import Apply, TaskRenewal, TaskStart, TaskStop, Watch
 
-from .clock import WorkerClock
+from .clock import CLOCK_RATE_MARGIN, WorkerClock
 from .runs import RunPhase, key_of
 
 WATCH_SECONDS = 15.0
@@ -57,6 +57,7 @@
         self._boot = ""
         self._wake = asyncio.Event()
         self._random = random.Random(info.worker)
+        self._must_look_again = False
         self._orphans = []
         self._tasks = []
         self._created_at = asyncio.get_running_loop().time()
@@ -162,19 +163,32 @@
 
     def _check_lease(self, entry, now):
         if entry.lease_until is None:
-            # A former owner may have granted a lease until this long after it
-            # was fenced.
-            grant = OUTAGE_GRANT_SECONDS + self._timing.task_lease_seconds
-            has_lapsed = now >= self._created_at + grant
+            has_lapsed = self._has_former_lapsed(now)
         else:
             moment = max(entry.lease_until, entry.start_before)
             has_lapsed = bool(moment) and self._clock.has_surely_passed(moment, now)
+            # A worker without epochs takes the former owner's renewals too.
+            if entry.is_inherited and not self.info.honours_epochs:
+                has_lapsed = has_lapsed and self._has_former_lapsed(now)
         if has_lapsed and not self.is_reachable:
             self.end(entry, RunState.LAPSED, "lease lapsed on an unreachable worker")
             return
         if self._may_renew(entry):
             self._check_renewal(entry, now)
 
+    def _has_former_lapsed(self, now):
+        """Return whether every lease of a former owner has surely ended."""
+        grant = OUTAGE_GRANT_SECONDS + self._timing.task_lease_seconds
+        return now >= self._created_at + grant * CLOCK_RATE_MARGIN
+
+    def _may_yet_start(self, entry, answered_at):
+        """Return whether a start may take effect after a worker's answer."""
+        is_settled = not entry.unanswered and answered_at >= entry.answered_at
+        now = asyncio.get_running_loop().time()
+        return not is_settled and not self._clock.has_surely_passed(
+            entry.start_before, now
+        )
+
     def _may_renew(self, entry):
         # A run that does not stop when asked to stops when its lease lapses.
         is_wanted = entry.phase is RunPhase.RUNNING and not entry.is_stopping
@@ -189,7 +203,10 @@
     async def _watch_regularly(self):
         retry_seconds = FIRST_RETRY_SECONDS
         while True:
-            is_first = not self.is_reconciled
+            is_first = not self.is_reconciled or self._must_look_again
+            if self._must_look_again:
+                self._must_look_again = False
+                await asyncio.sleep(FIRST_RETRY_SECONDS)
             watch = Watch(
                 shard=self._authority.shard,
                 epoch=self._authority.epoch,
@@ -229,14 +246,25 @@
         self._sequence = reply.sequence
         was_usable = self.is_usable
         self.is_reachable = True
+        if not self.info.honours_epochs:
+            self._expect_former_starts()
         for status in reply.tasks:
-            self._take_status(status)
+            self._take_status(status, reply.now)
         if is_first:
-            self._reconcile({key_of(status) for status in reply.tasks})
+            self._reconcile({key_of(status) for status in reply.tasks}, reply.now)
         if not was_usable:
             self._on_change(self)
 
-    def _take_status(self, status):
+    def _expect_former_starts(self):
+        """Note that starts of a former owner may be under way to the worker."""
+        now = asyncio.get_running_loop().time()
+        latest = self._clock.estimate(now) + self._timing.start_window_seconds
+        for entry in self.entries.values():
+            if entry.phase is RunPhase.RECOVERED and not entry.start_before:
+                entry.start_before = latest
+                entry.unanswered = 1
+
+    def _take_status(self, status, answered_at):
         entry = self.entries.get(key_of(status))
         if entry is None:
             if status.state is RunState.RUNNING:
@@ -246,6 +274,9 @@
             return
         entry.lease_until = max(entry.lease_until or 0.0, status.lease_until)
         if status.state is not RunState.RUNNING:
+            if self._may_yet_start(entry, answered_at):
+                self._must_look_again = True
+                return
             self.end(entry, status.state, status.reason, status.run_seconds)
         elif entry.phase is not RunPhase.RUNNING:
             entry.note_state(RunState.RUNNING)
@@ -264,20 +295,32 @@
         self._orphans.append(stop)
         self.wake()
 
-    def _reconcile(self, seen):
+    def _reconcile(self, seen, answered_at):
         """Settle the runs that the worker does not know of, under our epoch."""
         self.is_reconciled = True
         for entry in list(self.entries.values()):
             if entry.key in seen or not entry.holds_capacity:
                 continue
             if entry.phase is RunPhase.RECOVERED:
-                entry.lease_until = 0.0
-                self.request_start(entry)
+                self._start_recovered(entry)
             elif entry.phase is RunPhase.RUNNING:
+                if self._may_yet_start(entry, answered_at):
+                    self._must_look_again = True
+                    continue
                 self.end(entry, RunState.LAPSED, "the worker has restarted")
             elif entry.phase is RunPhase.STARTING:
                 self.request_start(entry)
 
+    def _start_recovered(self, entry):
+        """Start a run that the worker does not know, if there is room for it.
+
+        A run whose reservation had expired before its commit was never given room.
+        """
+        entry.lease_until = 0.0
+        self.request_start(entry)
+        if not self.used.fits_within(self.info.resources):
+            self.request_stop(entry, checkpoint=False)
+
     async def _apply_regularly(self):
         while True:
             await self._wake.wait()
@@ -330,6 +373,7 @@
         if window <= 0:
             return None
         estimate = self._clock.estimate(now)
+        entry.unanswered += 1
         entry.start_before = max(entry.start_before, estimate + window)
         granted = estimate + self._timing.task_lease_seconds
         entry.lease_until = max(entry.lease_until or 0.0, granted)
@@ -362,7 +406,11 @@
         refused = {key_of(refusal): refusal.reason for refusal in reply.refused}
         for start in apply.starts:
             entry = self.entries.get(key_of(start))
-            if entry is None or entry.phase is not RunPhase.STARTING:
+            if entry is None:
+                continue
+            entry.unanswered -= 1
+            entry.answered_at = max(entry.answered_at, reply.now)
+            if entry.phase is not RunPhase.STARTING:
                 continue
             if entry.key in refused:
                 # The worker will not start this message's copy; send another.
--- a/libs/scheduler/src/cactustiller/scheduler/shard.py
+++ b/libs/scheduler/src/cactustiller/scheduler/shard.py
@@ -143,7 +143,7 @@
             if reason:
                 self._settle(key_of(run))
                 refused.append(Refusal(run=key_of(run), reason=reason))
-        return StartAnswer(refused=refused)
+        return StartAnswer(epoch=self.epoch, refused=refused)
 
     async def stop_runs(self, message):
         """Stop runs; their ends are reported to their homes."""
@@ -208,7 +208,9 @@
         )
         self.sessions[info.worker] = session
         for record in self._recovered.pop(info.worker, []):
-            entry = RunEntry(record, RunPhase.RECOVERED, lease_until=None)
+            entry = RunEntry(
+                record, RunPhase.RECOVERED, lease_until=None, is_inherited=True
+            )
             session.add(entry)
         session.start()
 
--- /dev/null
+++ b/tests/scheduler/test_attempts.py
@@ -0,0 +1,116 @@
+import pytest
+
+from cactustiller.model import (
+    ErrorCode,
+    JobSpec,
+    MemberRecord,
+    Resources,
+    TaskState,
+    TaskTemplate,
+)
+from cactustiller.model.messages import ReportRuns, RunKey, RunReport, SubmitJob
+from cactustiller.ownership import OWNERSHIP_KEY, Member
+from cactustiller.platform import Put, Write
+from cactustiller.scheduler.clock import WallClock
+from cactustiller.scheduler.home import Home
+from cactustiller.settings import TimingSettings
+from tests.scheduler.memory import MemoryTable
+
+pytestmark = pytest.mark.looptime
+HOME, SHARD = "home-01", "shard-r1"
+SPEC = JobSpec(
+    name="a",
+    team="t",
+    queue="q",
+    kind="batch",
+    task_count=1,
+    template=TaskTemplate(resources=Resources(cpu_millis=1)),
+)
+
+
+async def refuse_all(message, hello):
+    raise AssertionError("no peer calls here")
+
+
+def build_record(name):
+    return MemberRecord(
+        member=name,
+        role="scheduler",
+        instance=name,
+        zone="a",
+        peer_address="127.0.0.1:1",
+        incarnation="",
+    )
+
+
+async def give(member, **records):
+    names = {"home": HOME, "shard": SHARD}
+    moves = {names[name]: record for name, record in records.items()}
+    moved = member.ownership.assign(moves)
+    put = Put(key=OWNERSHIP_KEY, value=moved.model_dump())
+    assert (await member.committer.commit(Write(puts=[put]), "test")).is_ok()
+
+
+async def assign(home, worker):
+    """Commit the next attempt of the only task to a worker; return its key."""
+    entry = home.jobs["j1"]
+    entry.take(0)
+    run = home.make_run(entry, 0, worker)
+    assert (await home.commit_runs({SHARD: [run]})).is_ok()
+    return RunKey(job="j1", index=0, attempt=run.attempt)
+
+
+def report(key, state, epoch=1):
+    reports = [RunReport(run=key, state=state, worker="w1", reason="")]
+    return ReportRuns(home=HOME, shard=SHARD, epoch=epoch, reports=reports)
+
+
+@pytest.fixture
+async def home():
+    member = Member(build_record("m1"), MemoryTable(), TimingSettings(), refuse_all)
+    await member.start()
+    await give(member, home=member.record, shard=member.record)
+    await member.refresh()
+    home = Home(HOME, 1, member, WallClock(0.0), lambda: None)
+    assert await home.recover()
+    message = SubmitJob(home=HOME, job="j1", spec=SPEC, key="k")
+    assert (await home.submit(message)).is_ok()
+    yield home
+    await home.stop()
+    await member.stop()
+
+
+async def test_late_refusal_does_not_end_the_next_attempt(home):
+    first = await assign(home, "w1")
+    assert (await home.record_reports(report(first, "failed"))).recorded == [first]
+    second = await assign(home, "w2")
+    await home.unassign(SHARD, 1, [(first, "this attempt is over")])
+    task = home.jobs["j1"].tasks[0]
+    assert (task.state, task.attempt) == (TaskState.ASSIGNED, second.attempt)
+
+
+async def test_late_refusal_does_not_repeat_a_finished_task(home):
+    first = await assign(home, "w1")
+    await home.record_reports(report(first, "succeeded"))
+    await home.unassign(SHARD, 1, [(first, "this attempt is over")])
+    assert home.jobs["j1"].tasks[0].state is TaskState.SUCCEEDED
+
+
+async def test_former_owner_of_a_shard_ends_nothing(home):
+    first = await assign(home, "w1")
+    # The home has not read that the shard was taken over.
+    await give(home._member, shard=build_record("m2"))
+    await home.unassign(SHARD, 1, [(first, "the worker has no room")])
+    answer = await home.record_reports(report(first, "lapsed"))
+    assert answer.recorded == []
+    assert home.jobs["j1"].tasks[0].state is TaskState.ASSIGNED
+    answer = await home.record_reports(report(first, "lapsed", epoch=2))
+    assert answer.recorded == [first]
+
+
+async def test_home_whose_own_partition_moved_records_nothing(home):
+    first = await assign(home, "w1")
+    await give(home._member, home=build_record("m2"))
+    assert (await home.record_reports(report(first, "failed"))).recorded == []
+    failure = (await home.commit_runs({})).unwrap_err()
+    assert failure.code in (ErrorCode.CONFLICT, ErrorCode.NOT_OWNER)
