--- a/specs/gangs.py
+++ b/specs/gangs.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-from .kit import OPEN, RECOVERABLE, Mutant, Spec
+from .kit import MENDED, OPEN, RECOVERABLE, Mutant, Spec
 
 SHARDS = (0, 1)
 JOBS = (0, 1)
@@ -298,7 +298,7 @@
             "a fenced commit is not run",
             _TRUE,
             "Committer._fence says `not run` of a transaction whose answer was lost",
-            fault=OPEN,
+            fault=MENDED,
         ),
         Mutant(
             "start without room",
@@ -309,7 +309,7 @@
             "start recovered runs without room",
             _CAPACITY,
             "a new owner starts every committed run that its worker does not know",
-            fault=OPEN,
+            fault=MENDED,
         ),
         Mutant(
             "keep the rest of a broken job",
--- a/specs/leases.py
+++ b/specs/leases.py
@@ -11,7 +11,7 @@
 
 from typing import NamedTuple
 
-from .kit import OPEN, Mutant, Spec
+from .kit import MENDED, Mutant, Spec
 
 LEASE_TICKS = 1
 WINDOW_TICKS = 1
@@ -124,7 +124,8 @@
     wait = GRANT_TICKS + TASK_LEASE_TICKS
     if "grant beyond the new owner's wait" in flags:
         wait = 0
-    is_blind = "forget former start messages" in flags
+    # A worker that honours epochs is asked first, which fences the former owner.
+    is_blind = state.honours or "forget former start messages" in flags
     return state._replace(
         phase="recovered",
         is_inherited=True,
@@ -336,7 +337,7 @@
             "forget former start messages",
             _GONE,
             "a new owner takes it that no start of the former one is under way",
-            fault=OPEN,
+            fault=MENDED,
         ),
         Mutant(
             "start_before beyond the lease",
@@ -352,19 +353,19 @@
             "judge starts when the answer comes",
             _GONE,
             "an answer to a watch ends a run that was started meanwhile",
-            fault=OPEN,
+            fault=MENDED,
         ),
         Mutant(
             "end before start_before",
             _GONE,
             "a run ends although a start sent earlier may still take effect",
-            fault=OPEN,
+            fault=MENDED,
         ),
         Mutant(
             "trust a lease read from the worker",
             _GONE,
             "a new owner forgets that the former one may renew without epochs",
-            fault=OPEN,
+            fault=MENDED,
         ),
         Mutant(
             "no lease known is no lease",
--- a/specs/permits.py
+++ b/specs/permits.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-from .kit import OPEN, Mutant, Spec
+from .kit import MENDED, OPEN, Mutant, Spec
 
 LIFE_TICKS = 2
 LEASE_TICKS = 1
@@ -254,7 +254,7 @@
             "numbers used again",
             _SLOTS,
             "a pool built again under its epoch numbers permits from 1 again",
-            fault=OPEN,
+            fault=MENDED,
         ),
         Mutant(
             "open before permits expire",
--- a/specs/replicas.py
+++ b/specs/replicas.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-from .kit import OPEN, Mutant, Spec
+from .kit import MENDED, Mutant, Spec
 
 FRESH_TICKS = 1
 LAST_VERSION = 3
@@ -284,7 +284,7 @@
             "a fenced commit is not run",
             _TRUE,
             "Committer._fence says `not run` of a transaction whose answer was lost",
-            fault=OPEN,
+            fault=MENDED,
         ),
         Mutant(
             "nothing there is not run",
--- a/specs/runs.py
+++ b/specs/runs.py
@@ -10,7 +10,7 @@
 
 from typing import NamedTuple
 
-from .kit import OPEN, Mutant, Spec
+from .kit import MENDED, Mutant, Spec
 
 ATTEMPTS = (1, 2)
 ENDS = ("succeeded", "failed")
@@ -290,19 +290,19 @@
             "end whatever is assigned",
             _ONE_END,
             "Home.unassign ends the task's attempt, whichever was refused",
-            fault=OPEN,
+            fault=MENDED,
         ),
         Mutant(
             "refusals of former owners",
             _ONE_PLACE,
             "Home.unassign believes an owner whose shard was taken over",
-            fault=OPEN,
+            fault=MENDED,
         ),
         Mutant(
             "reports of former owners",
             _ONE_PLACE,
             "Home.record_reports believes an owner whose shard was taken over",
-            fault=OPEN,
+            fault=MENDED,
         ),
         Mutant(
             "recover without rows",
