--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import defaultdict
+from types import MappingProxyType
 
 import structlog
 from result import Err, Ok
@@ -70,7 +71,9 @@
         self._unfinished = {}
         self._usage = defaultdict(TeamUsage)
         self._tasks = set()
-        self._recorder = Recorder(home, self.jobs, clock, self._commit, wake)
+        self._recorder = Recorder(
+            home, self.jobs, clock, self._commit, member.epoch_of, wake
+        )
 
     @property
     def is_owned(self):
@@ -222,32 +225,39 @@
                 self.jobs[task.job].assign(task)
         return answer
 
-    async def unassign(self, runs):
-        """Return runs that their shard will never start to the waiting tasks."""
+    async def unassign(self, shard, epoch, runs):
+        """Return runs that their shard will never start to the waiting tasks.
+
+        Runs that have ended meanwhile, or that a new owner of the shard may have
+        started, stay as they are.
+        """
         reports = [
             _Ended(run, RunState.LAPSED, "not started: " + reason)
             for run, reason in runs
+            if not _is_settled(self._find_task(run), run.attempt)
         ]
-        await self._recorder.record_ends(reports)
+        if reports:
+            await self._recorder.record_ends(reports, shard, epoch)
 
     async def record_reports(self, message):
         """Take a shard's reports; return which ends are recorded."""
         ended = []
         recorded = []
         for report in message.reports:
-            entry = self.jobs.get(report.run.job)
-            task = entry.tasks.get(report.run.index) if entry else None
-            if _is_settled(task, report):
+            task = self._find_task(report.run)
+            if _is_settled(task, report.run.attempt):
                 recorded.append(report.run)
             elif report.state is RunState.RUNNING:
-                self._note_running(entry, task, self._clock.now())
+                self._note_running(task, self._clock.now())
             else:
                 # A short run may have ended before its start was reported.
                 if report.run_seconds:
                     started_at = self._clock.now() - report.run_seconds
-                    self._note_running(entry, task, started_at)
+                    self._note_running(task, started_at)
                 ended.append(report)
-        recorded += await self._recorder.record_ends(ended)
+        recorded += await self._recorder.record_ends(
+            ended, message.shard, message.epoch
+        )
         return ReportAnswer(recorded=recorded)
 
     def list_assigned(self):
@@ -279,13 +289,17 @@
         self._wake()
         return Ok(entry.make_view(detail=False))
 
-    async def _commit(self, write, purpose, seconds, wait_if_stuck=False):
+    async def _commit(
+        self, write, purpose, seconds, wait_if_stuck=False, epochs=MappingProxyType({})
+    ):
         """Commit a write on condition that this home is still owned here.
 
         The member's fence does not cover a voluntary hand-over, so each write is
-        conditional on the ownership row as well.
+        conditional on the ownership row as well, and on the `epochs` of shards.
         """
-        while self.is_owned:
+        if not self._has_epochs(epochs):
+            await self._member.refresh()
+        while self.is_owned and self._has_epochs(epochs):
             check = self._member.ownership_check()
             answer = await self._member.committer.commit(
                 write.with_changes(checks=[*write.checks, check]),
@@ -298,6 +312,10 @@
             await self._member.refresh()
         return Err(fail_handed_over(self.home, purpose))
 
+    def _has_epochs(self, epochs):
+        epoch_of = self._member.epoch_of
+        return all(epoch_of(shard) == epoch for shard, epoch in epochs.items())
+
     def _make_assigned(self, shard, run):
         entry = self.jobs[run.job]
         previous = entry.tasks.get(run.index)
@@ -312,7 +330,12 @@
             changed_at=self._clock.now(),
         )
 
-    def _note_running(self, entry, task, started_at):
+    def _find_task(self, run):
+        entry = self.jobs.get(run.job)
+        return entry.tasks.get(run.index) if entry else None
+
+    def _note_running(self, task, started_at):
+        entry = self.jobs[task.job]
         if task.state is TaskState.RUNNING:
             return
         entry.set_task(task.with_changes(state=TaskState.RUNNING))
@@ -372,8 +395,8 @@
         self.reason = reason
 
 
-def _is_settled(task, report):
-    """Return whether the table already holds what became of a reported attempt."""
-    if task is None or task.attempt != report.run.attempt:
+def _is_settled(task, attempt):
+    """Return whether the table already holds what became of an attempt."""
+    if task is None or task.attempt != attempt:
         return True
     return not task.state.holds_capacity
--- a/libs/scheduler/src/cactustiller/scheduler/recorder.py
+++ b/libs/scheduler/src/cactustiller/scheduler/recorder.py
@@ -6,11 +6,20 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import structlog
 from result import Err, Ok
 
-from cactustiller.model import ErrorCode, Failure, JobState, Outcome, TaskState
+from cactustiller.model import (
+    ErrorCode,
+    Failure,
+    JobState,
+    Outcome,
+    PartitionId,
+    TaskState,
+)
+from cactustiller.model.messages import RunReport
 from cactustiller.platform import Put, Write
 
 from .jobs import end_task, find_restart_pause, finish_job
@@ -23,11 +32,21 @@
 log = structlog.get_logger(__name__)
 
 
+class _End(NamedTuple):
+    """End of a run as the owner of its shard under an epoch reported it."""
+
+    report: RunReport
+    future: asyncio.Future
+    shard: PartitionId
+    epoch: int
+
+
 @dataclass
 class _Round:
     """What one write records, and what becomes true in memory with it."""
 
     ends: dict = field(default_factory=dict)
+    epochs: dict = field(default_factory=dict)
     cancels: dict = field(default_factory=dict)
     closes: dict = field(default_factory=dict)
     records: dict = field(default_factory=dict)
@@ -39,9 +58,9 @@
         for future in (*self.cancels.values(), *self.closes.values()):
             if not future.done():
                 future.set_result(cancelled)
-        for _, future in self.ends.values():
-            if not future.done():
-                future.set_result(recorded)
+        for end in self.ends.values():
+            if not end.future.done():
+                end.future.set_result(recorded)
 
 
 class Recorder:
@@ -53,31 +72,40 @@
     jobs : dict of JobId to JobEntry
     clock : WallClock
     commit : callable
-        Coroutine function of a write, a purpose, a time limit in seconds and
-        whether to wait for a table service that does not answer.
+        Coroutine function of a write, a purpose, a time limit in seconds, whether
+        to wait for a table service that does not answer, and the epochs of shards
+        on which the write depends.
+    epoch_of : callable
+        Returns the current epoch of a shard.
     note_recorded : callable
         Called after each write.
     """
 
-    def __init__(self, home, jobs, clock, commit, note_recorded):
+    def __init__(self, home, jobs, clock, commit, epoch_of, note_recorded):
         self._home = home
         self._jobs = jobs
         self._clock = clock
         self._commit = commit
+        self._epoch_of = epoch_of
         self._note_recorded = note_recorded
         self._ends = {}
         self._cancels = {}
         self._closes = {}
         self._wake = asyncio.Event()
 
-    async def record_ends(self, reports):
-        """Return the keys among the reports' whose ends are in the table."""
+    async def record_ends(self, reports, shard, epoch):
+        """Return the keys among the reports' whose ends are in the table.
+
+        Nothing is recorded on the word of a former owner of the shard, since the new
+        one may have started or renewed the runs.
+        """
         waiting = []
         for report in reports:
             entry = self._ends.get(report.run)
             if entry is None:
-                entry = self._ends[report.run] = (report, self._make_future())
-            waiting.append((report.run, entry[1]))
+                entry = _End(report, self._make_future(), shard, epoch)
+                self._ends[report.run] = entry
+            waiting.append((report.run, entry.future))
         self._wake.set()
         return [key for key, future in waiting if await asyncio.shield(future)]
 
@@ -117,7 +145,9 @@
             return
         must_wait = bool(current.ends)
         seconds = WAIT_FOREVER_SECONDS if must_wait else CANCEL_SECONDS
-        answer = await self._commit(current.write, "end", seconds, must_wait)
+        answer = await self._commit(
+            current.write, "end", seconds, must_wait, current.epochs
+        )
         if answer.is_ok():
             self._apply(current)
         current.resolve(answer, answer.is_ok())
@@ -128,12 +158,12 @@
         current.cancels, self._cancels = self._cancels, {}
         current.closes, self._closes = self._closes, {}
         for key in list(self._ends)[:MAX_ENDS_PER_WRITE]:
-            current.ends[key] = self._ends.pop(key)
+            self._take_end(current, key)
         now = self._clock.now()
         for job in current.cancels:
             self._cancel(current, self._jobs[job], now)
-        for report, _ in current.ends.values():
-            self._end(current, report, now)
+        for end in current.ends.values():
+            self._end(current, end.report, now)
         for job, tasks in current.tasks.items():
             self._finish(current, self._jobs[job], tasks, now)
         for job in current.closes:
@@ -143,6 +173,15 @@
         )
         return current
 
+    def _take_end(self, current, key):
+        end = self._ends.pop(key)
+        known = current.epochs.get(end.shard, end.epoch)
+        if end.epoch < self._epoch_of(end.shard) or known != end.epoch:
+            end.future.set_result(False)
+            return
+        current.ends[key] = end
+        current.epochs[end.shard] = end.epoch
+
     def _cancel(self, current, entry, now):
         if not entry.record.state.is_final:
             current.records[entry.job] = entry.record.with_changes(
--- a/tests/scheduler/test_ends.py
+++ b/tests/scheduler/test_ends.py
@@ -38,7 +38,7 @@
     found = RunReport(
         run=key_of(run), state=state, worker=run.worker, run_seconds=run_seconds
     )
-    return ReportRuns(home=HOME, shard=shard, reports=[found])
+    return ReportRuns(home=HOME, shard=shard, epoch=0, reports=[found])
 
 
 async def test_job_whose_last_tasks_end_at_once_on_several_shards_is_finished(home):
--- a/tests/scheduler/test_sessions.py
+++ b/tests/scheduler/test_sessions.py
@@ -130,7 +130,7 @@
     status = TaskStatus(
         job="j1", index=1, attempt=1, state="running", lease_until=worker.leases[1]
     )
-    session._take_status(status)
+    session._take_status(status, now)
     await asyncio.sleep(1)
     assert worker.leases[1] > now + TIMING.task_lease_seconds / 2
     checking.cancel()
