Show members that gave no answer in settings status

Cause: the gateway answers null for a member that is silent, and the client refused the whole answer as not as documented; seen on a cell of 770 workers that was filling. Change: version and age may be absent, and the reason is shown.

--- a/libs/cli/src/cactustiller/cli/commands/load.py
+++ b/libs/cli/src/cactustiller/cli/commands/load.py
@@ -104,7 +104,7 @@
         status = await operator.get_settings_status()
         if status.is_ok():
             versions = {member.version for member in status.unwrap().instances}
-            if len(versions) == 1:
+            if len(versions) == 1 and None not in versions:
                 return
         await asyncio.sleep(0.2)
 
--- a/libs/cli/src/cactustiller/cli/commands/settings.py
+++ b/libs/cli/src/cactustiller/cli/commands/settings.py
@@ -76,7 +76,7 @@
 def show_status(context: typer.Context, as_json: JsonFlag = False):
     """Show the version in force on each member."""
     reply = run_call(context, lambda client: client.get_settings_status())
-    columns = ("member", "role", "zone", "version", "age_seconds")
+    columns = ("member", "role", "zone", "version", "age_seconds", "reason")
     show_rows(reply, "instances", columns, as_json)
 
 
--- a/libs/cli/src/cactustiller/cli/replies.py
+++ b/libs/cli/src/cactustiller/cli/replies.py
@@ -77,13 +77,14 @@
 
 
 class MemberVersion(Reply):
-    """Settings version that one member has in force."""
+    """Settings version that one member has in force, None without an answer."""
 
     member: str
     role: str
     zone: str
-    version: Version
-    age_seconds: float
+    version: Version | None
+    age_seconds: float | None
+    reason: str = ""
 
 
 class SettingsStatus(Reply):
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -206,3 +206,17 @@
     gateways[0].script("GET", "/v1/instances", *listing)
     assert run("drain", "i1", "--wait").exit_code == 0
     assert len(gateways[0].received) == 3
+
+
+def test_settings_status_shows_a_member_without_an_answer(run, gateways):
+    silent = {"member": "m2", "role": "scheduler", "zone": "b"}
+    rows = [
+        {"member": "m1", "role": "gateway", "zone": "a", "version": 3}
+        | {"age_seconds": 0.1},
+        silent | {"version": None, "age_seconds": None, "reason": "no reply in time"},
+    ]
+    for gateway in gateways:
+        gateway.script("GET", "/v1/settings/status", Answer({"instances": rows}))
+    result = run("settings", "status")
+    assert result.exit_code == 0
+    assert "no reply in time" in result.stdout
