--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -26,6 +26,8 @@
 SIZES = "24,96,192,384,770"
 ENTRIES = 6
 SETTLE_SECONDS = 4.0
+# Until the list of workers and the owners of partitions no longer change.
+JOIN_SECONDS = 20.0
 FILL_SECONDS = 150.0
 FILL_PART = 0.98
 # A whole cycle of lease renewals, so that the window sees neither more nor less.
@@ -39,12 +41,13 @@
 class SizeRun:
     """Measures one size, phase after phase, each adding one driver."""
 
-    def __init__(self, options, window_seconds):
+    def __init__(self, options, window_seconds, only_idle=False):
         self.size = scale_design(options.workers)
         self.observations = []
         self.notes = {"size": self.size._asdict()}
         self._options = options
         self._window_seconds = window_seconds
+        self._only_idle = only_idle
 
     async def run(self):
         """Start the cell and measure every phase."""
@@ -55,8 +58,10 @@
         ):
             driver = held.driver
             self._operator = operator
-            await asyncio.sleep(SETTLE_SECONDS)
+            await asyncio.sleep(JOIN_SECONDS)
             await self._measure("idle", teams=0)
+            if self._only_idle:
+                return
             await driver.add_teams()
             await asyncio.sleep(SETTLE_SECONDS)
             await self._measure("teams")
@@ -166,7 +171,7 @@
     return {name: float(f"{value:.4g}") for name, value in values.items()}
 
 
-async def measure_sizes(sizes, entries, window_seconds, base_port):
+async def measure_sizes(sizes, entries, window_seconds, base_port, only_idle=False):
     """Return conditions, observations and slopes as one JSON object."""
     observations = []
     runs = []
@@ -177,7 +182,7 @@
             workers=workers,
             base_port=base_port + 200 * number,
         )
-        run = SizeRun(options, window_seconds)
+        run = SizeRun(options, window_seconds, only_idle)
         run.notes["conditions"] = describe_conditions()
         print(f"{workers} workers: {run.notes['conditions']}", flush=True)
         try:
@@ -203,6 +208,7 @@
     entries: int = ENTRIES,
     window: float = RENEWAL_SECONDS,
     base_port: int = 28000,
+    only_idle: bool = False,
     record: Annotated[
         Path | None, typer.Option(help="Write the JSON object here as well.")
     ] = None,
@@ -210,7 +216,9 @@
     """Measure the cell at several sizes and fit the slopes."""
     try:
         numbers = [int(size) for size in sizes.split(",")]
-        report = asyncio.run(measure_sizes(numbers, entries, window, base_port))
+        report = asyncio.run(
+            measure_sizes(numbers, entries, window, base_port, only_idle)
+        )
     except (CellError, ValueError) as error:
         print(f"bench-control: {error}", file=sys.stderr)
         raise typer.Exit(1) from error
--- a/benchmarks/driving.py
+++ b/benchmarks/driving.py
@@ -1,6 +1,7 @@
 """Drives a cell to a given number of teams, tasks, starts and changes."""
 
 import asyncio
+import itertools
 from typing import NamedTuple
 
 from cactustiller.cli import GatewayClient, JobSubmission
@@ -103,21 +104,18 @@
         """Submit short jobs on a fixed schedule until cancelled."""
         loop = asyncio.get_running_loop()
         begin = loop.time()
-        calls = set()
-        for number in range(10**9):
-            due = begin + number * FLOW_TASKS_PER_JOB / per_second
-            await asyncio.sleep(max(0.0, due - loop.time()))
-            call = asyncio.create_task(
-                self._submit(number, FLOW_QUEUE, FLOW_TASKS_PER_JOB)
-            )
-            calls.add(call)
-            call.add_done_callback(calls.discard)
+        # Leaving the group, when cancelled, ends the calls under way as well.
+        async with asyncio.TaskGroup() as calls:
+            for number in itertools.count():
+                due = begin + number * FLOW_TASKS_PER_JOB / per_second
+                await asyncio.sleep(max(0.0, due - loop.time()))
+                calls.create_task(self._submit(number, FLOW_QUEUE, FLOW_TASKS_PER_JOB))
 
     async def keep_changing(self, per_second):
         """Change a team's weight on a fixed schedule until cancelled."""
         loop = asyncio.get_running_loop()
         begin = loop.time()
-        for number in range(10**9):
+        for number in itertools.count():
             await asyncio.sleep(max(0.0, begin + number / per_second - loop.time()))
             team = self._teams[number % len(self._teams)]
             changed = await self._operator.patch_settings(
