--- a/libs/ownership/src/cactustiller/ownership/metrics.py
+++ b/libs/ownership/src/cactustiller/ownership/metrics.py
@@ -30,7 +30,8 @@
 # A fine histogram takes 27 KB, one of the many coarse ones 3 KB.
 TIMES = Scale(1e6, 3_600_000_000, 2, "ms", 1e-3)
 LABELLED_TIMES = Scale(1e3, 86_400_000, 1, "ms", 1.0)
-RATIOS = Scale(1e4, 100_000, 2, "percent", 1e-2)
+# Exact up to 204.7 %, so that a full worker does not look over-full.
+RATIOS = Scale(1e3, 10_000, 3, "percent", 0.1)
 
 SCALES = {
     "waiting_by_team": LABELLED_TIMES,
--- a/tests/ownership/test_metrics.py
+++ b/tests/ownership/test_metrics.py
@@ -89,3 +89,11 @@
     merged = merge_stats([{"gauges": {"capacity": capacity}, "teams": teams}])
     assert merged["teams"]["red"]["distance"] == 0
     assert merged["teams"]["blue"]["distance"] == pytest.approx(0.4)
+
+
+def test_full_worker_is_not_shown_over_full():
+    metrics = Metrics()
+    for ratio in (0.25, 1.0, 1.0):
+        metrics.record("packing_reserved", ratio)
+    packing = merge_stats([metrics.export()])["histograms"]["packing_reserved"]
+    assert packing["p99_percent"] == packing["max_percent"] == 100.0
