Record keyed requests; measure the gateway; check slots under faults

Cause: a non-idempotent request could run twice when its caller repeated it at another gateway; nothing measured the gateway; the stand-in's history could not show a request beyond the slots, since it left refused ones out.

Change: a request with an Idempotency-Key claims a row before it is sent and gets the earlier answer or 'unknown' afterwards, from any gateway. make bench-gateway and make check-slots. Bodies and answers that take over 30 s end. Refused requests are in the stand-in's history; its test expected them to be absent and now names every event.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 WORKERS ?= 24
 BASE_PORT ?= 21000
 
-.PHONY: setup test lint format demo cell bench-idle
+.PHONY: setup test lint format demo cell bench-idle bench-gateway check-slots
 
 setup: $(VENV)/.ready
 
@@ -37,3 +37,9 @@
 
 bench-idle: setup
 	$(PYTHON) -m benchmarks.idle
+
+bench-gateway: setup
+	$(PYTHON) -m benchmarks.gateway
+
+check-slots: setup
+	$(PYTHON) -m benchmarks.gateway_slots
--- a/libs/gateway/src/cactustiller/gateway/bodies.py
+++ b/libs/gateway/src/cactustiller/gateway/bodies.py
@@ -12,6 +12,7 @@
 from .errors import refuse
 
 MAX_JSON_BYTES = 4 * 1024 * 1024
+MAX_IDEMPOTENCY_KEY_CHARACTERS = 255
 
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 
@@ -104,3 +105,12 @@
         return int(text)
     reason = f"{header}: must be a whole number from {low} to {high}"
     raise refuse(ErrorCode.INVALID, "read headers", reason)
+
+
+def read_idempotency_key(request):
+    """Return the Idempotency-Key header, ``None`` where it is absent."""
+    key = request.headers.get("Idempotency-Key")
+    if key is not None and not 0 < len(key) <= MAX_IDEMPOTENCY_KEY_CHARACTERS:
+        reason = f"Idempotency-Key: must have 1 to {MAX_IDEMPOTENCY_KEY_CHARACTERS}"
+        raise refuse(ErrorCode.INVALID, "read headers", f"{reason} characters")
+    return key
--- a/libs/gateway/src/cactustiller/gateway/context.py
+++ b/libs/gateway/src/cactustiller/gateway/context.py
@@ -10,9 +10,12 @@
 
 from .callers import KeyGuard
 from .calls import OwnerCalls
+from .deduplication import RequestRecords
 from .executors import ExecutorDirectory
 from .routing import RequestRouter
 
+ANSWER_SECONDS = 30.0
+
 
 class Phase(Enum):
     """Phase of a gateway's life."""
@@ -31,6 +34,7 @@
     calls: OwnerCalls
     directory: ExecutorDirectory
     router: RequestRouter
+    records: RequestRecords
     metrics: Metrics
     stop: asyncio.Event
     phase: Phase = Phase.SERVING
@@ -61,9 +65,16 @@
         response = await handler(request)
         if gateway.phase is Phase.LEAVING:
             response.force_close()
-        await response.prepare(request)
-        await response.write_eof()
+        async with asyncio.timeout(ANSWER_SECONDS):
+            await response.prepare(request)
+            await response.write_eof()
         return response
+    except TimeoutError:
+        # The caller reads too slowly; its connection ends without the rest.
+        gateway.metrics.count("answers_not_read")
+        if request.transport is not None:
+            request.transport.abort()
+        raise
     finally:
         gateway.in_flight -= 1
         if gateway.in_flight == 0:
--- /dev/null
+++ b/libs/gateway/src/cactustiller/gateway/deduplication.py
@@ -0,0 +1,246 @@
+"""Records of requests with an idempotency key, so that each runs at most once.
+
+The record is a row of the table service: the only place that outlives a gateway and
+that every gateway sees. It is claimed before the request is sent.
+"""
+
+import asyncio
+import base64
+import secrets
+import time
+from enum import StrEnum
+from hashlib import blake2b
+
+import structlog
+
+from cactustiller.model import ErrorCode, Failure, FailureError, Outcome, Record, Role
+from cactustiller.platform import Check, Put, Read, Scan, Write
+
+from .errors import refuse
+from .forwarding import ServiceAnswer
+
+ROW_PREFIX = "request/"
+KEPT_SECONDS = 600.0
+SWEEP_SECONDS = 60.0
+SWEEP_ROWS = 500
+MAX_KEPT_BYTES = 65_536
+WAIT_SECONDS = 5.0
+POLL_SECONDS = 0.2
+COMMIT_SECONDS = 2.0
+STEP = "look up Idempotency-Key"
+
+log = structlog.get_logger(__name__)
+
+
+class RequestState(StrEnum):
+    """What is known of a recorded request."""
+
+    CLAIMED = "claimed"
+    ANSWERED = "answered"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+class RequestRecord(Record):
+    """Row of one request; `at` is wall-clock seconds."""
+
+    state: RequestState
+    token: str
+    request: str
+    digest: str
+    at: float
+    status: int = 0
+    body: str = ""
+    content_type: str = ""
+    executor: str = ""
+    failure: Failure | None = None
+
+
+class RequestRecords:
+    """Claims, completes and finds the records of requests.
+
+    Parameters
+    ----------
+    member : Member
+    """
+
+    def __init__(self, member):
+        self._member = member
+        self._task = None
+
+    def start(self):
+        """Begin to remove old records."""
+        self._task = asyncio.create_task(self._sweep_regularly())
+
+    async def stop(self):
+        """Stop removing old records."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def run_once(self, scope, request, run):
+        """Return the `ServiceAnswer` to a request that runs at most once.
+
+        Parameters
+        ----------
+        scope : tuple of str
+            Team and idempotency key.
+        request : ServiceRequest
+        run : callable
+            Coroutine function that sends the request.
+
+        Raises
+        ------
+        FailureError
+            With the outcome of the earlier or of this attempt.
+        """
+        key = ROW_PREFIX + _digest(*scope, request.service)
+        record = RequestRecord(
+            state=RequestState.CLAIMED,
+            token=secrets.token_hex(8),
+            request=request.id,
+            digest=blake2b(request.body, digest_size=16).hexdigest(),
+            at=time.time(),
+        )
+        version = await self._claim(key, record)
+        if version is None:
+            answer = await self._find(key, record, request)
+            # No row: the earlier request did not run, so this one may.
+            return answer or await self.run_once(scope, request, run)
+        return await self._run_claimed(key, version, record, run)
+
+    async def sweep(self):
+        """Remove records older than `KEPT_SECONDS`, a few hundred at once."""
+        scan = Scan(prefix=ROW_PREFIX, limit=SWEEP_ROWS)
+        while True:
+            answer = await self._member.table.read(Read(gets=[], scans=[scan]))
+            if answer.is_err():
+                return
+            page = answer.unwrap().scans[0]
+            oldest = time.time() - KEPT_SECONDS
+            old = [row for row in page.rows if row.value["at"] < oldest]
+            if old:
+                checks = [Check(key=row.key, version=row.version) for row in old]
+                write = Write(checks=checks, deletes=[row.key for row in old])
+                await self._commit(write)
+            if not page.next:
+                return
+            scan = scan.with_changes(after=page.next)
+
+    async def _claim(self, key, record):
+        """Return the row's version, ``None`` if another claim was first."""
+        write = Write(
+            checks=[Check(key=key, version=0)],
+            puts=[Put(key=key, value=record.model_dump(mode="json"))],
+        )
+        answer = await self._commit(write)
+        if answer.is_ok():
+            return answer.unwrap()
+        failure = answer.unwrap_err()
+        if failure.code is ErrorCode.CONFLICT:
+            return None
+        # Without a record nothing is sent, so nothing has run.
+        reason = f"the request cannot be recorded: {failure.reason}"
+        raise refuse(ErrorCode.UNAVAILABLE, STEP, reason, retry_after_ms=1000)
+
+    async def _run_claimed(self, key, version, record, run):
+        ended = record.with_changes(state=RequestState.UNKNOWN)
+        try:
+            answer = await run()
+        except FailureError as error:
+            failure = error.failure
+            if failure.outcome is Outcome.NOT_RUN:
+                ended = None
+            elif failure.outcome is Outcome.FAILED:
+                ended = record.with_changes(state=RequestState.FAILED, failure=failure)
+            raise
+        else:
+            ended = _complete(record, answer)
+            return answer
+        finally:
+            # Also when the caller has gone: a retry elsewhere finds what is known.
+            await asyncio.shield(self._end(key, version, ended))
+
+    async def _end(self, key, version, record):
+        checks = [Check(key=key, version=version)]
+        if record is None:
+            write = Write(checks=checks, deletes=[key])
+        else:
+            put = Put(key=key, value=record.model_dump(mode="json"))
+            write = Write(checks=checks, puts=[put])
+        answer = await self._commit(write)
+        if answer.is_err():
+            log.warning("request_record_not_ended", reason=str(answer.unwrap_err()))
+
+    async def _find(self, key, record, request):
+        """Return the earlier request's answer, ``None`` if its row has gone."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + min(WAIT_SECONDS, request.seconds / 2)
+        while True:
+            answer = await self._member.table.read_row(key)
+            if answer.is_ok() and answer.unwrap().value is None:
+                return None
+            if answer.is_ok():
+                found = RequestRecord.model_validate(answer.unwrap().value)
+                _check_same(found, record)
+                if found.state is not RequestState.CLAIMED:
+                    return _replay(found)
+            if loop.time() + POLL_SECONDS >= until:
+                raise _describe_unknown("the earlier request has not ended")
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _commit(self, write):
+        return await self._member.committer.commit(write, "requests", COMMIT_SECONDS)
+
+    async def _sweep_regularly(self):
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            gateways = self._member.list_members(Role.GATEWAY)
+            first = next((item for item in gateways if not item.leaving), None)
+            if first is not None and first.member == self._member.member:
+                await self.sweep()
+
+
+def _complete(record, answer):
+    if len(answer.body) > MAX_KEPT_BYTES:
+        return record.with_changes(state=RequestState.UNKNOWN)
+    return record.with_changes(
+        state=RequestState.ANSWERED,
+        status=answer.status,
+        body=base64.b64encode(answer.body).decode(),
+        content_type=answer.content_type,
+        executor=answer.executor,
+    )
+
+
+def _check_same(found, record):
+    if found.digest != record.digest:
+        reason = "Idempotency-Key: belongs to a request with another body"
+        raise refuse(ErrorCode.CONFLICT, STEP, reason)
+
+
+def _replay(found):
+    if found.failure is not None:
+        raise FailureError(found.failure)
+    if found.state is RequestState.UNKNOWN:
+        raise _describe_unknown("the earlier request's answer is not known")
+    body = base64.b64decode(found.body)
+    return ServiceAnswer(found.status, body, found.content_type, found.executor, False)
+
+
+def _describe_unknown(reason):
+    return FailureError(
+        Failure(
+            code=ErrorCode.TIMEOUT,
+            step=STEP,
+            reason=f"{reason}; it is not sent again",
+            outcome=Outcome.UNKNOWN,
+            retry_after_ms=1000,
+        )
+    )
+
+
+def _digest(*parts):
+    # The length of each part keeps ("ab", "c") apart from ("a", "bc").
+    text = "".join(f"{len(part)}:{part}" for part in parts)
+    return blake2b(text.encode(), digest_size=16).hexdigest()
--- a/libs/gateway/src/cactustiller/gateway/permits.py
+++ b/libs/gateway/src/cactustiller/gateway/permits.py
@@ -71,6 +71,7 @@
         self._renewed = asyncio.Event()
         self._sequence = 0
         self._used_at = float("-inf")
+        self._has_lost_owner = False
         self._share = 0
         self._queued = 0
         self._wake = asyncio.Event()
@@ -308,6 +309,7 @@
         answer = await self._call_owner(missing)
         if answer.is_err():
             log.warning("permits_not_renewed", reason=str(answer.unwrap_err()))
+            self._has_lost_owner = True
             await self._member.refresh(scan_members=False)
             return 0
         reply = answer.unwrap()
@@ -316,6 +318,7 @@
             return 0
         self._ballot = self._renewed_ballot = reply.epoch
         self._share, self._queued = reply.share, reply.queued
+        self._has_lost_owner = False
         self._known_ms = longest_ms
         self._renewed.set()
         for number in reply.lost:
@@ -365,7 +368,8 @@
             is_good = is_good and not self._health.is_ejected(executor)
             kept = []
             for slot in self._idle.pop(executor):
-                is_new = now - slot.idle_since <= kept_seconds
+                # Without an owner, what is given back is lost to everybody.
+                is_new = self._has_lost_owner or now - slot.idle_since <= kept_seconds
                 (kept if is_good and is_new else dropped).append(slot)
             if kept:
                 self._idle[executor] = kept
--- a/libs/gateway/src/cactustiller/gateway/routes/jobs.py
+++ b/libs/gateway/src/cactustiller/gateway/routes/jobs.py
@@ -13,14 +13,13 @@
 )
 from cactustiller.ownership import home_of_team
 
-from ..bodies import Submission, read_body
+from ..bodies import Submission, read_body, read_idempotency_key
 from ..context import get_authorization, get_gateway
 from ..errors import raise_failure, refuse
 from ..jobids import home_of_job, is_submitted_by, make_job_id
 
 SUBMIT_SECONDS = 12.0
 QUERY_SECONDS = 6.0
-MAX_IDEMPOTENCY_KEY_CHARACTERS = 255
 
 log = structlog.get_logger(__name__)
 
@@ -32,7 +31,7 @@
     body = await read_body(request, Submission)
     values = gateway.guard.check_submission(caller, body.team, body.queue)
     spec = make_spec(body, values)
-    key = _read_idempotency_key(request)
+    key = read_idempotency_key(request)
     job = make_job_id(body.team, caller.team or caller.key, key)
     home = home_of_team(body.team)
     message = SubmitJob(home=home, job=job, spec=spec, key=caller.key)
@@ -155,14 +154,6 @@
     return answer.unwrap()
 
 
-def _read_idempotency_key(request):
-    key = request.headers.get("Idempotency-Key")
-    if key is not None and not 0 < len(key) <= MAX_IDEMPOTENCY_KEY_CHARACTERS:
-        reason = f"Idempotency-Key: must have 1 to {MAX_IDEMPOTENCY_KEY_CHARACTERS}"
-        raise refuse(ErrorCode.INVALID, "read headers", f"{reason} characters")
-    return key
-
-
 ROUTES = (
     web.post("/v1/jobs", submit_job),
     web.get("/v1/jobs", list_jobs),
--- a/libs/gateway/src/cactustiller/gateway/routes/requests.py
+++ b/libs/gateway/src/cactustiller/gateway/routes/requests.py
@@ -1,17 +1,20 @@
 """Interactive requests to backend services."""
 
+import asyncio
 import re
 import secrets
+from functools import partial
 
 from aiohttp import web
 
 from cactustiller.model import ErrorCode, FailureError
 
-from ..bodies import read_number
+from ..bodies import read_idempotency_key, read_number
 from ..context import get_authorization, get_gateway
 from ..errors import raise_failure, refuse
 from ..forwarding import ServiceRequest
 
+BODY_SECONDS = 30.0
 REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 
 
@@ -30,8 +33,14 @@
         urgency=values.urgency,
     )
     gateway.metrics.count("requests")
+    key = read_idempotency_key(request)
+    run = partial(gateway.router.route, service_request, values)
     try:
-        answer = await gateway.router.route(service_request, values)
+        if key is None or service_request.idempotent:
+            answer = await run()
+        else:
+            scope = (caller.team or caller.key, key)
+            answer = await gateway.records.run_once(scope, service_request, run)
     except FailureError as error:
         raise_failure(error.failure, request=service_request.id)
     return web.Response(
@@ -49,10 +58,15 @@
     if request.content_length is not None and request.content_length > max_bytes:
         raise _refuse_length(max_bytes)
     body = bytearray()
-    async for chunk in request.content.iter_any():
-        body += chunk
-        if len(body) > max_bytes:
-            raise _refuse_length(max_bytes)
+    try:
+        async with asyncio.timeout(BODY_SECONDS):
+            async for chunk in request.content.iter_any():
+                body += chunk
+                if len(body) > max_bytes:
+                    raise _refuse_length(max_bytes)
+    except TimeoutError:
+        reason = f"body: not whole after {BODY_SECONDS:.0f} s"
+        raise refuse(ErrorCode.INVALID, "read body", reason) from None
     return bytes(body)
 
 
--- a/libs/gateway/src/cactustiller/gateway/routing.py
+++ b/libs/gateway/src/cactustiller/gateway/routing.py
@@ -76,7 +76,7 @@
 
     def report_permits(self, message):
         """Return the permits held of a service to the pool's new owner."""
-        return self._get_store(message.service).report(message.epoch)
+        return self.get_store(message.service).report(message.epoch)
 
     async def route(self, request, values):
         """Return the `ServiceAnswer` to a request.
@@ -94,7 +94,7 @@
             raise refuse(ErrorCode.NOT_FOUND, "find service", reason)
         self._budget.note_request(values.request_retry_percent)
         deadline = asyncio.get_running_loop().time() + request.seconds
-        store = self._get_store(request.service)
+        store = self.get_store(request.service)
         if request.seconds > store.longest_seconds:
             started = asyncio.get_running_loop().time()
             deadline = started + await store.limit_seconds(request.seconds)
@@ -194,10 +194,11 @@
         # A gateway without requests confirms ballots for the others too.
         while True:
             for service in self._directory.list_services():
-                self._get_store(service)
+                self.get_store(service)
             await asyncio.sleep(FOLLOW_SECONDS)
 
-    def _get_store(self, service):
+    def get_store(self, service):
+        """Return the `PermitStore` of a service, started on demand."""
         store = self._stores.get(service)
         if store is None:
             health = ExecutorHealth(partial(self._directory.list_usable, service))
--- a/libs/gateway/src/cactustiller/gateway/serving.py
+++ b/libs/gateway/src/cactustiller/gateway/serving.py
@@ -16,6 +16,7 @@
 from .callers import KeyGuard
 from .calls import OwnerCalls
 from .context import GATEWAY, Gateway, Phase, count_in_flight
+from .deduplication import RequestRecords
 from .errors import render_failures
 from .executors import ExecutorDirectory
 from .inbox import answer_peer
@@ -60,6 +61,7 @@
         calls=OwnerCalls(member),
         directory=directory,
         router=RequestRouter(member, directory, metrics),
+        records=RequestRecords(member),
         metrics=metrics,
         stop=stop,
     )
@@ -82,6 +84,7 @@
         await gateway.replica.start()
         await gateway.directory.start()
         gateway.router.start()
+        gateway.records.start()
         runner = web.AppRunner(
             build_app(gateway),
             shutdown_timeout=DRAIN_SECONDS,
@@ -117,6 +120,7 @@
         except TimeoutError:
             log.error("requests_cut", in_flight=gateway.in_flight)
     await runner.cleanup()
+    await gateway.records.stop()
     await gateway.router.stop()
     await gateway.directory.stop()
     await gateway.replica.stop()
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -27,7 +27,10 @@
 
 
 class RequestEvent(Record):
-    """Start or end of a request; `busy` counts the requests after the event."""
+    """Start or end of a request; `busy` counts the requests after the event.
+
+    Of a refused request `busy` is how many there would have been with it.
+    """
 
     at: float
     executor: str
@@ -91,9 +94,10 @@
         until = asyncio.get_running_loop().time() + deadline_ms / 1000
         body = await request.read()
         if self.busy >= self.info.slots:
+            self._record(name, "refused", self.busy + 1)
             return web.Response(status=503, headers=headers | {"x-not-run": "1"})
         self.busy += 1
-        self._record(name, "start")
+        self._record(name, "start", self.busy)
         try:
             async with asyncio.timeout_at(until):
                 await asyncio.sleep((work_ms + self.faults.slow_ms) / 1000)
@@ -102,7 +106,7 @@
             return web.Response(status=504, headers=headers)
         finally:
             self.busy -= 1
-            self._record(name, "end")
+            self._record(name, "end", self.busy)
         if self.faults.cut_answers:
             return cut_connection(request)
         if self.faults.fail:
@@ -112,14 +116,14 @@
             body = bytes(repeated)
         return web.Response(body=body, headers=headers)
 
-    def _record(self, name, event):
+    def _record(self, name, event, busy):
         self.events.append(
             RequestEvent.model_construct(
                 at=asyncio.get_running_loop().time(),
                 executor=self.info.executor,
                 request=name,
                 event=event,
-                busy=self.busy,
+                busy=busy,
                 connections=self.count_connections(),
             )
         )
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -10,6 +10,7 @@
 from cactustiller.gateway.callers import KeyGuard
 from cactustiller.gateway.calls import OwnerCalls
 from cactustiller.gateway.context import Gateway
+from cactustiller.gateway.deduplication import RequestRecords
 from cactustiller.gateway.executors import ExecutorDirectory
 from cactustiller.gateway.routing import RequestRouter
 from cactustiller.model import ErrorCode, Failure, MemberRecord, Outcome
@@ -307,6 +308,7 @@
             calls=OwnerCalls(member),
             directory=directory,
             router=RequestRouter(member, directory, metrics),
+            records=RequestRecords(member),
             metrics=metrics,
             stop=asyncio.Event(),
         )
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -85,3 +85,39 @@
 async def test_unknown_service_is_not_found(cell):
     response, _ = await cell.call("POST", "/v1/requests/nothing")
     assert response.status == 404
+
+
+async def test_caller_that_goes_leaves_the_slot_counted(cell):
+    for executor in cell.executors.values():
+        executor.release.clear()
+    task = asyncio.create_task(cell.call("POST", PATH, headers={"X-Request-Id": "r"}))
+    while not list_runs(cell):
+        await asyncio.sleep(0.01)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    counters = cell.gateway.metrics.counters
+    while not counters["requests_cancelled"]:
+        await asyncio.sleep(0.01)
+    store = cell.gateway.router.get_store("prices")
+    assert len(store._lingering) == 1
+    assert list_runs(cell) == ["r"]
+
+
+async def test_each_connection_belongs_to_a_permit(cell):
+    await asyncio.gather(*(cell.call("POST", PATH, data=b"x") for _ in range(60)))
+    store = cell.gateway.router.get_store("prices")
+    used = cell.home.pool.count_used()
+    for name, executor in cell.executors.items():
+        connections = len(executor.server.handler.connections)
+        assert connections <= used[name] <= 8
+    assert store.held == used.total()
+
+
+async def test_long_deadline_is_told_to_the_owner_first(cell):
+    store = cell.gateway.router.get_store("prices")
+    change = {"path": "demo/main/red", "name": "request_timeout_ms", "value": 60_000}
+    await cell.call("PATCH", "/v1/settings", "operator", change)
+    response, _ = await cell.call("POST", PATH, headers={"X-Deadline-Ms": "50000"})
+    assert response.status == 200
+    assert store.longest_seconds >= 50
+    assert cell.home.pool._longest_ms >= 50_000
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -1,6 +1,8 @@
 """Slots under faults: the state machine and the cases that have a name."""
 
 import asyncio
+import contextlib
+import functools
 
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -107,3 +109,92 @@
     suppress_health_check=list(HealthCheck),
 )
 TestSlots = SlotMachine.TestCase
+
+
+def run_on_new_loop(function):
+    """Make a test of a coroutine function that runs on a loop of its own."""
+
+    @functools.wraps(function)
+    def run():
+        loop = new_loop()
+        try:
+            loop.run_until_complete(function())
+        finally:
+            loop.close()
+
+    # The plug-in for coroutine tests would look at the wrapped function.
+    del run.__wrapped__
+    return run
+
+
+@contextlib.asynccontextmanager
+async def open_cell(slots=2):
+    cell = SlotCell(slots=slots, seed=7)
+    cell.take_over()
+    tasks = [
+        asyncio.create_task(coroutine)
+        for coroutine in (cell.renew_leases(), cell.renew_ownership())
+    ]
+    await asyncio.sleep(1.5)
+    try:
+        yield cell
+    finally:
+        for task in tasks:
+            task.cancel()
+        await cell.stop()
+
+
+async def send_until(cell, seconds, work_seconds=0.1):
+    """Send from every gateway in turn; return how many were answered."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    answered = 0
+    while loop.time() < until:
+        for name in GATEWAYS:
+            answered += await cell.send(name, work_seconds, 1.0)
+        await asyncio.sleep(0.05)
+    return answered
+
+
+@run_on_new_loop
+async def test_requests_flow_through_a_table_outage_and_the_owners_death():
+    async with open_cell(slots=8) as cell:
+        assert await send_until(cell, 3) > 20
+        cell.is_table_down = True
+        assert await send_until(cell, 8) > 60
+        cell.owners[-1].is_ready = False
+        await cell.owners[-1].stop()
+        assert await send_until(cell, 15) > 110
+        cell.is_table_down = False
+        cell.owners[-1].lease_until = 0.0
+        cell.take_over()
+        await asyncio.sleep(2.0)
+        assert await send_until(cell, 4) > 25
+        assert cell.highest <= cell.slots
+
+
+@run_on_new_loop
+async def test_gateway_cut_off_from_the_owner_alone_stops():
+    async with open_cell() as cell:
+        tasks = [cell.send("g0", 60.0, 2.0) for _ in range(4)]
+        await asyncio.sleep(0.3)
+        assert sum(cell.busy.values()) == 4
+        cell.cut_links |= {("g0", "s1"), ("s1", "g0")}
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(20.0)
+        assert cell.gateways["g0"].store.take() is None
+        tasks = [cell.send("g1", 1.0, 2.0) for _ in range(4)]
+        assert sum(await asyncio.gather(*tasks)) == 4
+        assert cell.highest <= cell.slots
+
+
+@run_on_new_loop
+async def test_confirmation_needs_a_majority():
+    async with open_cell() as cell:
+        assert await cell.send("g0", 0.1, 1.0)
+        cell.is_table_down = True
+        await cell.owners[-1].stop()
+        cell.cut_links |= {("g0", "g1"), ("g0", "g2"), ("g0", "s1")}
+        await asyncio.sleep(10.0)
+        assert cell.gateways["g0"].store.take() is None
+        assert await cell.send("g0", 0.1, 1.0) is False
--- a/tests/standins/test_standin_backends.py
+++ b/tests/standins/test_standin_backends.py
@@ -39,4 +39,13 @@
     assert await run(session) == (503, "1", b"")
     executor.set_faults({"hang": False})
     assert await hanging == (200, None, b"hello")
-    assert [event.busy for event in executor.events] == [1, 0]
+    history = [(event.event, event.busy) for event in executor.events]
+    assert history == [("start", 1), ("refused", 2), ("end", 0)]
+
+
+async def test_work_ends_at_the_deadline(served):
+    executor, session, _ = served
+    executor.set_faults({"hang": True})
+    async with session.post("/v1/run", headers={"x-deadline-ms": "20"}) as response:
+        assert response.status == 504
+    assert executor.busy == 0
