--- a/libs/gateway/src/cactustiller/gateway/serving.py
+++ b/libs/gateway/src/cactustiller/gateway/serving.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from cactustiller.model import MemberRecord, Role
-from cactustiller.ownership import Member, Metrics, SettingsReplica
+from cactustiller.ownership import Member, Metrics, SettingsEditor, SettingsReplica
 from cactustiller.platform import HttpInstanceList, HttpTable
 
 from .bodies import MAX_JSON_BYTES
@@ -47,14 +47,14 @@
         return await answer_peer(message, gateway, hello)
 
     member = Member(_make_record(settings), table, settings.timing, handle)
-    replica = SettingsReplica(member, settings.site, settings.cell, settings.timing)
-    directory = ExecutorDirectory(
-        HttpInstanceList(session, settings.platform.instances)
-    )
+    replica = SettingsReplica(member, settings.timing, settings.peers)
+    instances = HttpInstanceList(session, settings.platform.instances)
+    directory = ExecutorDirectory(instances)
     metrics = Metrics()
     gateway = Gateway(
         member=member,
         replica=replica,
+        editor=SettingsEditor(replica, member, settings.site, settings.cell),
         guard=KeyGuard(
             replica, settings.site, settings.cell, settings.first_operator_key_file
         ),
@@ -64,6 +64,7 @@
         records=RequestRecords(member),
         metrics=metrics,
         stop=stop,
+        ports={"table": table, "instances": instances},
     )
     return gateway
 
@@ -82,6 +83,7 @@
         await gateway.member.listen()
         await gateway.member.start()
         await gateway.replica.start()
+        await gateway.editor.create_default()
         await gateway.directory.start()
         gateway.router.start()
         gateway.records.start()
--- a/libs/ownership/src/cactustiller/ownership/__init__.py
+++ b/libs/ownership/src/cactustiller/ownership/__init__.py
@@ -1,6 +1,8 @@
 """Members, their leases, and the single owner of each partition."""
 
 from .claims import Claims
+from .control import count_control
+from .editor import SettingsEditor
 from .member import Member
 from .metrics import Metrics, merge_stats
 from .partitions import (
@@ -22,7 +24,9 @@
     "Owner",
     "Ownership",
     "SettingsChange",
+    "SettingsEditor",
     "SettingsReplica",
+    "count_control",
     "home_of_team",
     "list_homes",
     "list_partitions",
--- a/libs/scheduler/src/cactustiller/scheduler/incarnation.py
+++ b/libs/scheduler/src/cactustiller/scheduler/incarnation.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import json
-import time
 from typing import NamedTuple
 
 import structlog
 
 from cactustiller.model import Role
-from cactustiller.ownership import Claims, Member, SettingsReplica, list_partitions
+from cactustiller.ownership import (
+    Claims,
+    Member,
+    Metrics,
+    SettingsReplica,
+    count_control,
+    list_partitions,
+)
 from cactustiller.platform import InstanceListPort, TablePort, WorkerPort
 from cactustiller.platform.records import InstanceListing
 from cactustiller.settings import ResolvedValues, has_path, resolve
@@ -17,7 +23,9 @@
 from .dispatch import Dispatcher
 from .exchange import Exchange
 from .handlers import Handlers
+from .measures import export_holdings
 from .partitions import Partitions
+from .supervision import watch_task
 from .views import CellView
 
 LIST_SECONDS = 1.0
@@ -44,24 +52,24 @@
     settings : InstanceSettings
     record : MemberRecord
     ports : Ports
-    peers : PeerClient, optional
-        Replaces the connections to peers in tests.
+    transport : dict
+        Arguments of `Member` that replace the connections to peers in tests.
     """
 
-    def __init__(self, settings, record, ports, peers=None):
+    def __init__(self, settings, record, ports, **transport):
         self._settings = settings
         self._ports = ports
         self._listing = InstanceListing()
         self._drain_asked = asyncio.Event()
+        self._failure = None
+        self.metrics = Metrics()
         self.member = Member(
-            record, ports.table, settings.timing, self._handle, peers=peers
-        )
-        self.replica = SettingsReplica(
-            self.member, settings.site, settings.cell, settings.timing
+            record, ports.table, settings.timing, self._handle, **transport
         )
+        self.replica = SettingsReplica(self.member, settings.timing, settings.peers)
         self.view = CellView()
         self.partitions = Partitions(
-            self.member, ports.workers, settings.timing, WallClock(), lambda: None
+            self.member, ports.workers, settings.timing, WallClock(), self._note_failure
         )
         self.dispatcher = Dispatcher(
             self.member,
@@ -73,21 +81,24 @@
         self.exchange = Exchange(self.member, self.partitions.shards, self._take_views)
         self.partitions.wake_dispatcher = self.dispatcher.wake
         self.partitions.wake_exchange = self.exchange.wake
+        self.partitions.record_wait = self.metrics.record_wait
         self.partitions.resume_home = self.dispatcher.resume
         self.handlers = Handlers(self)
         self.claims = Claims(
             self.member,
             lambda: list_partitions(self._listing),
             self.partitions.release,
+            self.partitions.reopen,
             settings.timing.heartbeat_seconds,
         )
         self._tasks = []
 
     async def run(self, stop):
-        """Join, work until fenced or told to stop, then hand over."""
+        """Join and work until fenced, failed or told to stop; then hand over."""
         await self.member.listen()
         try:
-            await self._work(stop)
+            if await self._start(stop):
+                await self._work(stop)
         finally:
             for task in self._tasks:
                 task.cancel()
@@ -97,8 +108,20 @@
             await self.partitions.stop()
             await self.member.stop()
 
+    async def _start(self, stop):
+        """Join the cell; return False if told to stop before that is done."""
+        joining = asyncio.create_task(self.member.start())
+        stopping = asyncio.create_task(stop.wait())
+        await asyncio.wait({joining, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        stopping.cancel()
+        if not joining.done():
+            joining.cancel()
+            await asyncio.gather(joining, return_exceptions=True)
+            return False
+        joining.result()
+        return True
+
     async def _work(self, stop):
-        await self.member.start()
         await self.replica.start()
         self.member.ownership_changes.subscribe(self.partitions.note_ownership)
         self.partitions.note_ownership(self.member.ownership)
@@ -114,22 +137,28 @@
                 self._list_regularly(),
             )
         ]
-        await self._wait_for_end(stop)
-        if not self.member.is_fenced:
+        for task in self._tasks:
+            watch_task(task, self._note_failure)
+        if await self._wait_for_end(stop):
             await self._drain()
 
     async def _wait_for_end(self, stop):
+        """Wait until the work ends; return whether to hand over."""
         while not (stop.is_set() or self._drain_asked.is_set()):
-            if self.member.is_fenced:
-                return
-            self._raise_failed_task()
+            if self.member.is_fenced or self._failure is not None:
+                return False
             await asyncio.sleep(FENCE_POLL_SECONDS)
         stop.set()
-
-    def _raise_failed_task(self):
-        for task in self._tasks:
-            if task.done() and not task.cancelled():
-                task.result()
+        return not self.member.is_fenced
+
+    def _note_failure(self, error):
+        """End the incarnation after a fault of the program."""
+        log.error(
+            "incarnation_failed",
+            reason=f"{type(error).__name__}: {error}",
+            exc_info=error,
+        )
+        self._failure = error
 
     async def _drain(self):
         """Hand every partition over, as far as others can take them."""
@@ -170,20 +199,16 @@
         self._take_views(views)
 
     def export_stats(self):
-        """Return the member's counters as JSON text."""
-        commits = self.member.committer.counters
-        traffic = self.member.traffic
-        counters = {
-            "decisions": self.dispatcher.decisions,
-            "table_transactions": commits.transactions,
-            "table_records": commits.records,
-            "lost_answers_resolved": commits.lost_answers,
-            "peer_sent_bytes": traffic.sent_bytes,
-            "peer_received_bytes": traffic.received_bytes,
-            "peer_sent_messages": traffic.sent_messages,
-            "processor_milliseconds": int(time.process_time() * 1000),
-        }
-        return json.dumps({"counters": counters, "histograms": {}})
+        """Return the member's counters and histograms as JSON text."""
+        # First, so that the export's own cost shows in the next one.
+        control = count_control(self.member, self._ports._asdict())
+        export = export_holdings(self.partitions, self.find_values)
+        counted = self.metrics.export()
+        export["histograms"] |= counted["histograms"]
+        export["counters"] = (
+            counted["counters"] | control | {"decisions": self.dispatcher.decisions}
+        )
+        return json.dumps(export)
 
     def _take_views(self, views):
         self.view.take_views(views)
--- a/libs/scheduler/src/cactustiller/scheduler/partitions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/partitions.py
@@ -12,6 +12,7 @@
 from .home import Home
 from .pools import Pool
 from .shard import Shard
+from .supervision import watch_task
 
 RECOVER_RETRY_SECONDS = 0.5
 GATEWAY_CALL_SECONDS = 1.0
@@ -28,6 +29,8 @@
     worker_port : WorkerPort
     timing : TimingSettings
     clock : WallClock
+    note_failure : callable
+        Function of an exception that has ended a background task.
 
     Attributes
     ----------
@@ -36,16 +39,20 @@
         Called when there is work to place or something to report.
     resume_home : callable
         Called with a home that has been recovered.
+    record_wait : callable
+        Called with kind, team, queue and waiting seconds of a task's first start.
     """
 
-    def __init__(self, member, worker_port, timing, clock, nothing):
+    def __init__(self, member, worker_port, timing, clock, note_failure):
         self.homes = {}
         self.shards = {}
         self.pools = {}
         self.clock = clock
-        self.wake_dispatcher = nothing
-        self.wake_exchange = nothing
+        self.wake_dispatcher = lambda: None
+        self.wake_exchange = lambda: None
         self.resume_home = lambda home: None
+        self._note_failure = note_failure
+        self.record_wait = lambda kind, team, queue, seconds: None
         self._member = member
         self._worker_port = worker_port
         self._timing = timing
@@ -53,6 +60,7 @@
         self._changed = asyncio.Event()
         self._home_owners = {}
         self._starting = {}
+        self._released = set()
 
     def note_ownership(self, _ownership):
         """Ask for the partitions to be brought in line with the ownership row."""
@@ -78,12 +86,17 @@
 
     async def release(self, partition):
         """Stop new work under a partition that is about to be handed over."""
+        self._released.add(partition)
         item = self.homes.get(partition) or self.shards.get(partition)
         if item is not None:
             await item.release()
-        pool = self.pools.pop(partition, None)
-        if pool is not None:
-            await pool.stop()
+
+    def reopen(self, partition):
+        """Resume work under a partition whose hand-over has failed."""
+        self._released.discard(partition)
+        item = self.homes.get(partition) or self.shards.get(partition)
+        if item is not None:
+            item.reopen()
 
     async def set_listing(self, listing):
         """Take the platform's list of workers and executors."""
@@ -96,7 +109,7 @@
     def find(self, family, partition):
         """Return a recovered partition; ``None`` where it is not served here."""
         item = family.get(partition)
-        if item is None or not getattr(item, "is_recovered", True):
+        if item is None or partition in self._released:
             return None
         return item
 
@@ -118,6 +131,7 @@
                 if self._is_current(partition, item.epoch):
                     continue
                 del family[partition]
+                self._released.discard(partition)
                 await item.stop()
                 log.info("partition_stopped", partition=partition, epoch=item.epoch)
         for (partition, epoch), task in list(self._starting.items()):
@@ -140,6 +154,7 @@
             if is_served or key in self._starting or not member.owns(partition):
                 continue
             task = asyncio.create_task(self._start(partition, epoch))
+            watch_task(task, self._note_failure)
             self._starting[key] = task
             task.add_done_callback(lambda _, key=key: self._starting.pop(key, None))
 
@@ -153,6 +168,8 @@
 
     async def _start_home(self, partition, epoch):
         home = Home(partition, epoch, self._member, self.clock, self.wake_dispatcher)
+        home.on_failure = self._note_failure
+        home.record_wait = self.record_wait
         while not await home.recover():
             await asyncio.sleep(RECOVER_RETRY_SECONDS)
         self.homes[partition] = home
@@ -161,6 +178,7 @@
     async def _start_shard(self, partition, epoch):
         shard = Shard(partition, epoch, self._member, self._worker_port, self._timing)
         shard.on_change = self.wake_exchange
+        shard.on_failure = self._note_failure
         while not await shard.recover():
             await asyncio.sleep(RECOVER_RETRY_SECONDS)
         self.shards[partition] = shard
