--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -33,7 +33,7 @@
     outputs = await asyncio.gather(
         *(_run_process(urls, headers, n, seconds, warm_up_seconds) for n in counts)
     )
-    histogram = create_histogram()
+    histogram = create_histogram("request")
     statuses = {}
     for output in outputs:
         histogram.decode_and_add(output["histogram"])
--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -26,6 +26,7 @@
 GATEWAYS = 9
 SKEWED_CALLERS = (150, *[10] * (GATEWAYS - 1))
 SKEWED_WORK_MS = 400
+SKEWED_WARM_UP_SECONDS = 3.0
 REFUSED_SECONDS = 10.0
 
 
@@ -98,13 +99,18 @@
     for gateway, callers in zip(operator.gateways, SKEWED_CALLERS, strict=True):
         urls = executors if is_split else [make_url(gateway)]
         count = min(callers, share) if is_split else callers
-        loads.append(run_load(urls, headers, count, seconds, warm_up_seconds=3.0))
+        loads.append(
+            run_load(
+                urls, headers, count, seconds, warm_up_seconds=SKEWED_WARM_UP_SECONDS
+            )
+        )
     results = await asyncio.gather(*loads)
-    # The stand-in's loop clock is the machine's monotonic clock, as is ours.
-    ended = time.monotonic() - 1.0
     events = await read_history(cell)
     recent = [event for event in events if event["at"] >= started]
-    busy = measure_busy_slots(recent, ended - seconds / 2, ended)
+    # The stand-in's loop clock is the machine's monotonic clock, as is ours. Load
+    # processes take a second to start, so all of them are at work in this window.
+    first = started + SKEWED_WARM_UP_SECONDS + 1.0
+    busy = measure_busy_slots(recent, first, first + seconds - 1.0)
     statuses = {}
     for result in results:
         for status, number in result.statuses.items():
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -35,7 +35,7 @@
         self.headers = headers
         self.seconds = seconds
         self.warm_up_seconds = warm_up_seconds
-        self.histogram = create_histogram()
+        self.histogram = create_histogram("request")
         self.statuses = Counter()
 
     async def run(self, callers):
