Keep pools of one epoch apart by their build

Cause: the permits model names a fault: a pool built again under its epoch (after a hand-over that failed) repeated numbers and took back no permit of its own epoch, so it could grant held slots again. Change: numbers and ballots contain a count of the pools that the process has built.

--- a/libs/scheduler/src/cactustiller/scheduler/ballots.py
+++ b/libs/scheduler/src/cactustiller/scheduler/ballots.py
@@ -10,7 +10,8 @@
 
 from cactustiller.model.messages import HeldPermits, ReportPermits
 
-ROUND_BITS = 16
+ROUND_BITS = 40
+BUILD_BITS = 20
 CONFIRMED_SECONDS = 1.5
 
 
@@ -38,10 +39,12 @@
     ----------
     service : ServiceName
     epoch : int
+    build : int
+        How many pools this process has built before; orders those of one epoch.
     """
 
-    def __init__(self, service, epoch):
-        self.current = make_ballot(epoch, 1)
+    def __init__(self, service, epoch, build=0):
+        self.current = make_ballot(epoch, (build << BUILD_BITS) + 1)
         self.confirmed_until = float("-inf")
         self.is_superseded = False
         self._service = service
--- a/libs/scheduler/src/cactustiller/scheduler/partitions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/partitions.py
@@ -1,6 +1,7 @@
 """Homes, shards and pools that a member owns, in line with the ownership row."""
 
 import asyncio
+import itertools
 
 import structlog
 
@@ -60,6 +61,7 @@
         self._changed = asyncio.Event()
         self._home_owners = {}
         self._starting = {}
+        self._builds = itertools.count()
         self._released = set()
 
     def note_ownership(self, _ownership):
@@ -192,7 +194,8 @@
         while not await self._member.refresh():
             await asyncio.sleep(RECOVER_RETRY_SECONDS)
         service = partition.removeprefix(POOL_PREFIX)
-        pool = Pool(service, epoch, self._listing.backends, has_lease)
+        build = next(self._builds)
+        pool = Pool(service, epoch, self._listing.backends, has_lease, build)
         await pool.recover(self._call_gateways)
         pool.start(self._call_gateways)
         self.pools[partition] = pool
--- a/libs/scheduler/src/cactustiller/scheduler/pools.py
+++ b/libs/scheduler/src/cactustiller/scheduler/pools.py
@@ -18,7 +18,8 @@
 WAITING_SECONDS = 0.5
 CHECK_SECONDS = 0.5
 FORGET_SECONDS = 60.0
-NUMBER_BITS = 32
+EPOCH_SHIFT = 44
+BUILD_SHIFT = 32
 
 log = structlog.get_logger(__name__)
 
@@ -66,12 +67,15 @@
     executors : list of BackendInfo
     has_lease : callable
         Returns whether this owner's lease holds now.
+    build : int
+        How many pools this process has built before, so that a pool built again
+        under its epoch neither repeats numbers nor follows its own old ballots.
     """
 
-    def __init__(self, service, epoch, executors, has_lease):
+    def __init__(self, service, epoch, executors, has_lease, build=0):
         self.service = service
         self.epoch = epoch
-        self.ballots = Ballots(service, epoch)
+        self.ballots = Ballots(service, epoch, build)
         self._has_lease = has_lease
         self._executors = {}
         self._grants = {}
@@ -81,7 +85,8 @@
         self._holders = {}
         self._release = None
         self._longest_ms = 0
-        self._next_number = epoch << NUMBER_BITS
+        self._first_number = (epoch << EPOCH_SHIFT) + (build << BUILD_SHIFT)
+        self._next_number = self._first_number
         self._task = None
         self.set_executors(executors)
 
@@ -265,7 +270,7 @@
         """Take over a grant of an earlier owner; return whether it may stand."""
         if permit.number in self._grants or not self._is_narrowed:
             return False
-        if permit.number >> NUMBER_BITS >= self.epoch:
+        if permit.number >= self._first_number:
             return False
         info = self._executors.get(permit.executor)
         if info is not None and self._proven[permit.executor] >= info.slots:
--- a/tests/scheduler/test_pools.py
+++ b/tests/scheduler/test_pools.py
@@ -236,3 +236,14 @@
 )
 def test_level_shares_what_is_there(wanted, available, level):
     assert find_level(wanted, available) == level
+
+
+async def test_pool_built_again_under_its_epoch_keeps_what_is_held():
+    holder, other = Holder("g1"), Holder("g2")
+    holder.acquire(build_pool(), 5)
+    again = Pool("prices", 1, [build_executor("x1")], lambda: True, build=1)
+    await again.recover(connect(holder, other))
+    assert len(other.acquire(again, SLOTS)) == SLOTS - 5
+    numbers = [permit.number for permit in holder.held + other.held]
+    assert len(set(numbers)) == SLOTS
+    assert holder.ask(again, 0).lost == []
