--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 MINUTES ?= 5
 
 .PHONY: setup test lint format demo cell chaos soak model bench-idle \
-	bench-recovery bench-control bench-dissemination
+	bench-control bench-dissemination bench-gateway bench-recovery check-slots
 
 setup: $(VENV)/.ready
 
@@ -54,6 +54,12 @@
 bench-dissemination: setup
 	$(PYTHON) -m benchmarks.dissemination
 
+bench-gateway: setup
+	$(PYTHON) -m benchmarks.gateway
+
+check-slots: setup
+	$(PYTHON) -m benchmarks.gateway_slots
+
 bench-control: setup
 	$(PYTHON) -m benchmarks.control
 
