--- a/libs/scheduler/src/cactustiller/scheduler/dispatch.py
+++ b/libs/scheduler/src/cactustiller/scheduler/dispatch.py
@@ -38,7 +38,7 @@
     view : CellView
     clock : WallClock
     find_values : callable
-        Returns the `ResolvedValues` of a team and queue.
+        Returns the `ResolvedValues` of a team and queue; None if not known.
     """
 
     def __init__(self, member, homes, view, clock, find_values):
@@ -81,6 +81,7 @@
             for home in self._homes.values()
             if home.is_recovered
             for entry in home.list_waiting()
+            if self._find_entry_values(entry) is not None
         }
         if not waiting:
             return
@@ -109,12 +110,16 @@
         now = self._clock.now()
         for home, entry in waiting.values():
             spec = entry.record.spec
-            values = self._find_values(spec.team, spec.queue)
+            values = self._find_entry_values(entry)
             if spec.team not in teams:
                 teams[spec.team] = _make_team(home, spec.team, values)
             jobs.append(_make_waiting(entry, values, now))
         return Snapshot(now, self._view.list_workers(), jobs, teams)
 
+    def _find_entry_values(self, entry):
+        spec = entry.record.spec
+        return self._find_values(spec.team, spec.queue)
+
     def _begin(self, home, entry, placements):
         runs_by_shard = {}
         for placement in placements:
--- a/libs/scheduler/src/cactustiller/scheduler/incarnation.py
+++ b/libs/scheduler/src/cactustiller/scheduler/incarnation.py
@@ -17,7 +17,7 @@
 )
 from cactustiller.platform import InstanceListPort, TablePort, WorkerPort
 from cactustiller.platform.records import InstanceListing
-from cactustiller.settings import ResolvedValues, has_path, resolve
+from cactustiller.settings import has_path, resolve
 
 from .clock import WallClock
 from .dispatch import Dispatcher
@@ -184,16 +184,18 @@
         self._drain_asked.set()
 
     def find_values(self, team, queue):
-        """Return the `ResolvedValues` of a team's queue; defaults if unknown."""
+        """Return the `ResolvedValues` of a team's queue; None if not known.
+
+        Without the team's settings its limits are not known either, as after a
+        start during an outage, so nothing of it may be placed.
+        """
         tree = self.replica.tree
         names = (self._settings.site, self._settings.cell, team)
-        if tree is None:
-            return ResolvedValues()
+        if tree is None or not has_path(tree, "/".join(names)):
+            return None
         if has_path(tree, "/".join((*names, queue))):
             return resolve(tree, *names, queue)
-        if has_path(tree, "/".join(names)):
-            return resolve(tree, *names)
-        return ResolvedValues()
+        return resolve(tree, *names)
 
     def take_views(self, views):
         """Take digests of workers' capacity."""
--- a/libs/scheduler/src/cactustiller/scheduler/measures.py
+++ b/libs/scheduler/src/cactustiller/scheduler/measures.py
@@ -66,7 +66,8 @@
     spec = entry.record.spec
     team = teams.get(spec.team)
     if team is None:
-        weight = find_values(spec.team, spec.queue).share_weight
+        values = find_values(spec.team, spec.queue)
+        weight = values.share_weight if values is not None else 0.0
         team = teams[spec.team] = {
             "weight": weight,
             "used": NOTHING,
--- a/tests/scheduler/builders.py
+++ b/tests/scheduler/builders.py
@@ -209,7 +209,11 @@
 class LimitedIncarnation(Incarnation):
     """Incarnation whose team `LIMITED_TEAM` has an upper limit."""
 
+    are_settings_known = True
+
     def find_values(self, team, queue):
+        if not self.are_settings_known:
+            return None
         limit = LIMIT_TASKS if team == LIMITED_TEAM else 0
         return ResolvedValues(limit_tasks=limit)
 
--- a/tests/scheduler/test_recovery.py
+++ b/tests/scheduler/test_recovery.py
@@ -4,6 +4,8 @@
 
 from cactustiller.model import JobState, Outcome, TaskState
 from cactustiller.ownership import home_of_team
+from cactustiller.scheduler.incarnation import Incarnation
+from cactustiller.settings import default_tree
 from tests.scheduler.builders import LIMITED_TEAM, MemoryCell, build_spec
 
 pytestmark = pytest.mark.looptime
@@ -268,3 +270,23 @@
     cell.table.is_down = False
     await cell.wait_for(lambda: is_over(cell, "j1"))
     assert cell.assert_safe().succeeded_twice == 0
+
+
+async def test_nothing_is_placed_while_the_settings_are_not_known(cell):
+    await cell.start()
+    owner = cell.find_owner(home_of_team("free")).incarnation
+    owner.are_settings_known = False
+    await submit(cell, "j1", tasks=4)
+    await asyncio.sleep(5.0)
+    assert cell.check().starts == 0
+    owner.are_settings_known = True
+    await cell.wait_for(lambda: is_over(cell, "j1"))
+
+
+async def test_limits_of_a_team_missing_from_the_settings_are_not_known(cell):
+    await cell.start()
+    owner = cell.daemons[0].incarnation
+    owner.replica.tree = default_tree("s", "c")
+    assert Incarnation.find_values(owner, "free", "q") is None
+    owner.replica.tree = None
+    assert Incarnation.find_values(owner, "free", "q") is None
