--- a/libs/model/src/cactustiller/model/jobs.py
+++ b/libs/model/src/cactustiller/model/jobs.py
@@ -59,7 +59,10 @@
 
 
 class JobRecord(Record):
-    """Row ``job/<home>/<job>``; times are seconds since the Unix epoch."""
+    """Row ``job/<home>/<job>``; times are seconds since the Unix epoch.
+
+    `run_seconds` is the longest run of its tasks that succeeded, 0 where unknown.
+    """
 
     job: JobId
     spec: JobSpec
@@ -71,6 +74,7 @@
     succeeded: int = 0
     failed: int = 0
     cancelled: int = 0
+    run_seconds: float = 0.0
 
 
 class TaskRecord(Record):
@@ -81,6 +85,8 @@
     state: TaskState = TaskState.WAITING
     attempt: Attempt = Attempt(0)
     failures: int = 0
+    preemptions: int = 0
+    run_seconds: float = 0.0
     worker: WorkerId = WorkerId("")
     shard: PartitionId = PartitionId("")
     changed_at: float = 0.0
--- a/libs/model/src/cactustiller/model/messages.capnp
+++ b/libs/model/src/cactustiller/model/messages.capnp
@@ -196,7 +196,19 @@
   used @1 :Resources;
   waiting @2 :Resources;
 }
-struct PublishUsage { member @0 :Text; full @1 :Bool; teams @2 :List(TeamUsage); }
+struct KeptCapacity { worker @0 :Text; tasks @1 :UInt32; amounts @2 :Resources; }
+struct ClaimView {
+  job @0 :Text;
+  since @1 :Float64;
+  startsInSeconds @2 :Float64;
+  kept @3 :List(KeptCapacity);
+}
+struct PublishUsage {
+  member @0 :Text;
+  full @1 :Bool;
+  teams @2 :List(TeamUsage);
+  claims @3 :List(ClaimView);
+}
 
 struct Permit {
   executor @0 :Text;
--- a/libs/model/src/cactustiller/model/messages.py
+++ b/libs/model/src/cactustiller/model/messages.py
@@ -230,12 +230,33 @@
     waiting: Resources = NOTHING
 
 
+class KeptCapacity(Record):
+    """Capacity of a worker that stays free for work which needs much at once."""
+
+    worker: WorkerId
+    tasks: int
+    amounts: Resources
+
+
+class ClaimView(Record):
+    """Claim of waiting work; `since` in seconds since the Unix epoch."""
+
+    job: JobId
+    since: float
+    starts_in_seconds: float
+    kept: list[KeptCapacity]
+
+
 class PublishUsage(Record):
-    """Usage of the teams of a member's homes; all of them where `full`."""
+    """Usage of the teams of a member's homes and all its claims.
+
+    The teams are those that changed, or all of them where `full`.
+    """
 
     member: MemberId
     full: bool
     teams: list[TeamUsage]
+    claims: list[ClaimView] = []
 
 
 class Permit(Record):
--- a/libs/policy/src/cactustiller/policy/__init__.py
+++ b/libs/policy/src/cactustiller/policy/__init__.py
@@ -1,9 +1,20 @@
 """Decisions as pure functions of a snapshot; no I/O and no clock."""
 
-from .planning import plan_placements
+from .estimates import MIDDLE_QUANTILE, RunTimes
+from .explaining import explain_waiting
+from .fleet import Fleet
+from .planning import Planner, make_planner, plan_placements
+from .policies import get_policy
+from .quarantine import Health, WorkerHealth
+from .shapes import find_obstacle
 from .snapshots import (
+    Amounts,
+    Claim,
+    LateJob,
     Placement,
     Plan,
+    Preemption,
+    RunningTask,
     Snapshot,
     TeamSnapshot,
     WaitingJob,
@@ -12,12 +23,27 @@
 )
 
 __all__ = [
+    "MIDDLE_QUANTILE",
+    "Amounts",
+    "Claim",
+    "Fleet",
+    "Health",
+    "LateJob",
     "Placement",
     "Plan",
+    "Planner",
+    "Preemption",
+    "RunTimes",
+    "RunningTask",
     "Snapshot",
     "TeamSnapshot",
     "WaitReason",
     "WaitingJob",
+    "WorkerHealth",
     "WorkerSnapshot",
+    "explain_waiting",
+    "find_obstacle",
+    "get_policy",
+    "make_planner",
     "plan_placements",
 ]
--- /dev/null
+++ b/libs/policy/src/cactustiller/policy/explaining.py
@@ -0,0 +1,68 @@
+"""Text that explains why a job waits."""
+
+
+def explain_waiting(planner, job, now):
+    """Return lines that say what a job waits for and in which order.
+
+    Parameters
+    ----------
+    planner : Planner
+    job : JobId
+    now : float
+        Wall-clock seconds.
+    """
+    state = planner.state
+    waiting = state.jobs.get(job)
+    if waiting is None:
+        return []
+    if job in planner.parked:
+        return [f"parked: {planner.parked[job]}"]
+    team = state.teams[waiting.spec.team]
+    lane = state.get_lane(job)
+    key = state.get_key(job)
+    lines = [f"waits: {lane.find_reason()}"]
+    lines.append(_describe_order(state, team, waiting, key))
+    lines.append(_describe_share(state, team))
+    lines.append(_describe_start(waiting, key, now, job in state.late))
+    claim = planner.claims.own.get(job)
+    if claim is not None:
+        lines.append(
+            f"capacity is kept on {len(claim.tasks)} workers; predicted start in "
+            f"{max(0.0, claim.start_at - now):.0f} s"
+        )
+    return lines
+
+
+def _describe_order(state, team, waiting, key):
+    same = [
+        lane
+        for lane in team.lanes.values()
+        if lane.shape.urgency == waiting.spec.urgency
+    ]
+    ahead = sum(lane.count_before(key) for lane in same)
+    jobs = sum(len(lane) for lane in same)
+    return (
+        f"order: {ahead + 1} of {jobs} waiting {waiting.spec.urgency} jobs of team "
+        f"{team.team}"
+    )
+
+
+def _describe_share(state, team):
+    level = team.level
+    teams = [other for other in state.teams.values() if any(other.sum_waiting())]
+    before = sum(other.level < level for other in teams)
+    return (
+        f"share: team {team.team} uses {team.share:.1%} of the cell, its "
+        f"fair share is {team.entitled:.1%}, it is owed {team.owed:+.1%}; {before} of "
+        f"{len(teams)} waiting teams go first"
+    )
+
+
+def _describe_start(waiting, key, now, is_late):
+    seconds = key.latest_start - now
+    if is_late:
+        finish = now + waiting.typical_seconds - waiting.deadline_at
+        return f"deadline: can't be met; it would end {max(0.0, finish):.0f} s late"
+    if waiting.deadline_at:
+        return f"deadline: it has to start within {seconds:.0f} s"
+    return f"ageing: it moves ahead of newer work, and is due in {seconds:.0f} s"
--- /dev/null
+++ b/libs/policy/src/cactustiller/policy/fleet.py
@@ -0,0 +1,200 @@
+"""Arrays over the usable workers, kept up to date one worker at a time."""
+
+from enum import Enum
+
+import numpy as np
+
+from cactustiller.model.jobs import MAX_TASKS_PER_JOB
+
+from .snapshots import Amounts
+
+KINDS_OF_AMOUNT = 3
+PLACE_NAMES = ("zone", "rack", "make")
+
+
+class Use(Enum):
+    """Which free capacity work may take.
+
+    Urgent work takes any; short work, which ends before the claims start, all but what
+    is kept for urgent work; long work only what nothing is kept for.
+    """
+
+    URGENT = "urgent"
+    SHORT = "short"
+    LONG = "long"
+
+
+class Fleet:
+    """Capacity of all workers as arrays; rows are ordered by worker id.
+
+    Attributes
+    ----------
+    names : list of WorkerId
+    total, free : ndarray of shape (3, workers)
+    version : int
+        Grows whenever the set of workers or a constant fact of one changes.
+    """
+
+    def __init__(self):
+        self.version = 0
+        self._snapshots = {}
+        self._is_stale = True
+        self._masks = {}
+        self._rebuild()
+
+    def put_worker(self, snapshot):
+        """Add a worker, or take its new free capacity."""
+        known = self._snapshots.get(snapshot.worker)
+        self._snapshots[snapshot.worker] = snapshot
+        if known is None or _facts_of(known) != _facts_of(snapshot):
+            self._is_stale = True
+        elif not self._is_stale:
+            self.free[:, self.rows[snapshot.worker]] = Amounts.of(snapshot.free)
+
+    def remove_worker(self, worker):
+        """Forget a worker that is not usable."""
+        if self._snapshots.pop(worker, None) is not None:
+            self._is_stale = True
+
+    def refresh(self):
+        """Bring the arrays in line with the set of workers."""
+        if self._is_stale:
+            self._rebuild()
+
+    def __contains__(self, worker):
+        return worker in self._snapshots
+
+    def __iter__(self):
+        return iter(self._snapshots)
+
+    def get_snapshot(self, row):
+        """Return the `WorkerSnapshot` of a row."""
+        return self._snapshots[self.names[row]]
+
+    def take(self, row, amounts, count=1):
+        """Use capacity of a row; a negative count gives it back."""
+        self.free[:, row] -= np.multiply(amounts, count)
+
+    def find_eligible(self, required):
+        """Return the mask of workers with all the required attributes."""
+        key = tuple(sorted(required.items()))
+        mask = self._masks.get(key)
+        if mask is None:
+            mask = np.ones(len(self.names), dtype=bool)
+            for name, value in key:
+                mask &= self._match(name, value)
+            self._masks[key] = mask
+        return mask
+
+    def count_preferred(self, preferred):
+        """Return for each row how many preferred attributes it has."""
+        count = np.zeros(len(self.names))
+        for name, value in preferred.items():
+            count += self._match(name, value)
+        return count
+
+    def get_open(self, use):
+        """Return the free capacity that a `Use` may take."""
+        kept = self._keeps[use]
+        return self.free if kept is None else self.free - kept
+
+    def find_room(self, amounts, use):
+        """Return the mask of rows with room for one task."""
+        free = self.get_open(use)
+        cpu, memory, accelerators = amounts
+        mask = free[0] >= cpu
+        mask &= free[1] >= memory
+        mask &= free[2] >= accelerators
+        return mask
+
+    def count_fitting(self, amounts, capacity):
+        """Return for each row how many tasks fit into `capacity`."""
+        counts = np.full(len(self.names), MAX_TASKS_PER_JOB)
+        counts[(capacity < 0).any(axis=0)] = 0
+        for available, amount in zip(capacity, amounts, strict=True):
+            if amount:
+                np.minimum(counts, np.maximum(available, 0) // amount, out=counts)
+        return counts
+
+    def set_kept(self, now, later):
+        """Keep capacity free.
+
+        Parameters
+        ----------
+        now, later : iterable of (WorkerId, Amounts)
+        """
+        kept_now = self._sum_kept(now)
+        kept_later = self._sum_kept(later)
+        self._keeps[Use.SHORT] = kept_now
+        if kept_later is None:
+            self._keeps[Use.LONG] = kept_now
+        else:
+            both = kept_later if kept_now is None else kept_now + kept_later
+            self._keeps[Use.LONG] = both
+
+    def _sum_kept(self, pairs):
+        kept = None
+        for worker, amounts in pairs:
+            row = self.rows.get(worker)
+            if row is not None:
+                kept = np.zeros_like(self.free) if kept is None else kept
+                kept[:, row] += amounts
+        return kept
+
+    def codes_of(self, place):
+        """Return the code of each row's ``rack`` or ``zone``."""
+        return self._codes[place]
+
+    def _match(self, name, value):
+        snapshots = (self._snapshots[worker] for worker in self.names)
+        return np.array(
+            [read_attribute(snapshot, name) == value for snapshot in snapshots],
+            dtype=bool,
+        )
+
+    def _rebuild(self):
+        self.version += 1
+        self._is_stale = False
+        self._masks = {}
+        self.names = sorted(self._snapshots)
+        self.rows = {worker: row for row, worker in enumerate(self.names)}
+        snapshots = [self._snapshots[worker] for worker in self.names]
+        self.total = _stack(snapshot.total for snapshot in snapshots)
+        self.free = _stack(snapshot.free for snapshot in snapshots)
+        self._keeps = dict.fromkeys(Use)
+        self.per_total = 1.0 / np.maximum(self.total[:2], 1)
+        self.sum_total = np.maximum(self.total.sum(axis=1), 1)
+        self.totals = self.sum_total.tolist()
+        self.has_accelerators = self.total[2] > 0
+        self._codes = {
+            place: _encode([getattr(snapshot, place) for snapshot in snapshots])
+            for place in PLACE_NAMES
+        }
+
+
+def read_attribute(snapshot, name):
+    """Return an attribute of a worker, None where it has none."""
+    if name in PLACE_NAMES:
+        return getattr(snapshot, name)
+    return snapshot.attributes.get(name)
+
+
+def _facts_of(snapshot):
+    return (
+        snapshot.shard,
+        snapshot.zone,
+        snapshot.rack,
+        snapshot.make,
+        snapshot.attributes,
+        snapshot.total,
+    )
+
+
+def _stack(resources):
+    rows = [Amounts.of(item) for item in resources]
+    return np.array(rows, dtype=np.int64).reshape(-1, KINDS_OF_AMOUNT).T.copy()
+
+
+def _encode(values):
+    codes = {value: code for code, value in enumerate(sorted(set(values)))}
+    return np.array([codes[value] for value in values], dtype=np.int64)
--- a/libs/policy/src/cactustiller/policy/ordering.py
+++ b/libs/policy/src/cactustiller/policy/ordering.py
@@ -1,28 +1,112 @@
-"""Order in which waiting jobs are considered."""
+"""Order in which the waiting work of one team is considered."""
 
-from cactustiller.model import Urgency
+from heapq import heapify, heappop, heappush
+from typing import NamedTuple
 
-URGENCY_RANK = {Urgency.URGENT: 0, Urgency.NORMAL: 1, Urgency.IDLE: 2}
+from cactustiller.model import JobId, Urgency
 
+URGENT_RANK, AT_RISK_RANK, NORMAL_RANK, IDLE_RANK = range(4)
+URGENCY_RANKS = {
+    Urgency.URGENT: URGENT_RANK,
+    Urgency.NORMAL: NORMAL_RANK,
+    Urgency.IDLE: IDLE_RANK,
+}
+AT_RISK_SECONDS = 60.0
+AT_RISK_RUNS = 0.5
+HEAP_SLACK = 2
 
-def order_jobs(snapshot):
-    """Return the waiting jobs, most deserving first.
 
-    Urgent work goes first; then the team that uses least for its share, the
-    earliest deadline and the longest wait.
+class OrderKey(NamedTuple):
+    """Place of a job in its lane; times are wall-clock seconds."""
+
+    latest_start: float
+    submitted_at: float
+    job: JobId
+
+
+def make_order_key(job, waves, is_late):
+    """Return the `OrderKey` of a waiting job.
+
+    Work without a deadline has to start within its ageing time, so it moves ahead of
+    distant deadlines and never waits for ever. Work that is late gives way for its
+    ageing time to work that can still be in time.
+
+    Parameters
+    ----------
+    job : WaitingJob
+    waves : float
+        Runs one after the other that the waiting tasks need.
+    is_late : bool
     """
+    if not job.deadline_at:
+        latest = job.submitted_at + job.ageing_seconds
+    elif is_late:
+        latest = job.deadline_at + job.ageing_seconds
+    else:
+        latest = job.deadline_at - job.longest_seconds * waves
+    return OrderKey(latest, job.submitted_at, job.job)
+
+
+class Lane:
+    """Waiting jobs of one team with the same shape, least slack first."""
+
+    def __init__(self, shape):
+        self.shape = shape
+        self.reason = ""
+        self.tasks = 0
+        self._heap = []
+        self._keys = {}
+        self._counts = {}
+
+    def __len__(self):
+        return len(self._keys)
+
+    def __iter__(self):
+        return iter(sorted(self._keys.values()))
+
+    def put(self, key, count):
+        """Add a job with `count` waiting tasks, or change its place."""
+        self.tasks += count - self._counts.get(key.job, 0)
+        self._counts[key.job] = count
+        if self._keys.get(key.job) == key:
+            return
+        self._keys[key.job] = key
+        heappush(self._heap, key)
+        if len(self._heap) > HEAP_SLACK * len(self._keys) + HEAP_SLACK:
+            self._heap = list(self._keys.values())
+            heapify(self._heap)
+
+    def remove(self, job):
+        """Remove a job."""
+        if self._keys.pop(job, None) is not None:
+            self.tasks -= self._counts.pop(job)
+
+    def get_first(self):
+        """Return the first `OrderKey`, or None where the lane is empty."""
+        while self._heap:
+            key = self._heap[0]
+            if self._keys.get(key.job) == key:
+                return key
+            heappop(self._heap)
+        return None
+
+    def find_reason(self):
+        """Return why the lane's first job waits."""
+        return self.reason or self.shape.reason or "not yet considered"
+
+    def count_before(self, key):
+        """Return the number of jobs before a key."""
+        return sum(other < key for other in self._keys.values())
+
 
-    def rank(job):
-        team = snapshot.teams[job.spec.team]
-        waited = snapshot.now - job.submitted_at
-        aged = waited >= job.ageing_seconds
-        deadline = job.deadline_at or float("inf")
-        return (
-            0 if aged else URGENCY_RANK[job.spec.urgency],
-            team.used.cpu_millis / team.share_weight,
-            deadline,
-            job.submitted_at,
-            job.job,
-        )
-
-    return sorted(snapshot.jobs, key=rank)
+def rank_job(job, key, now):
+    """Return the rank of a job among all teams' work, lowest first."""
+    rank = URGENCY_RANKS[job.spec.urgency]
+    if rank == IDLE_RANK and now - job.submitted_at >= job.ageing_seconds:
+        rank = NORMAL_RANK
+    if rank == NORMAL_RANK and job.deadline_at:
+        slack = key.latest_start - now
+        risk = AT_RISK_SECONDS + AT_RISK_RUNS * job.longest_seconds
+        if slack <= risk and now + job.typical_seconds <= job.deadline_at:
+            rank = AT_RISK_RANK
+    return rank
--- a/libs/policy/src/cactustiller/policy/planning.py
+++ b/libs/policy/src/cactustiller/policy/planning.py
@@ -1,98 +1,96 @@
 """The decision: which waiting tasks go to which workers now."""
 
-from collections import Counter
-from dataclasses import replace
+from .claims import ClaimBook
+from .preemption import Preemptor
+from .rounds import Round
+from .snapshots import WaitReason
+from .state import CellState
 
-from cactustiller.model import WorkloadKind
+MOST_PLACEMENTS = 256
 
-from .fitting import is_eligible, score_worker
-from .ordering import order_jobs
-from .snapshots import Placement, Plan, WaitReason
 
+class Planner:
+    """Decides again and again about a state that changes little in between.
 
-def plan_placements(snapshot):
-    """Return the placements for a snapshot; a pure function."""
-    plan = Plan()
-    workers = [replace(worker) for worker in snapshot.workers]
-    teams = {name: replace(team) for name, team in snapshot.teams.items()}
-    for position, job in enumerate(order_jobs(snapshot)):
-        reason = _place_job(job, workers, teams[job.spec.team], plan)
-        if reason:
-            plan.waits.append(WaitReason(job.job, position, reason))
-    return plan
+    The same state, changes and times give the same plans; nothing else is used.
+
+    Attributes
+    ----------
+    state : CellState
+        Changed by the caller as jobs, workers and teams change.
+    claims : ClaimBook
+    preemptor : Preemptor
+    parked : dict of JobId to str
+        Jobs that no listed worker could ever take, with the reason.
+    """
 
+    def __init__(self, share_window_seconds=600.0):
+        self.state = CellState(share_window_seconds)
+        self.claims = ClaimBook()
+        self.preemptor = Preemptor()
+        self.parked = {}
+        self._parked_at = None
 
-def _place_job(job, workers, team, plan):
-    """Place a job's tasks; return why the rest waits, or an empty string."""
-    placements = []
-    undo = []
-    places = Counter()
-    reason = ""
-    for index in job.indices:
-        reason = _find_limit(job, team)
-        if reason:
-            break
-        chosen = _choose_worker(job, workers, places)
-        if chosen is None:
-            reason = "no worker has room"
-            break
-        worker, score, candidates = chosen
-        resources = job.spec.template.resources
-        worker.free = worker.free - resources
-        team.used = team.used + resources
-        team.used_tasks += 1
-        undo.append(worker)
-        places.update((worker.worker, worker.rack, worker.zone))
-        placements.append(
-            Placement(
-                job.job,
-                index,
-                worker.worker,
-                worker.shard,
-                candidates,
-                score,
-                f"best score of {candidates} workers with room",
-            )
-        )
-    if reason and job.spec.kind is WorkloadKind.ALL_AT_ONCE:
-        _undo(job, team, undo)
-        return f"{reason} for all tasks at once"
-    plan.placements.extend(placements)
-    return reason
+    def plan(self, now, most=MOST_PLACEMENTS):
+        """Return the `Plan` at wall-clock time `now` and take it as carried out.
 
+        What could not be carried out is put back by the caller.
 
-def _undo(job, team, workers):
-    resources = job.spec.template.resources
-    for worker in workers:
-        worker.free = worker.free + resources
-        team.used = team.used - resources
-        team.used_tasks -= 1
+        Parameters
+        ----------
+        now : float
+        most : int
+            Placements after which the decision is cut short.
+        """
+        state = self.state
+        state.fleet.refresh()
+        state.update_shares(now)
+        plan = Round(state, self.claims, self.preemptor, now, most).run()
+        self._park(plan)
+        return plan
 
+    def _park(self, plan):
+        """Report jobs that have become, or no longer are, impossible to run."""
+        shapes = self.state.shapes.values()
+        found = {
+            key.job: shape.obstacle
+            for shape in shapes
+            if shape.obstacle
+            for team in shape.teams
+            for key in self.state.teams[team].lanes[shape.key]
+        }
+        for job, reason in found.items():
+            if job not in self.parked:
+                plan.parked.append(WaitReason(job, reason))
+        plan.unparked = [
+            job for job in self.parked if job not in found and job in self.state.jobs
+        ]
+        self.parked = found
 
-def _find_limit(job, team):
-    wanted = team.used + job.spec.template.resources
-    if team.limit_tasks and team.used_tasks >= team.limit_tasks:
-        return f"team limit of {team.limit_tasks} tasks"
-    for name in ("cpu_millis", "memory_mib", "accelerators"):
-        limit = getattr(team.limit, name)
-        if limit and getattr(wanted, name) > limit:
-            return f"team limit of {limit} {name}"
-    return ""
 
+def make_planner(snapshot):
+    """Return a `Planner` with the state of a snapshot."""
+    planner = Planner(snapshot.share_window_seconds)
+    state = planner.state
+    for worker in snapshot.workers:
+        state.fleet.put_worker(worker)
+    for team in snapshot.teams.values():
+        state.put_team(team)
+        state.ledger.owed[team.team] = team.owed
+    by_job = {}
+    for task in snapshot.running:
+        by_job.setdefault(task.job, []).append(task)
+    for job, tasks in by_job.items():
+        state.put_running(job, tasks)
+    for team in snapshot.teams.values():
+        state.teams[team.team].count_unlisted(team)
+    state.fleet.refresh()
+    for job in snapshot.jobs:
+        state.put_job(job)
+    planner.claims.peers = list(snapshot.peer_claims)
+    return planner
 
-def _choose_worker(job, workers, places):
-    template = job.spec.template
-    best = None
-    candidates = 0
-    for worker in workers:
-        if worker.worker in job.avoided_workers:
-            continue
-        if not template.resources.fits_within(worker.free):
-            continue
-        if not is_eligible(worker, template):
-            continue
-        candidates += 1
-        score = score_worker(job.spec.kind, worker, template, places)
-        if best is None or score > best[1]:
-            best = (worker, score)
-    return (*best, candidates) if best else None
+
+def plan_placements(snapshot):
+    """Return the `Plan` for a snapshot; a pure function."""
+    return make_planner(snapshot).plan(snapshot.now)
--- /dev/null
+++ b/libs/policy/src/cactustiller/policy/policies/service.py
@@ -0,0 +1,14 @@
+"""Services: spread over workers, racks and availability zones."""
+
+from cactustiller.model import WorkloadKind
+
+from .base import PlacementPolicy
+
+
+class ServicePolicy(PlacementPolicy):
+    """Fewest tasks of the job in the same place, then best fit."""
+
+    kind = WorkloadKind.SERVICE
+    crowding = {"worker": 4.0, "rack": 2.0, "zone": 1.0}
+    packing = 0.5
+    reason = "fewest tasks of the service nearby"
--- /dev/null
+++ b/libs/policy/src/cactustiller/policy/preemption.py
@@ -0,0 +1,151 @@
+"""Which tasks to stop, after a checkpoint, for urgent work."""
+
+from collections import deque
+from typing import NamedTuple
+
+from cactustiller.model import WorkerId
+
+from .ordering import IDLE_RANK, URGENCY_RANKS, URGENT_RANK
+from .shapes import ShapeKey
+from .snapshots import Amounts, Preemption
+
+KEPT_SECONDS = 5.0
+STOP_SECONDS = 10.0
+BUDGET_SECONDS = 60.0
+BUDGET_PER_WORKER = 2
+SMALLEST_BUDGET = 8
+
+
+class UrgentRoom(NamedTuple):
+    """Room on a worker that is being made for one urgent task."""
+
+    shape: ShapeKey
+    worker: WorkerId
+    until: float
+
+
+class Preemptor:
+    """Makes room for urgent work within a budget.
+
+    A task is stopped at most as often as its queue's ``max_preemptions`` says (see
+    `RunningTask.is_preemptible`), and all workers together at most `BUDGET_PER_WORKER`
+    times a minute for each worker, so that stopped work gets somewhere.
+    """
+
+    def __init__(self):
+        self.rooms = []
+        self._stops = deque()
+        self._stopped = {}
+
+    def refresh(self, state, now):
+        """Forget rooms that are out of date and tasks that have ended."""
+        self.rooms = [
+            room
+            for room in self.rooms
+            if now < room.until and room.shape in state.shapes
+        ]
+        self._stopped = {
+            key: until
+            for key, until in self._stopped.items()
+            if now < until and key[1] in state.running.get(key[0], {})
+        }
+        while self._stops and self._stops[0] <= now - BUDGET_SECONDS:
+            self._stops.popleft()
+
+    def list_kept(self):
+        """Return the kept capacity as pairs of worker and `Amounts`."""
+        return [(room.worker, room.shape.amounts) for room in self.rooms]
+
+    def note_placed(self, shape, worker):
+        """Note that an urgent task took the room made for its shape."""
+        for room in self.rooms:
+            if room.shape == shape and room.worker == worker:
+                self.rooms.remove(room)
+                return
+
+    def request(self, state, lane, job, now):
+        """Return the preemptions that make room for urgent tasks of one shape."""
+        shape = lane.shape
+        wanted = self._count_wanted(state, shape)
+        left = self._count_budget(state) - len(self._stops)
+        found = []
+        if wanted <= 0 or left <= 0:
+            return found
+        for _, worker, victims in self._list_options(state, shape, now):
+            if wanted <= 0 or len(victims) > left:
+                break
+            wanted -= 1
+            left -= len(victims)
+            self.rooms.append(UrgentRoom(shape.key, worker, now + KEPT_SECONDS))
+            for task in victims:
+                self._stops.append(now)
+                self._stopped[task.key] = now + STOP_SECONDS
+                found.append(Preemption(task, job, f"urgent {job} finds no room"))
+        return found
+
+    def _count_wanted(self, state, shape):
+        wanted = -sum(room.shape == shape.key for room in self.rooms)
+        for name in shape.teams:
+            team = state.teams[name]
+            waiting = team.lanes[shape.key].tasks
+            allowed = team.count_allowed(shape.amounts)
+            wanted += waiting if allowed is None else min(waiting, allowed)
+        return wanted
+
+    @staticmethod
+    def _count_budget(state):
+        return max(SMALLEST_BUDGET, BUDGET_PER_WORKER * len(state.fleet.names))
+
+    def _list_options(self, state, shape, now):
+        """Return workers with the tasks to stop there, least lost work first."""
+        options = []
+        mask = shape.get_mask(state.fleet)
+        taken = {room.worker for room in self.rooms}
+        for worker, tasks in state.by_worker.items():
+            row = state.fleet.rows.get(worker)
+            if row is None or not mask[row] or worker in taken:
+                continue
+            free = Amounts(*state.fleet.free[:, row].tolist())
+            found = self._choose_victims(tasks.values(), free, shape.amounts, now)
+            if found is not None:
+                options.append((found[0], worker, found[1]))
+        return sorted(options, key=lambda option: option[:2])
+
+    def _choose_victims(self, tasks, free, need, now):
+        """Return the cost and the tasks that make room, None where there is none."""
+        stoppable = [
+            task
+            for task in tasks
+            if task.is_preemptible
+            and task.key not in self._stopped
+            and URGENCY_RANKS[task.urgency] != URGENT_RANK
+        ]
+        stoppable.sort(
+            key=lambda task: (
+                URGENCY_RANKS[task.urgency] != IDLE_RANK,
+                -task.started_at,
+                task.key,
+            )
+        )
+        victims = []
+        cost = 0.0
+        for task in stoppable:
+            if _covers(free, need):
+                break
+            if not _helps(task, free, need):
+                continue
+            free = free.plus(task.amounts)
+            cost += max(0.0, now - task.started_at) * max(1, task.amounts.cpu_millis)
+            victims.append(task)
+        return (cost, victims) if victims and _covers(free, need) else None
+
+
+def _covers(free, need):
+    return all(have >= want for have, want in zip(free, need, strict=True))
+
+
+def _helps(task, free, need):
+    return any(
+        want > have and given > 0
+        for given, have, want in zip(task.amounts, free, need, strict=True)
+    )
--- /dev/null
+++ b/libs/policy/src/cactustiller/policy/rounds.py
@@ -0,0 +1,327 @@
+"""One decision over the present state."""
+
+from heapq import heapify, heappop, heappush, heapreplace
+from math import inf
+
+import numpy as np
+
+from cactustiller.model import Urgency
+
+from .fleet import Use
+from .ordering import AT_RISK_RANK, NORMAL_RANK, URGENT_RANK, rank_job
+from .policies import get_policy
+from .snapshots import LateJob, Placement, Plan, RunningTask, WaitReason
+from .wholes import choose_rows
+
+MOST_BORROWED_SHARE = 0.03
+BACKFILL_SEARCHED = 32
+NO_ROOM = "no worker has room for a task now"
+NO_ROOM_WHOLE = "not all tasks fit at once now"
+
+
+class Round:
+    """Places work in order until nothing more fits.
+
+    Parameters
+    ----------
+    state : CellState
+    claims : ClaimBook
+    preemptor : Preemptor
+    now : float
+        Wall-clock seconds.
+    most : int
+        Placements after which to stop.
+    """
+
+    def __init__(self, state, claims, preemptor, now, most):
+        self._state = state
+        self._fleet = state.fleet
+        self._claims = claims
+        self._preemptor = preemptor
+        self._now = now
+        self._most = most
+        self._plan = Plan()
+        self._heap = []
+        self._open = {}
+        self._full = set()
+        self._left = np.zeros(3, dtype=np.int64)
+        self._held = np.zeros(3, dtype=np.int64)
+
+    def run(self):
+        """Return the `Plan`."""
+        self._preemptor.refresh(self._state, self._now)
+        overruns = self._claims.refresh(self._state, self._now)
+        self._plan.preemptions.extend(overruns)
+        self._keep()
+        self._start_claimed()
+        self._open_lanes()
+        self._left = np.maximum(self._fleet.get_open(Use.SHORT), 0).sum(axis=1)
+        while self._heap and len(self._plan.placements) < self._most:
+            rank, _, _, name, lane = heappop(self._heap)
+            team = self._state.teams[name]
+            if lane is None:
+                self._held += np.array(self._find_owed(team))
+            else:
+                self._consider(rank, team, lane)
+                self._push_team(team)
+        self._plan.is_cut = any(entry[4] is not None for entry in self._heap)
+        return self._plan
+
+    def _keep(self):
+        self._fleet.set_kept(self._preemptor.list_kept(), self._claims.list_kept())
+
+    def _start_claimed(self):
+        """Start claimed work whose capacity has come together."""
+        for claim in self._claims.list_all():
+            if claim.job not in self._claims.own:
+                continue
+            lane = self._state.get_lane(claim.job)
+            job = self._state.jobs[claim.job]
+            team = self._state.teams[job.spec.team]
+            if self._find_limit(team, lane, job):
+                continue
+            count = lane.shape.key.whole_count or 1
+            capacity = self._claims.find_capacity(self._fleet, claim)
+            rows = choose_rows(self._fleet, lane.shape, count, capacity)
+            if rows is not None:
+                self._claims.drop(claim.job)
+                self._place(team, lane, job, rows, "its claimed capacity is free")
+                self._keep()
+
+    def _open_lanes(self):
+        """Queue the teams that have work which may find room or is to make some."""
+        teams = self._state.teams
+        can_claim = self._claims.can_request
+        for shape in self._state.shapes.values():
+            if shape.find_obstacle(self._fleet):
+                continue
+            is_urgent = shape.urgency is Urgency.URGENT
+            use = Use.URGENT if is_urgent else Use.SHORT
+            room = self._fleet.find_room(shape.amounts, use)
+            has_room = (room & shape.get_mask(self._fleet)).any()
+            shape.reason = "" if has_room else NO_ROOM
+            if not has_room:
+                self._full.add((shape.key, use))
+            if not (has_room or is_urgent or can_claim):
+                continue
+            for name in shape.teams:
+                lane = teams[name].lanes[shape.key]
+                lane.reason = ""
+                if has_room or is_urgent or self._may_claim(lane):
+                    self._open_lane(name, lane)
+        for name in self._open:
+            self._push_team(teams[name])
+        for team in teams.values():
+            if team.is_remote and any(team.remote_waiting):
+                self._heap.append((NORMAL_RANK, team.level, (), team.team, None))
+        heapify(self._heap)
+
+    def _open_lane(self, team, lane):
+        """Queue a lane of a team by its first job."""
+        key = lane.get_first()
+        if key is not None:
+            rank = rank_job(self._state.jobs[key.job], key, self._now)
+            heappush(self._open.setdefault(team, []), (rank, key, lane))
+
+    def _may_claim(self, lane):
+        """Return whether a lane's first job may have capacity kept for it."""
+        key = lane.get_first()
+        return bool(lane.shape.key.whole_count) or key.latest_start <= self._now
+
+    def _push_team(self, team):
+        """Queue a team by its first open job that is worth a look."""
+        lanes = self._open[team.team]
+        while lanes:
+            rank, key, lane = lanes[0]
+            if self._is_closed(rank, lane):
+                heappop(lanes)
+                continue
+            if rank == AT_RISK_RANK and self._has_borrowed(team):
+                heapreplace(lanes, (NORMAL_RANK, key, lane))
+                continue
+            heappush(self._heap, (rank, team.level, key, team.team, lane))
+            return
+
+    def _is_closed(self, rank, lane):
+        """Return whether nothing of a lane's shape finds room in this round."""
+        if rank == URGENT_RANK or (lane.shape.key, Use.SHORT) not in self._full:
+            return False
+        return not (self._claims.can_request and self._may_claim(lane))
+
+    def _has_borrowed(self, team):
+        """Return whether a team went too far beyond its share for its deadlines."""
+        return max(-team.owed, team.share - team.entitled) > MOST_BORROWED_SHARE
+
+    def _find_owed(self, team):
+        """Return what a remote team may yet take of its share."""
+        missing = team.entitled + team.owed - team.share
+        totals = self._fleet.totals
+        wanted = max(w / t for w, t in zip(team.remote_waiting, totals, strict=True))
+        part = min(1.0, max(0.0, missing) / wanted)
+        return [int(part * amount) for amount in team.remote_waiting]
+
+    def _consider(self, rank, team, lane):
+        """Place the first task of a lane, or all tasks that start together."""
+        heappop(self._open[team.team])
+        key = lane.get_first()
+        job = self._state.jobs[key.job]
+        if not self._note_late(job):
+            reason = self._try(rank, team, lane, key, job)
+            if reason:
+                lane.reason = reason
+                self._plan.waits.append(WaitReason(job.job, reason))
+                return
+        self._open_lane(team.team, lane)
+
+    def _note_late(self, job):
+        """Mark a job that cannot finish in time; return whether it was new."""
+        if not job.deadline_at or job.job in self._state.late:
+            return False
+        waves = self._state.count_waves(job)
+        finish = self._now + waves * job.typical_seconds
+        if finish <= job.deadline_at:
+            return False
+        self._state.mark_late(job.job)
+        self._plan.late.append(LateJob(job.job, job.deadline_at, finish))
+        return True
+
+    def _try(self, rank, team, lane, key, job):
+        """Place work; return why it waits, or an empty string."""
+        shape = lane.shape
+        reason = self._find_limit(team, lane, job)
+        if reason:
+            return reason
+        count = shape.key.whole_count or 1
+        if rank != URGENT_RANK and self._is_held(np.multiply(shape.amounts, count)):
+            return "the free capacity is left for teams that are owed more"
+        if shape.key.whole_count:
+            capacity = self._fleet.get_open(Use.LONG)
+            rows = choose_rows(self._fleet, shape, count, capacity)
+            if rows is None:
+                return self._claim(team, lane, key) or NO_ROOM_WHOLE
+            self._place(team, lane, job, rows, get_policy(shape.kind).reason)
+            return ""
+        return self._try_task(rank, team, lane, key, job)
+
+    def _is_held(self, need):
+        """Return whether only peers' teams that are owed more leave too little."""
+        is_short = (need > self._left - self._held) & (self._held > 0)
+        return bool(is_short.any() and (need <= self._left).all())
+
+    def _try_task(self, rank, team, lane, key, job):
+        shape = lane.shape
+        use = self._find_use(rank, job)
+        if self._place_task(team, lane, job, use):
+            return ""
+        if rank == URGENT_RANK:
+            found = self._preemptor.request(self._state, lane, job.job, self._now)
+            self._plan.preemptions.extend(found)
+            if found:
+                self._keep()
+            return f"{NO_ROOM}; {len(found)} tasks are stopped to make some"
+        short = self._find_short(lane) if use is Use.LONG else None
+        if short is not None and self._place_task(team, lane, short, Use.SHORT):
+            return ""
+        if key.latest_start <= self._now:
+            return self._claim(team, lane, key) or NO_ROOM
+        if use is Use.LONG and (shape.key, Use.SHORT) not in self._full:
+            return "the free capacity is kept for large work"
+        return NO_ROOM
+
+    def _find_use(self, rank, job):
+        if rank == URGENT_RANK:
+            return Use.URGENT
+        start = self._claims.earliest_start
+        if start is None or self._now + (job.longest_seconds or inf) <= start:
+            return Use.SHORT
+        return Use.LONG
+
+    def _find_short(self, lane):
+        """Return a job of the lane that ends before the claims start."""
+        start = self._claims.earliest_start
+        if start is None:
+            return None
+        for key in list(lane)[:BACKFILL_SEARCHED]:
+            job = self._state.jobs[key.job]
+            if self._now + (job.longest_seconds or inf) <= start:
+                return job
+        return None
+
+    def _place_task(self, team, lane, job, use):
+        """Place one task on the best worker; return whether there was room."""
+        shape, fleet = lane.shape, self._fleet
+        if (shape.key, use) in self._full:
+            return False
+        room = fleet.find_room(shape.amounts, use) & shape.get_mask(fleet)
+        candidates = int(np.count_nonzero(room))
+        if not candidates:
+            self._full.add((shape.key, use))
+            return False
+        policy = get_policy(shape.kind)
+        places = self._state.list_rows(job.job) if policy.needs_places(shape) else []
+        scores = policy.score(fleet, shape, places)
+        scores[~room] = -np.inf
+        row = int(np.argmax(scores))
+        self._place(
+            team, lane, job, [row], policy.reason, candidates, float(scores[row])
+        )
+        if use is Use.URGENT:
+            self._preemptor.note_placed(shape.key, fleet.names[row])
+            self._keep()
+        return True
+
+    def _place(self, team, lane, job, rows, reason, candidates=0, score=0.0):
+        """Record placements of a job's first tasks on rows."""
+        shape, fleet = lane.shape, self._fleet
+        runs_for = job.longest_seconds or inf
+        for row, index in zip(
+            rows, self._state.take_tasks(job.job, len(rows)), strict=True
+        ):
+            snapshot = fleet.get_snapshot(row)
+            fleet.take(row, shape.amounts)
+            self._left -= np.array(shape.amounts)
+            task = RunningTask(
+                job=job.job,
+                index=index,
+                attempt=0,
+                team=team.team,
+                worker=snapshot.worker,
+                shard=snapshot.shard,
+                amounts=shape.amounts,
+                urgency=shape.urgency,
+                started_at=self._now,
+                expected_end=self._now + runs_for,
+            )
+            self._state.add_running(task)
+            self._claims.note_backfilled(task, self._now)
+            self._plan.placements.append(
+                Placement(
+                    job.job,
+                    index,
+                    snapshot.worker,
+                    snapshot.shard,
+                    candidates or len(set(rows)),
+                    score,
+                    reason,
+                )
+            )
+
+    def _find_limit(self, team, lane, job):
+        """Return why the team's limit allows no more, or an empty string."""
+        allowed = team.count_allowed(lane.shape.amounts)
+        count = lane.shape.key.whole_count or 1
+        if allowed is None or allowed >= count:
+            return ""
+        return team.describe_limit()
+
+    def _claim(self, team, lane, key):
+        """Claim capacity where it is the team's turn; return the reason to wait."""
+        is_due = key.latest_start <= self._now
+        if not is_due and team.level > team.entitled / team.weight:
+            return ""
+        claim = self._claims.request(self._state, lane, key, self._now)
+        if claim is None:
+            return ""
+        self._keep()
+        seconds = max(0.0, claim.start_at - self._now)
+        return f"capacity is kept on {len(claim.tasks)} workers, in {seconds:.0f} s"
--- /dev/null
+++ b/libs/policy/src/cactustiller/policy/shapes.py
@@ -0,0 +1,141 @@
+"""Shapes: what the placement of a task depends on, shared by many jobs."""
+
+from typing import NamedTuple
+
+import numpy as np
+
+from cactustiller.model import Urgency, WorkloadKind
+
+from .fleet import read_attribute
+from .policies import get_policy
+from .policies.base import ACCELERATOR_PENALTY, PREFERRED_BONUS
+from .snapshots import Amounts
+
+
+class ShapeKey(NamedTuple):
+    """Everything of a job that decides where its tasks may go."""
+
+    kind: WorkloadKind
+    urgency: Urgency
+    amounts: Amounts
+    required: tuple[tuple[str, str], ...]
+    preferred: tuple[tuple[str, str], ...]
+    spread: str
+    colocate: str
+    whole_count: int
+    avoided: frozenset
+
+
+class Shape:
+    """One shape with what was worked out for the present fleet."""
+
+    def __init__(self, key):
+        self.key = key
+        self.kind = key.kind
+        self.urgency = key.urgency
+        self.amounts = key.amounts
+        self.spread = key.spread
+        self.colocate = key.colocate
+        self.teams = set()
+        self._version = 0
+        self._mask = None
+        self._bonus = None
+        self.obstacle = ""
+        self.reason = ""
+
+    def get_mask(self, fleet):
+        """Return the mask of eligible workers, whether they have room or not."""
+        self._refresh(fleet)
+        return self._mask
+
+    def get_bonus(self, fleet):
+        """Return the part of the score that does not change with the load."""
+        self._refresh(fleet)
+        return self._bonus
+
+    def find_obstacle(self, fleet):
+        """Return why no worker could ever take it, or an empty string."""
+        self._refresh(fleet)
+        return self.obstacle
+
+    def _refresh(self, fleet):
+        if self._version == fleet.version:
+            return
+        self._version = fleet.version
+        key = self.key
+        eligible = fleet.find_eligible(dict(key.required))
+        avoided = [fleet.rows[name] for name in key.avoided if name in fleet.rows]
+        self._mask = eligible.copy()
+        self._mask[avoided] = False
+        if not (self._mask & self._can_hold(fleet)).any():
+            # It failed wherever it could run; its retry budget ends it.
+            self._mask = eligible
+        self._bonus = PREFERRED_BONUS * fleet.count_preferred(dict(key.preferred))
+        if not key.amounts.accelerators:
+            self._bonus -= ACCELERATOR_PENALTY * fleet.has_accelerators
+        self.obstacle = self._explain_obstacle(fleet)
+
+    def _can_hold(self, fleet):
+        return fleet.count_fitting(self.amounts, fleet.total) > 0
+
+    def _explain_obstacle(self, fleet):
+        key = self.key
+        if not fleet.names:
+            return ""
+        eligible = fleet.find_eligible(dict(key.required))
+        counts = fleet.count_fitting(key.amounts, fleet.total)
+        counts = np.where(eligible, np.minimum(counts, key.whole_count or 1), 0)
+        if not counts.any():
+            return f"no worker could ever take it; {self._describe_nearest(fleet)}"
+        if key.whole_count > counts.sum():
+            return (
+                f"all {key.whole_count} tasks must start together, but the whole cell "
+                f"holds {counts.sum()} of them at most"
+            )
+        return ""
+
+    def _describe_nearest(self, fleet):
+        """Return the worker that would have fitted best, and what it lacks."""
+        lacking = np.zeros(len(fleet.names))
+        for total, amount in zip(fleet.total, self.amounts, strict=True):
+            if amount:
+                lacking += np.maximum(amount - total, 0) / amount
+        unmet = len(self.key.required) - fleet.count_preferred(dict(self.key.required))
+        row = int(np.argmin(lacking + unmet))
+        snapshot = fleet.get_snapshot(row)
+        faults = [
+            f"{name} is {read_attribute(snapshot, name) or 'not set'}, not {value}"
+            for name, value in self.key.required
+            if read_attribute(snapshot, name) != value
+        ]
+        faults += [
+            f"{name} {total} of {amount} needed"
+            for name, total, amount in zip(
+                Amounts._fields, Amounts.of(snapshot.total), self.amounts, strict=True
+            )
+            if total < amount
+        ]
+        return f"the nearest is {snapshot.worker}: {', '.join(faults)}"
+
+
+def make_shape_key(job):
+    """Return the `ShapeKey` of a `WaitingJob`."""
+    spec, template = job.spec, job.spec.template
+    is_whole = get_policy(spec.kind).is_whole
+    return ShapeKey(
+        kind=spec.kind,
+        urgency=spec.urgency,
+        amounts=Amounts.of(template.resources),
+        required=tuple(sorted(template.required.items())),
+        preferred=tuple(sorted(template.preferred.items())),
+        spread=job.spread,
+        colocate=job.colocate,
+        whole_count=len(job.indices) if is_whole else 0,
+        avoided=job.avoided_workers,
+    )
+
+
+def find_obstacle(job, fleet):
+    """Return why a job could never run on this fleet, or an empty string."""
+    fleet.refresh()
+    return Shape(make_shape_key(job)).find_obstacle(fleet)
--- /dev/null
+++ b/libs/policy/src/cactustiller/policy/state.py
@@ -0,0 +1,274 @@
+"""What decisions go by, kept up to date one change at a time."""
+
+import numpy as np
+
+from .fleet import Fleet
+from .ordering import Lane, make_order_key
+from .shapes import Shape, make_shape_key
+from .shares import ShareLedger
+from .snapshots import NO_AMOUNTS, Amounts
+
+SHARE_SECONDS = 1.0
+
+
+class TeamState:
+    """Team with its use, its waiting work and its lanes by shape.
+
+    Parameters
+    ----------
+    snapshot : TeamSnapshot
+
+    Attributes
+    ----------
+    share, entitled, owed : float
+        Dominant share of the cell that it uses, that is fair, and that it is owed.
+    """
+
+    def __init__(self, snapshot):
+        self.team = snapshot.team
+        self.lanes = {}
+        self.used = NO_AMOUNTS
+        self.used_tasks = 0
+        self.remote_waiting = NO_AMOUNTS
+        self.share = 0.0
+        self.entitled = 0.0
+        self.owed = snapshot.owed
+        self.set_values(snapshot)
+
+    def set_values(self, snapshot):
+        """Take weight and limits, and for a remote team also its work."""
+        self.weight = snapshot.share_weight
+        self.limit = Amounts.of(snapshot.limit)
+        self.limit_tasks = snapshot.limit_tasks
+        self._has_limit = bool(self.limit_tasks or any(self.limit))
+        self.is_remote = snapshot.is_remote
+        if self.is_remote:
+            self.used = Amounts.of(snapshot.used)
+            self.used_tasks = snapshot.used_tasks
+            self.remote_waiting = Amounts.of(snapshot.waiting)
+
+    def count_unlisted(self, snapshot):
+        """Count what a snapshot gives as used beyond the listed tasks."""
+        self.used = Amounts(*map(max, self.used, Amounts.of(snapshot.used)))
+        self.used_tasks = max(self.used_tasks, snapshot.used_tasks)
+
+    @property
+    def level(self):
+        """Use less what the team is owed, by its weight."""
+        return (self.share - self.owed) / self.weight
+
+    def use(self, amounts, count, totals):
+        """Count tasks as used; a negative count gives them back."""
+        self.used = self.used.plus(amounts, count)
+        self.used_tasks += count
+        self.set_share(totals)
+
+    def set_share(self, totals):
+        """Work the share out from the cell's totals."""
+        cpu, memory, accelerators = self.used
+        self.share = max(cpu / totals[0], memory / totals[1], accelerators / totals[2])
+
+    def count_allowed(self, amounts):
+        """Return how many more tasks the limit allows, None without a limit."""
+        if not self._has_limit:
+            return None
+        allowed = [
+            max(0, limit - used) // amount
+            for limit, used, amount in zip(self.limit, self.used, amounts, strict=True)
+            if limit and amount
+        ]
+        if self.limit_tasks:
+            allowed.append(max(0, self.limit_tasks - self.used_tasks))
+        return min(allowed, default=None)
+
+    def describe_limit(self):
+        """Return the limit and the use as text."""
+        parts = [
+            f"{used} of {limit} {name}"
+            for name, limit, used in zip(
+                Amounts._fields, self.limit, self.used, strict=True
+            )
+            if limit
+        ]
+        if self.limit_tasks:
+            parts.append(f"{self.used_tasks} of {self.limit_tasks} tasks")
+        return f"the team's limit: it holds {', '.join(parts)}"
+
+    def sum_waiting(self):
+        """Return the amounts that wait, at most what the limit leaves."""
+        if self.is_remote:
+            return self.remote_waiting
+        waiting = NO_AMOUNTS
+        for lane in self.lanes.values():
+            amounts = lane.shape.amounts
+            allowed = self.count_allowed(amounts)
+            count = lane.tasks if allowed is None else min(lane.tasks, allowed)
+            if not lane.shape.obstacle:
+                waiting = waiting.plus(amounts, count)
+        capped = (
+            min(wait, max(0, limit - used)) if limit else wait
+            for wait, limit, used in zip(waiting, self.limit, self.used, strict=True)
+        )
+        return Amounts(*capped)
+
+
+class CellState:
+    """Workers, teams, waiting jobs and running tasks with their indexes.
+
+    Attributes
+    ----------
+    fleet : Fleet
+    teams : dict of TeamId to TeamState
+    jobs : dict of JobId to WaitingJob
+    shapes : dict of ShapeKey to Shape
+    running : dict of JobId to dict of int to RunningTask
+    late : set of JobId
+    """
+
+    def __init__(self, share_window_seconds=600.0):
+        self.share_window_seconds = share_window_seconds
+        self.fleet = Fleet()
+        self.teams = {}
+        self.jobs = {}
+        self.shapes = {}
+        self.running = {}
+        self.by_worker = {}
+        self.late = set()
+        self.ledger = ShareLedger()
+        self._keys = {}
+        self._lanes = {}
+        self._shared_at = float("-inf")
+
+    def put_team(self, snapshot):
+        """Take a team's values; use and waiting work of a remote team as well."""
+        state = self.teams.get(snapshot.team)
+        if state is None or (state.is_remote and not snapshot.is_remote):
+            state = self.teams[snapshot.team] = TeamState(snapshot)
+        else:
+            state.set_values(snapshot)
+
+    def remove_team(self, team):
+        """Forget a team without work."""
+        self.teams.pop(team, None)
+
+    def put_job(self, job):
+        """Take a job's waiting tasks; one without any is forgotten."""
+        if not job.indices:
+            self.remove_job(job.job)
+            return
+        key = make_shape_key(job)
+        lane = self._lanes.get(job.job)
+        if lane is None or lane.shape.key != key:
+            self.remove_job(job.job)
+            lane = self._get_lane(job.spec.team, key)
+            self._lanes[job.job] = lane
+        self.jobs[job.job] = job
+        self._put_key(job, lane)
+
+    def remove_job(self, job):
+        """Forget a job's waiting tasks."""
+        waiting = self.jobs.pop(job, None)
+        if waiting is None:
+            return
+        self.late.discard(job)
+        self._keys.pop(job)
+        lane = self._lanes.pop(job)
+        lane.remove(job)
+        if len(lane):
+            return
+        team = self.teams[waiting.spec.team]
+        del team.lanes[lane.shape.key]
+        lane.shape.teams.discard(team.team)
+        if not lane.shape.teams:
+            del self.shapes[lane.shape.key]
+
+    def put_running(self, job, tasks):
+        """Take all tasks of a job that hold capacity."""
+        for task in self.running.pop(job, {}).values():
+            del self.by_worker[task.worker][task.key]
+            self.teams[task.team].use(task.amounts, -1, self.fleet.totals)
+        if tasks:
+            self.running[job] = {task.index: task for task in tasks}
+        for task in tasks:
+            self.by_worker.setdefault(task.worker, {})[task.key] = task
+            self.teams[task.team].use(task.amounts, 1, self.fleet.totals)
+
+    def add_running(self, task):
+        """Take one more task that holds capacity."""
+        self.running.setdefault(task.job, {})[task.index] = task
+        self.by_worker.setdefault(task.worker, {})[task.key] = task
+        self.teams[task.team].use(task.amounts, 1, self.fleet.totals)
+
+    def take_tasks(self, job, count):
+        """Take the first waiting tasks of a job; return their indices."""
+        waiting = self.jobs[job]
+        taken = waiting.indices[:count]
+        waiting.indices = waiting.indices[count:]
+        if waiting.indices:
+            self._put_key(waiting, self._lanes[job])
+        else:
+            self.remove_job(job)
+        return taken
+
+    def mark_late(self, job):
+        """Let a late job give way to those that can be in time."""
+        self.late.add(job)
+        self._put_key(self.jobs[job], self._lanes[job])
+
+    def get_key(self, job):
+        """Return the `OrderKey` of a waiting job."""
+        return self._keys[job]
+
+    def get_lane(self, job):
+        """Return the lane of a waiting job."""
+        return self._lanes[job]
+
+    def list_rows(self, job):
+        """Return the rows that hold tasks of a job, ordered."""
+        rows = self.fleet.rows
+        tasks = self.running.get(job, {}).values()
+        return sorted(rows[task.worker] for task in tasks if task.worker in rows)
+
+    def count_waves(self, job):
+        """Return the runs one after the other that the waiting tasks need."""
+        entitled = self.teams[job.spec.team].entitled
+        if len(job.indices) == 1:
+            return 1.0
+        if not entitled or not self.fleet.names:
+            return 1.0
+        need = Amounts.of(job.spec.template.resources)
+        share = float((np.array(need) / self.fleet.sum_total).max())
+        at_once = max(1.0, entitled / share) if share else float(len(job.indices))
+        return max(1.0, len(job.indices) / at_once)
+
+    def update_shares(self, now):
+        """Account for shares, about once a second."""
+        if now - self._shared_at < SHARE_SECONDS:
+            return
+        self._shared_at = now
+        teams = {
+            name: (team.weight, team.used, team.sum_waiting())
+            for name, team in self.teams.items()
+        }
+        window = self.share_window_seconds
+        self.ledger.advance(now, window, teams, self.fleet.sum_total)
+        for name, team in self.teams.items():
+            team.owed = self.ledger.owed[name]
+            team.entitled = self.ledger.entitled[name]
+            team.set_share(self.fleet.totals)
+
+    def _put_key(self, job, lane):
+        waves = self.count_waves(job)
+        key = make_order_key(job, waves, job.job in self.late)
+        self._keys[job.job] = key
+        lane.put(key, len(job.indices))
+
+    def _get_lane(self, team, key):
+        lanes = self.teams[team].lanes
+        if key not in lanes:
+            shape = self.shapes.get(key)
+            if shape is None:
+                shape = self.shapes[key] = Shape(key)
+            shape.teams.add(team)
+            lanes[key] = Lane(shape)
+        return lanes[key]
--- /dev/null
+++ b/libs/scheduler/src/cactustiller/scheduler/digests.py
@@ -0,0 +1,145 @@
+"""Digests of teams' use and of claims, exchanged between schedulers."""
+
+from cactustiller.model import Resources
+from cactustiller.model.messages import (
+    ClaimView,
+    KeptCapacity,
+    PublishUsage,
+    TeamUsage,
+)
+from cactustiller.policy import Amounts, Claim
+
+SMALLEST_CHANGE = 0.02
+
+
+class UsageDigests:
+    """Makes the digest of a member's teams and takes those of its peers.
+
+    Parameters
+    ----------
+    member : Member
+    planner : Planner
+    clock : WallClock
+    make_remote : callable
+        Returns the `TeamSnapshot` of a peer's `TeamUsage`.
+    """
+
+    def __init__(self, member, planner, clock, make_remote):
+        self._member = member
+        self._planner = planner
+        self._clock = clock
+        self._make_remote = make_remote
+        self._sent = {}
+        self._had_claims = False
+        self._teams_of = {}
+        self._claims_of = {}
+
+    def make(self, is_full, members, teams):
+        """Return the `PublishUsage` of this member; None where nothing changed."""
+        self._forget_members(set(self._teams_of) - members)
+        if is_full:
+            self._sent = {}
+        usages = []
+        for team in teams:
+            found = (team.used, team.sum_waiting())
+            if _has_changed(self._sent.get(team.team), found):
+                self._sent[team.team] = found
+                usages.append(_make_usage(team.team, *found))
+        claims = self._list_claims()
+        had_claims, self._had_claims = self._had_claims, bool(claims)
+        if not (usages or claims or had_claims or is_full):
+            return None
+        return PublishUsage(
+            member=self._member.member, full=is_full, teams=usages, claims=claims
+        )
+
+    def take(self, message, local):
+        """Take a peer's digest; teams with a home here are not taken."""
+        state = self._planner.state
+        own = {team.team for team in local}
+        known = self._teams_of.setdefault(message.member, set())
+        named = {usage.team for usage in message.teams}
+        if message.full:
+            gone = known - named
+            known.clear()
+            known.update(named - own)
+            self._forget_teams(gone)
+        for usage in message.teams:
+            if usage.team not in own:
+                state.put_team(self._make_remote(usage))
+                known.add(usage.team)
+        now = self._clock.now()
+        self._claims_of[message.member] = [
+            _read_claim(view, now) for view in message.claims
+        ]
+        self._put_claims()
+
+    def _list_claims(self):
+        now = self._clock.now()
+        return [
+            ClaimView(
+                job=claim.job,
+                since=claim.since,
+                starts_in_seconds=max(0.0, claim.start_at - now),
+                kept=[
+                    KeptCapacity(
+                        worker=worker,
+                        tasks=claim.tasks.get(worker, 0),
+                        amounts=_make_resources(amounts),
+                    )
+                    for worker, amounts in claim.kept.items()
+                ],
+            )
+            for claim in self._planner.claims.own.values()
+        ]
+
+    def _forget_members(self, members):
+        for member in members:
+            self._forget_teams(self._teams_of.pop(member))
+            self._claims_of.pop(member, None)
+        if members:
+            self._put_claims()
+
+    def _forget_teams(self, names):
+        state = self._planner.state
+        kept = {name for names in self._teams_of.values() for name in names}
+        for name in names - kept:
+            if name in state.teams and state.teams[name].is_remote:
+                state.remove_team(name)
+
+    def _put_claims(self):
+        self._planner.claims.peers = [
+            claim for claims in self._claims_of.values() for claim in claims
+        ]
+
+
+def _read_claim(view, now):
+    return Claim(
+        job=view.job,
+        since=view.since,
+        start_at=now + view.starts_in_seconds,
+        tasks={item.worker: item.tasks for item in view.kept},
+        kept={item.worker: Amounts.of(item.amounts) for item in view.kept},
+    )
+
+
+def _make_usage(team, used, waiting):
+    return TeamUsage(
+        team=team, used=_make_resources(used), waiting=_make_resources(waiting)
+    )
+
+
+def _make_resources(amounts):
+    cpu, memory, accelerators = amounts
+    return Resources(cpu_millis=cpu, memory_mib=memory, accelerators=accelerators)
+
+
+def _has_changed(before, after):
+    """Return whether use or waiting work differs by more than a little."""
+    if before is None:
+        return True
+    return any(
+        abs(new - old) > SMALLEST_CHANGE * max(old, new)
+        for olds, news in zip(before, after, strict=True)
+        for old, new in zip(olds, news, strict=True)
+    )
--- a/libs/scheduler/src/cactustiller/scheduler/dispatch.py
+++ b/libs/scheduler/src/cactustiller/scheduler/dispatch.py
@@ -4,16 +4,17 @@
 
 import structlog
 
-from cactustiller.model import ErrorCode, Resources, WorkloadKind
-from cactustiller.model.messages import ReleaseRuns, ReserveRuns, StartRuns
-from cactustiller.platform import Conflict
-from cactustiller.policy import (
-    Snapshot,
-    TeamSnapshot,
-    WaitingJob,
-    plan_placements,
+from cactustiller.model import ErrorCode, Failure, WorkloadKind
+from cactustiller.model.messages import (
+    ReleaseRuns,
+    ReserveRuns,
+    StartRuns,
+    StopRuns,
 )
+from cactustiller.platform import Conflict
+from cactustiller.policy import explain_waiting
 
+from .feed import PlannerFeed
 from .runs import key_of
 
 SETTLE_SECONDS = 0.01
@@ -22,6 +23,7 @@
 CALL_SECONDS = 2.0
 START_RETRY_SECONDS = 0.3
 COMMIT_TRIES = 5
+STOP_TRIES = 3
 
 log = structlog.get_logger(__name__)
 
@@ -42,11 +44,12 @@
 
     def __init__(self, member, homes, view, clock, find_values):
         self.decisions = 0
+        self.preemptions = 0
+        self.feed = PlannerFeed(member, homes, view, clock, find_values)
+        self._planner = self.feed.planner
         self._member = member
-        self._homes = homes
         self._view = view
         self._clock = clock
-        self._find_values = find_values
         self._wake = asyncio.Event()
         self._tasks = set()
 
@@ -74,44 +77,47 @@
 
     def run_round(self):
         """Decide once and start to carry the decisions out."""
-        waiting = {
-            entry.job: (home, entry)
-            for home in self._homes.values()
-            if home.is_recovered
-            for entry in home.list_waiting()
-        }
-        if not waiting:
-            return
-        snapshot = self._make_snapshot(waiting)
-        plan = plan_placements(snapshot)
-        for wait in plan.waits:
-            home, _ = waiting[wait.job]
-            home.explanations[wait.job] = [
-                f"waits at position {wait.position}: {wait.reason}"
-            ]
+        self.feed.update()
+        plan = self._planner.plan(self._clock.now())
         by_job = {}
         for placement in plan.placements:
             by_job.setdefault(placement.job, []).append(placement)
         for job, placements in by_job.items():
-            home, entry = waiting[job]
+            home, entry = self.feed.find(job)
+            home.explain_waiting = self.explain_waiting
             self._begin(home, entry, placements)
+        self._preempt(plan.preemptions)
+        self._note_hopeless(plan)
+        if plan.is_cut:
+            self.wake()
 
     def resume(self, home):
         """Send the starts of a recovered home's assigned tasks again."""
+        home.explain_waiting = self.explain_waiting
         for shard, runs in home.list_assigned().items():
             self._spawn(self._start(home, shard, runs, epoch=0))
 
-    def _make_snapshot(self, waiting):
-        teams = {}
-        jobs = []
-        now = self._clock.now()
-        for home, entry in waiting.values():
-            spec = entry.record.spec
-            values = self._find_values(spec.team, spec.queue)
-            if spec.team not in teams:
-                teams[spec.team] = _make_team(home, spec.team, values)
-            jobs.append(_make_waiting(entry, values, now))
-        return Snapshot(now, self._view.list_workers(), jobs, teams)
+    def explain_waiting(self, job):
+        """Return lines that say why a job waits, and in which order."""
+        return explain_waiting(self._planner, job, self._clock.now())
+
+    def find_never_runnable(self, home, message):
+        """Return the `Failure` of a `SubmitJob` that no listed worker could take.
+
+        A job that may be known already is never refused, since it may run.
+        """
+        if not home.is_new(message.job):
+            return None
+        reason = self.feed.find_obstacle(message.spec)
+        if not reason:
+            return None
+        log.info("job_never_runnable", job=message.job, reason=reason)
+        return Failure(
+            code=ErrorCode.NEVER_RUNNABLE,
+            step="check workers",
+            peer=home.home,
+            reason=reason,
+        )
 
     def _begin(self, home, entry, placements):
         runs_by_shard = {}
@@ -120,6 +126,7 @@
             run = home.make_run(entry, placement.index, placement.worker)
             runs_by_shard.setdefault(placement.shard, []).append(run)
             entry.take(placement.index)
+            self.feed.note_placing(home, entry, run, placement.shard)
             self._view.hold(placement.worker, run.template.resources)
             self._log(home, placement, run)
         self._spawn(self._carry_out(home, entry, runs_by_shard))
@@ -138,14 +145,72 @@
             shard=placement.shard,
             epoch=epoch,
         )
-        lines = home.explanations.setdefault(placement.job, [])
-        if lines and lines[-1].startswith("waits"):
-            lines.clear()
-        lines.append(
-            f"task {placement.index} attempt {run.attempt} to {placement.worker}: "
-            f"{placement.reason}, score {placement.score:.3f}, epoch {epoch}"
+        home.note_decision(
+            placement.job,
+            f"task {placement.index} attempt {run.attempt} to {placement.worker} of "
+            f"{placement.candidates} candidates: {placement.reason}, score "
+            f"{placement.score:.3f}, epoch {epoch}",
         )
 
+    def _preempt(self, preemptions):
+        """Stop tasks, after a checkpoint, for other work."""
+        by_shard = {}
+        for preemption in preemptions:
+            task = preemption.task
+            self.preemptions += 1
+            log.info(
+                "preemption_decided",
+                job=task.job,
+                index=task.index,
+                attempt=task.attempt,
+                worker=task.worker,
+                wanted_by=preemption.wanted_by,
+                reason=preemption.reason,
+            )
+            home, _ = self.feed.find(task.job)
+            home.note_decision(
+                task.job,
+                f"task {task.index} attempt {task.attempt} is stopped on "
+                f"{task.worker}, after a checkpoint: {preemption.reason}",
+            )
+            key = key_of(task)
+            by_shard.setdefault(task.shard, []).append(key)
+        for shard, keys in by_shard.items():
+            self._spawn(self._stop_runs(shard, keys))
+
+    async def _stop_runs(self, shard, keys):
+        message = StopRuns(shard=shard, runs=keys, checkpoint=True, reason="preempted")
+        for _ in range(STOP_TRIES):
+            answer = await self._member.call_owner(shard, message, CALL_SECONDS)
+            if answer.is_ok():
+                return
+            await asyncio.sleep(START_RETRY_SECONDS)
+        log.warning("preemption_failed", shard=shard, runs=len(keys))
+
+    def _note_hopeless(self, plan):
+        """Tell submitters and operators of jobs that are late or can't run."""
+        for late in plan.late:
+            _, entry = self.feed.find(late.job)
+            seconds = late.finish_at - late.deadline_at
+            entry.notice = (
+                f"can't finish by its deadline: the predicted end is {seconds:.0f} s "
+                "after it"
+            )
+            log.warning(
+                "deadline_cannot_be_met",
+                job=late.job,
+                deadline_at=round(late.deadline_at, 3),
+                predicted_finish_at=round(late.finish_at, 3),
+            )
+        for wait in plan.parked:
+            _, entry = self.feed.find(wait.job)
+            entry.notice = f"parked: {wait.reason}"
+            log.warning("job_parked", job=wait.job, reason=wait.reason)
+        for job in plan.unparked:
+            _, entry = self.feed.find(job)
+            entry.notice = ""
+            log.info("job_unparked", job=job)
+
     async def _carry_out(self, home, entry, runs_by_shard):
         """Reserve, commit and start the runs of one job."""
         is_whole = entry.record.spec.kind is WorkloadKind.ALL_AT_ONCE
@@ -157,13 +222,16 @@
         for run in denied:
             self._view.note_denied(run.worker)
             entry.put_back(run.index)
+        self.feed.note_placed(home, denied)
         if granted and not await self._commit(home, granted, epochs):
             await self._release(granted)
             for runs in granted.values():
                 for run in runs:
                     entry.put_back(run.index)
+                self.feed.note_placed(home, runs)
             granted = {}
         for shard, runs in granted.items():
+            self.feed.note_placed(home, runs)
             self._spawn(self._start(home, shard, runs, epochs[shard]))
         if denied:
             self.wake()
@@ -251,33 +319,3 @@
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _make_team(home, team, values):
-    used, count = home.find_usage(team)
-    return TeamSnapshot(
-        team=team,
-        share_weight=values.share_weight,
-        limit=Resources(
-            cpu_millis=values.limit_cpu_millis,
-            memory_mib=values.limit_memory_mib,
-            accelerators=values.limit_accelerators,
-        ),
-        limit_tasks=values.limit_tasks,
-        used=used,
-        used_tasks=count,
-    )
-
-
-def _make_waiting(entry, values, now):
-    record = entry.record
-    deadline = record.spec.deadline_seconds
-    return WaitingJob(
-        job=record.job,
-        spec=record.spec,
-        indices=entry.list_ready(now),
-        submitted_at=record.submitted_at,
-        deadline_at=record.submitted_at + deadline if deadline else 0.0,
-        spread=values.spread,
-        ageing_seconds=values.ageing_seconds,
-    )
--- a/libs/scheduler/src/cactustiller/scheduler/exchange.py
+++ b/libs/scheduler/src/cactustiller/scheduler/exchange.py
@@ -10,6 +10,7 @@
 REPORT_DELAY_SECONDS = 0.03
 REPORT_RETRY_SECONDS = 0.5
 PUBLISH_SECONDS = 0.15
+USAGE_SECONDS = 1.0
 FULL_PUBLISH_SECONDS = 30.0
 
 log = structlog.get_logger(__name__)
@@ -24,12 +25,15 @@
     shards : dict of PartitionId to Shard
     take_views : callable
         Takes the views of the member's own shards.
+    list_usage : callable
+        Returns the `PublishUsage` to send, None where nothing changed.
     """
 
-    def __init__(self, member, shards, take_views):
+    def __init__(self, member, shards, take_views, list_usage):
         self._member = member
         self._shards = shards
         self._take_views = take_views
+        self._list_usage = list_usage
         self._wake = asyncio.Event()
         self._known = set()
         self._full_at = float("-inf")
@@ -55,6 +59,22 @@
             await asyncio.sleep(PUBLISH_SECONDS)
             await self._publish()
 
+    async def publish_usage_regularly(self):
+        """Send digests of changed teams until cancelled."""
+        full_at = float("-inf")
+        known = set()
+        while True:
+            await asyncio.sleep(USAGE_SECONDS)
+            now = asyncio.get_running_loop().time()
+            schedulers = self._member.list_members(Role.SCHEDULER)
+            names = {record.member for record in schedulers}
+            is_full = now - full_at >= FULL_PUBLISH_SECONDS or bool(names - known)
+            if is_full:
+                full_at, known = now, names
+            message = self._list_usage(is_full, names)
+            if message is not None:
+                await self._member.announce(message, schedulers)
+
     def _begin_report(self, shard, home, reports):
         if (shard.shard, home) in self._reporting:
             return
--- a/libs/scheduler/src/cactustiller/scheduler/handlers.py
+++ b/libs/scheduler/src/cactustiller/scheduler/handlers.py
@@ -16,6 +16,7 @@
     GetSettings,
     GetStats,
     ListJobs,
+    PublishUsage,
     PublishWorkers,
     ReleaseRuns,
     ReportRuns,
@@ -63,7 +64,8 @@
         home = self._partitions.find(self._partitions.homes, message.home)
         if home is None:
             return self._partitions.refuse(message.home)
-        return await home.submit(message)
+        failure = self._incarnation.dispatcher.find_never_runnable(home, message)
+        return failure or await home.submit(message)
 
     @_answer.register
     async def _(self, message: GetJob):
@@ -118,6 +120,11 @@
         self._incarnation.take_views(message.workers)
         return Done()
 
+    @_answer.register
+    async def _(self, message: PublishUsage):
+        self._incarnation.dispatcher.feed.take_usage(message)
+        return Done()
+
     @_answer.register
     async def _(self, message: AcquirePermits):
         return self._ask_pool(message, lambda pool: pool.acquire(message))
--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -1,6 +1,7 @@
 """Home: the single writer of some teams' jobs, queues and running counts."""
 
 import asyncio
+from collections import deque
 
 import structlog
 from result import Err, Ok
@@ -25,6 +26,7 @@
     StopRuns,
 )
 from cactustiller.platform import Conflict, Put, Write
+from cactustiller.policy import RunTimes
 
 from .jobs import JobEntry, end_task, find_restart_pause, finish_job
 from .runs import run_row_key
@@ -33,6 +35,7 @@
 CANCEL_SECONDS = 5.0
 WAIT_FOREVER_SECONDS = 86_400.0
 STOP_RETRY_SECONDS = 1.0
+KEPT_DECISIONS = 32
 
 log = structlog.get_logger(__name__)
 
@@ -56,6 +59,10 @@
         self.jobs = {}
         self.is_recovered = False
         self.explanations = {}
+        self.changed_jobs = set()
+        self.ended_runs = []
+        self.run_times = RunTimes()
+        self.explain_waiting = lambda job: []
         self._member = member
         self._clock = clock
         self._wake = wake
@@ -83,6 +90,8 @@
             record = JobRecord.model_validate(row.value)
             entry = JobEntry.recover(record, by_job.get(record.job, []))
             self.jobs[record.job] = entry
+            self._learn_run_times(entry)
+        self.changed_jobs.update(self.jobs)
         self.is_recovered = True
         log.info("home_recovered", home=self.home, jobs=len(self.jobs))
         self._spawn(self._stop_cancelled())
@@ -141,7 +150,9 @@
         """Return ``Ok(Explanation)`` of why a job waits or how it was placed."""
         if message.job not in self.jobs:
             return Err(self._fail_unknown_job(message.job))
-        return Ok(Explanation(lines=self.explanations.get(message.job, [])))
+        lines = self.explain_waiting(message.job)
+        placed = self.explanations.get(message.job, [])
+        return Ok(Explanation(lines=[*lines, *placed]))
 
     async def cancel(self, message):
         """Cancel a job; return ``Ok(JobView)`` once that is recorded."""
@@ -160,13 +171,19 @@
                 return answer
             entry.record = cancelled
             entry.waiting.clear()
+            self.changed_jobs.add(entry.job)
+            self._wake()
             self._spawn(self._stop_holding(entry))
         return Ok(entry.make_view(message.detail))
 
-    def list_waiting(self):
-        """Return the jobs that have tasks to place."""
-        now = self._clock.now()
-        return [entry for entry in self.jobs.values() if entry.list_ready(now)]
+    def is_new(self, job):
+        """Return whether nothing of a job can be in the table service."""
+        return job not in self.jobs and job not in self._submitting
+
+    def note_decision(self, job, line):
+        """Keep a line that explains a decision about a job."""
+        lines = self.explanations.setdefault(job, deque(maxlen=KEPT_DECISIONS))
+        lines.append(line)
 
     def find_usage(self, team):
         """Return resources and number of the team's tasks that hold capacity."""
@@ -221,6 +238,7 @@
                 entry = self.jobs[task.job]
                 entry.placing.discard(task.index)
                 entry.tasks[task.index] = task
+                self.changed_jobs.add(task.job)
         return answer
 
     async def unassign(self, runs):
@@ -274,6 +292,7 @@
             return answer
         entry = JobEntry.recover(record, [])
         self.jobs[record.job] = entry
+        self.changed_jobs.add(record.job)
         log.info("job_accepted", job=record.job, team=record.spec.team)
         self._wake()
         return Ok(entry.make_view(detail=False))
@@ -315,6 +334,7 @@
             state=TaskState.ASSIGNED,
             attempt=run.attempt,
             failures=previous.failures if previous else 0,
+            preemptions=previous.preemptions if previous else 0,
             worker=run.worker,
             shard=shard,
             changed_at=self._clock.now(),
@@ -358,12 +378,32 @@
             self._recording.difference_update(keys)
         if answer.is_err():
             return []
+        self._note_ends(reports)
         self._apply_ends(changes, finished, now)
         return keys
 
+    def _note_ends(self, reports):
+        """Learn from the ends of attempts."""
+        for report in reports:
+            entry = self.jobs[report.run.job]
+            task = entry.tasks[report.run.index]
+            if report.state is RunState.FAILED:
+                entry.failed_on.add(task.worker)
+            elif report.state is RunState.SUCCEEDED:
+                self.run_times.note(entry.record.spec, report.run_seconds)
+            self.ended_runs.append((entry, task.worker, report.state))
+
+    def _learn_run_times(self, entry):
+        """Learn from the rows of a job, as far as they tell."""
+        seconds = [task.run_seconds for task in entry.tasks.values()]
+        for found in (entry.record.run_seconds, *seconds):
+            if found:
+                self.run_times.note(entry.record.spec, found)
+
     def _apply_ends(self, changes, finished, now):
         for job, tasks in changes.items():
             entry = self.jobs[job]
+            self.changed_jobs.add(job)
             for index, task in tasks.items():
                 entry.tasks[index] = task
                 if task.state is not TaskState.WAITING:
@@ -431,6 +471,7 @@
         self.run = run
         self.state = state
         self.reason = reason
+        self.run_seconds = 0.0
 
 
 def _is_settled(task, report):
--- a/libs/scheduler/src/cactustiller/scheduler/incarnation.py
+++ b/libs/scheduler/src/cactustiller/scheduler/incarnation.py
@@ -70,7 +70,12 @@
             self.partitions.clock,
             self.find_values,
         )
-        self.exchange = Exchange(self.member, self.partitions.shards, self._take_views)
+        self.exchange = Exchange(
+            self.member,
+            self.partitions.shards,
+            self._take_views,
+            self.dispatcher.feed.list_usage,
+        )
         self.partitions.wake_dispatcher = self.dispatcher.wake
         self.partitions.wake_exchange = self.exchange.wake
         self.partitions.resume_home = self.dispatcher.resume
@@ -111,6 +116,7 @@
                 self.dispatcher.run(),
                 self.exchange.report_regularly(),
                 self.exchange.publish_regularly(),
+                self.exchange.publish_usage_regularly(),
                 self.partitions.run(),
                 self._list_regularly(),
             )
--- a/libs/scheduler/src/cactustiller/scheduler/jobs.py
+++ b/libs/scheduler/src/cactustiller/scheduler/jobs.py
@@ -10,6 +10,7 @@
     RunState,
     TaskRecord,
     TaskState,
+    WorkerId,
     WorkloadKind,
 )
 from cactustiller.model.messages import JobView, TaskView
@@ -33,6 +34,10 @@
         Indices whose placement is under way.
     restart_at : dict of int to float
         Wall-clock seconds before which a failed service task stays down.
+    failed_on : set of WorkerId
+        Workers on which a task failed.
+    notice : str
+        What its submitter should know while it waits.
     """
 
     record: JobRecord
@@ -40,6 +45,8 @@
     waiting: list[int] = field(default_factory=list)
     placing: set[int] = field(default_factory=set)
     restart_at: dict[int, float] = field(default_factory=dict)
+    failed_on: set[WorkerId] = field(default_factory=set)
+    notice: str = ""
     first_start_seconds: float = -1.0
     last_start_seconds: float = -1.0
 
@@ -118,7 +125,7 @@
             job=record.job,
             spec=record.spec,
             state=self.find_state(),
-            reason=record.reason,
+            reason=record.reason or ("" if is_final else self.notice),
             submitted_at=record.submitted_at,
             ended_at=record.ended_at,
             waiting=0 if is_final else rest,
@@ -157,8 +164,14 @@
         state = TaskState.FAILED
     else:
         state = TaskState.WAITING
+    has_succeeded = report.state is RunState.SUCCEEDED
     return task.with_changes(
-        state=state, failures=failures, changed_at=now, reason=report.reason
+        state=state,
+        failures=failures,
+        preemptions=task.preemptions + (report.state is RunState.STOPPED),
+        run_seconds=report.run_seconds if has_succeeded else 0.0,
+        changed_at=now,
+        reason=report.reason,
     )
 
 
@@ -186,6 +199,7 @@
         succeeded=succeeded,
         failed=failed,
         ended_at=now,
+        run_seconds=max((task.run_seconds for task in tasks.values()), default=0.0),
         reason=reasons[0] if reasons else "",
     )
 
--- a/libs/settings/src/cactustiller/settings/names.py
+++ b/libs/settings/src/cactustiller/settings/names.py
@@ -118,6 +118,9 @@
     spread: Annotated[Spread, ALL_LEVELS] = _declare(
         Spread.NONE, "Places over which the tasks of a job are spread."
     )
+    colocate: Annotated[Spread, ALL_LEVELS] = _declare(
+        Spread.NONE, "Place that the tasks of a job share where it has room."
+    )
 
 
 def get_levels(name: str) -> Levels:
--- /dev/null
+++ b/tests/policy/test_planning.py
@@ -0,0 +1,108 @@
+"""Order, limits, places, parking and deadlines of decisions."""
+
+from cactustiller.model import Urgency, WorkloadKind
+from cactustiller.policy import TeamSnapshot, explain_waiting
+
+from .builders import (
+    NOW,
+    list_placed,
+    make_job,
+    make_planner,
+    make_resources,
+    make_running,
+    make_worker,
+)
+
+
+def test_lowered_limit_starts_and_stops_nothing():
+    running = [make_running(index=n) for n in range(4)]
+    team = TeamSnapshot("t-0", limit_tasks=6)
+    planner = make_planner([make_worker()], [make_job(tasks=4)], [team], running)
+    planner.state.put_team(TeamSnapshot("t-0", limit_tasks=2))
+    plan = planner.plan(NOW)
+    assert not plan.placements
+    assert not plan.preemptions
+    planner.state.put_team(TeamSnapshot("t-0", limit_tasks=5))
+    assert len(planner.plan(NOW).placements) == 1
+
+
+def test_impossible_job_is_parked_with_nearest_worker_and_blocks_nothing():
+    huge = make_job("huge", resources=make_resources(9000), submitted_at=NOW - 9e3)
+    planner = make_planner([make_worker()], [huge, make_job("small")])
+    plan = planner.plan(NOW)
+    assert list_placed(plan) == [("small", 0, "w-0")]
+    assert "the nearest is w-0: cpu_millis 8000 of 9000" in plan.parked[0].reason
+    assert "parked" in explain_waiting(planner, "huge", NOW)[0]
+    planner.state.fleet.put_worker(make_worker("w-1", cpu=16_000))
+    plan = planner.plan(NOW + 1)
+    assert plan.unparked == []
+    assert list_placed(plan) == [("huge", 0, "w-1")]
+
+
+def test_running_job_is_parked_when_the_fleet_shrinks():
+    workers = [make_worker("w-0"), make_worker("w-1", attributes={"disk": "fast"})]
+    job = make_job(required={"disk": "fast"}, submitted_at=NOW)
+    planner = make_planner(workers, [job])
+    planner.state.fleet.remove_worker("w-1")
+    parked = planner.plan(NOW).parked
+    assert "disk is not set, not fast" in parked[0].reason
+
+
+def test_service_spreads_over_racks_and_batch_packs():
+    workers = [
+        make_worker(f"w-{n}", rack=f"r{n % 2}", zone="ab"[n % 2]) for n in range(4)
+    ]
+    service = make_planner(workers, [make_job(tasks=4, kind=WorkloadKind.SERVICE)])
+    assert len({p.worker for p in service.plan(NOW).placements}) == 4
+    batch = make_planner(workers, [make_job(tasks=4)])
+    assert len({p.worker for p in batch.plan(NOW).placements}) == 1
+
+
+def test_whole_job_is_kept_in_one_rack():
+    workers = [
+        make_worker(f"w-{n}", cpu=2000, rack="r1" if n < 3 else "r2") for n in range(5)
+    ]
+    job = make_job(tasks=4, kind=WorkloadKind.ALL_AT_ONCE, colocate="rack")
+    plan = make_planner(workers, [job]).plan(NOW)
+    assert {p.worker for p in plan.placements} == {"w-3", "w-4"}
+
+
+def test_accelerated_worker_is_left_for_work_that_needs_it():
+    workers = [make_worker("w-0", accelerators=4), make_worker("w-1")]
+    plan = make_planner(workers, [make_job()]).plan(NOW)
+    assert plan.placements[0].worker == "w-1"
+
+
+def test_worker_where_the_job_failed_is_avoided_while_there_is_another():
+    workers = [make_worker("w-0"), make_worker("w-1")]
+    job = make_job(tasks=2, avoided_workers=frozenset({"w-0"}))
+    plan = make_planner(workers, [job]).plan(NOW)
+    assert {p.worker for p in plan.placements} == {"w-1"}
+    only = make_job(avoided_workers=frozenset({"w-0"}))
+    assert make_planner(workers[:1], [only]).plan(NOW).placements
+
+
+def test_least_slack_goes_first_and_late_work_gives_way():
+    worker = make_worker(cpu=1000)
+    far = make_job("far", deadline_at=NOW + 5000)
+    near = make_job("near", deadline_at=NOW + 100)
+    late = make_job("late", deadline_at=NOW + 30)
+    planner = make_planner([worker], [far, late, near])
+    plan = planner.plan(NOW)
+    assert list_placed(plan) == [("near", 0, "w-0")]
+    assert [(item.job, item.finish_at) for item in plan.late] == [("late", NOW + 60)]
+    assert "can't be met" in "".join(explain_waiting(planner, "late", NOW))
+
+
+def test_old_work_goes_before_new_work_with_a_distant_deadline():
+    old = make_job("old", submitted_at=NOW - 650)
+    new = make_job("new", deadline_at=NOW + 3000)
+    plan = make_planner([make_worker(cpu=1000)], [new, old]).plan(NOW)
+    assert plan.placements[0].job == "old"
+
+
+def test_idle_work_that_aged_competes_with_normal_work():
+    idle = make_job("idle", urgency=Urgency.IDLE, submitted_at=NOW - 700)
+    fresh = make_job("fresh")
+    plan = make_planner([make_worker(cpu=1000)], [idle, fresh]).plan(NOW)
+    assert plan.placements[0].job == "idle"
