--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 WORKERS ?= 24
 BASE_PORT ?= 21000
 
-.PHONY: setup test lint format demo cell bench-idle
+.PHONY: setup test lint format demo cell bench-idle bench-policy bench-decisions
 
 setup: $(VENV)/.ready
 
@@ -37,3 +37,9 @@
 
 bench-idle: setup
 	$(PYTHON) -m benchmarks.idle
+
+bench-policy: setup
+	$(PYTHON) -m benchmarks.policy
+
+bench-decisions: setup
+	$(PYTHON) -m benchmarks.decisions
--- /dev/null
+++ b/benchmarks/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the decisions against two baselines on the same seeded workloads."""
--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -36,6 +36,7 @@
 WAIT_FOREVER_SECONDS = 86_400.0
 STOP_RETRY_SECONDS = 1.0
 KEPT_DECISIONS = 32
+KEPT_EXPLAINED_JOBS = 2000
 
 log = structlog.get_logger(__name__)
 
@@ -182,8 +183,11 @@
 
     def note_decision(self, job, line):
         """Keep a line that explains a decision about a job."""
-        lines = self.explanations.setdefault(job, deque(maxlen=KEPT_DECISIONS))
-        lines.append(line)
+        if job not in self.explanations:
+            self.explanations[job] = deque(maxlen=KEPT_DECISIONS)
+            while len(self.explanations) > KEPT_EXPLAINED_JOBS:
+                del self.explanations[next(iter(self.explanations))]
+        self.explanations[job].append(line)
 
     def find_usage(self, team):
         """Return resources and number of the team's tasks that hold capacity."""
