Let claims come together and deadlines borrow share

Cause: a claim's predicted start slipped with every task that overran, so that new short work filled its room for ever or thousands of tasks were stopped; aged small work took claims out of its team's turn; deadline work of a team at its share waited for others; jobs were put back as late by declared run times.

Change: a claim is made in its team's turn only, keeps its first promised start for filling, and 30 s after that the least costly stragglers are stopped. Filling work is stopped only past its own predicted end; a run stopped beyond its prediction teaches a longer one. Work at risk goes first while its team is at most 10 % of the cell beyond its share. Only learnt run times put a job back.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each prints its conditions and one JSON object."""
--- a/benchmarks/policy/ours.py
+++ b/benchmarks/policy/ours.py
@@ -59,6 +59,7 @@
                 typical_seconds=0.0
                 if is_service
                 else times.predict(spec, MIDDLE_QUANTILE),
+                is_learnt=times.has_learnt(spec),
             )
         )
 
@@ -72,6 +73,8 @@
         fleet.free[:, row] = free
         if state is RunState.SUCCEEDED:
             self._run_times.note(run.job.spec, now - run.started_at)
+        elif state is RunState.STOPPED:
+            self._run_times.note_unfinished(run.job.spec, now - run.started_at)
         if state in (RunState.SUCCEEDED, RunState.FAILED):
             failed = state is RunState.FAILED
             spec, job = run.job.spec, run.job.name
--- a/libs/policy/src/cactustiller/policy/claims.py
+++ b/libs/policy/src/cactustiller/policy/claims.py
@@ -4,9 +4,13 @@
 
 from .snapshots import Amounts, Claim, Preemption
 
-MOST_CLAIMS = 2
+MOST_WHOLE_CLAIMS = 2
+MOST_TASK_CLAIMS = 1
 REFRESH_SECONDS = 1.0
 OVERRUN_SECONDS = 30.0
+OVERRUN_PART = 0.5
+OVERDUE_SECONDS = 30.0
+MOST_OVERRUNS_STOPPED = 8
 UNKNOWN_END_SECONDS = 600.0
 OVERRUN_REASON = "ran longer than predicted in room kept for {job}"
 
@@ -24,19 +28,25 @@
         self.own = {}
         self.peers = []
         self._promised = {}
+        self._is_whole = {}
         self._backfilled = {}
         self._refreshed_at = float("-inf")
 
     @property
     def earliest_start(self):
         """Return the first predicted start, None without a claim."""
-        starts = [claim.start_at for claim in self.list_all()]
-        return min(starts, default=None)
+        starts = [claim.start_at for claim in self.peers]
+        return min((*starts, *self._promised.values()), default=None)
 
-    @property
-    def can_request(self):
-        """Whether one more claim may be made."""
-        return len(self.own) < MOST_CLAIMS
+    def can_request(self, shape):
+        """Return whether one more claim may be made for a job of a shape.
+
+        Single tasks have claims of their own, so that they do not hold up jobs whose
+        tasks start together.
+        """
+        is_whole = bool(shape.key.whole_count)
+        made = sum(found is is_whole for found in self._is_whole.values())
+        return made < (MOST_WHOLE_CLAIMS if is_whole else MOST_TASK_CLAIMS)
 
     def list_all(self):
         """Return all claims, the first in line first."""
@@ -58,30 +68,49 @@
                     capacity[:, fleet.rows[worker]] -= amounts
         return capacity
 
+    def list_overdue(self, now):
+        """Return own claims that missed the start first predicted by too much."""
+        return [
+            claim
+            for job, claim in self.own.items()
+            if self._is_whole[job] and now > self._promised[job] + OVERDUE_SECONDS
+        ]
+
+    def settle(self, claim, tasks, need, now):
+        """Fix the workers of a claim for which room is being made."""
+        claim.tasks = tasks
+        claim.start_at = now + OVERDUE_SECONDS
+        claim.kept = {
+            worker: Amounts().plus(need, count) for worker, count in tasks.items()
+        }
+        self._promised[claim.job] = now
+
     def drop(self, job):
         """Give a claim up."""
         self.own.pop(job, None)
         self._promised.pop(job, None)
-        for key, owner in list(self._backfilled.items()):
+        self._is_whole.pop(job, None)
+        for key, (owner, _) in list(self._backfilled.items()):
             if owner == job:
                 del self._backfilled[key]
 
     def note_backfilled(self, task, now):
         """Remember that a task runs in capacity that a claim waits for."""
         for claim in self.own.values():
-            if task.worker in claim.tasks and task.expected_end > now:
-                self._backfilled[task.key] = claim.job
+            if task.worker in claim.tasks and task.expected_end <= claim.start_at:
+                self._backfilled[task.key] = (claim.job, task.expected_end)
 
     def request(self, state, lane, key, now):
         """Claim capacity for the first job of a lane; return the `Claim` or None."""
         if key.job in self.own:
             return self.own[key.job]
-        if len(self.own) >= MOST_CLAIMS:
+        if not self.can_request(lane.shape):
             return None
         claim = Claim(key.job, since=now, start_at=now)
         if not self._predict(state, lane, claim, now):
             return None
         self.own[key.job] = claim
+        self._is_whole[key.job] = bool(lane.shape.key.whole_count)
         self._promised[key.job] = claim.start_at
         return claim
 
@@ -95,7 +124,8 @@
         for claim in sorted(self.own.values(), key=lambda claim: claim.precedence):
             lane = state.get_lane(claim.job)
             is_gone = any(worker not in state.fleet for worker in claim.tasks)
-            if (is_due or is_gone) and not self._predict(state, lane, claim, now):
+            is_missed = is_due and now > claim.start_at
+            if (is_missed or is_gone) and not self._predict(state, lane, claim, now):
                 self.drop(claim.job)
                 continue
             self._update_kept(state, lane.shape.amounts, claim, now)
@@ -132,7 +162,7 @@
         for worker, count in claim.tasks.items():
             freed = Amounts()
             for task in state.by_worker.get(worker, {}).values():
-                if _find_end(task, now) <= claim.start_at:
+                if now < task.expected_end <= claim.start_at:
                     freed = freed.plus(task.amounts)
             missing = (
                 max(0, count * amount - free)
@@ -142,11 +172,13 @@
 
     def _stop_overruns(self, state, now):
         found = []
-        for (job, index), owner in list(self._backfilled.items()):
+        for (job, index), (owner, ends_at) in list(self._backfilled.items()):
             task = state.running.get(job, {}).get(index)
             if task is None:
                 del self._backfilled[(job, index)]
-            elif now > self._promised[owner] and task.is_preemptible:
+            elif len(found) >= MOST_OVERRUNS_STOPPED:
+                break
+            elif task.is_preemptible and now > max(ends_at, self._promised[owner]):
                 del self._backfilled[(job, index)]
                 reason = OVERRUN_REASON.format(job=owner)
                 found.append(Preemption(task, owner, reason))
@@ -154,8 +186,13 @@
 
 
 def _find_end(task, now):
-    """Return when a task is expected to end; one that overruns, a little later."""
-    return task.expected_end if task.expected_end > now else now + OVERRUN_SECONDS
+    """Return when a task is expected to end.
+
+    One that overruns is expected to run on for a part of what it has run.
+    """
+    if task.expected_end > now:
+        return task.expected_end
+    return now + max(OVERRUN_SECONDS, OVERRUN_PART * (now - task.started_at))
 
 
 def _collect_ends(state, base, now):
--- a/libs/policy/src/cactustiller/policy/estimates.py
+++ b/libs/policy/src/cactustiller/policy/estimates.py
@@ -9,6 +9,7 @@
 HIGH_QUANTILE = 0.9
 MIDDLE_QUANTILE = 0.5
 UNKNOWN_RUN_SECONDS = 300.0
+UNFINISHED_FACTOR = 2.0
 
 
 class RunTimes:
@@ -27,6 +28,18 @@
         if len(self._runs) > self._kept_names:
             self._runs.popitem(last=False)
 
+    def has_learnt(self, spec):
+        """Return whether enough runs were seen."""
+        return len(self._runs.get(_key_of(spec), ())) >= FEWEST_RUNS
+
+    def note_unfinished(self, spec, seconds):
+        """Take the time after which a run was stopped.
+
+        One that ran longer than predicted counts as a run of twice that.
+        """
+        if seconds > self.predict(spec):
+            self.note(spec, UNFINISHED_FACTOR * seconds)
+
     def predict(self, spec, quantile=HIGH_QUANTILE):
         """Return the run seconds that this part of the runs does not exceed.
 
--- a/libs/policy/src/cactustiller/policy/ordering.py
+++ b/libs/policy/src/cactustiller/policy/ordering.py
@@ -11,9 +11,10 @@
     Urgency.NORMAL: NORMAL_RANK,
     Urgency.IDLE: IDLE_RANK,
 }
-AT_RISK_SECONDS = 60.0
-AT_RISK_RUNS = 0.5
+AT_RISK_SECONDS = 300.0
+AT_RISK_RUNS = 1.0
 HEAP_SLACK = 2
+IDLE_AGEING_FACTOR = 6.0
 
 
 class OrderKey(NamedTuple):
@@ -24,6 +25,12 @@
     job: JobId
 
 
+def find_ageing_seconds(job):
+    """Return the wait after which a job without a deadline moves ahead."""
+    is_idle = job.spec.urgency is Urgency.IDLE
+    return job.ageing_seconds * (IDLE_AGEING_FACTOR if is_idle else 1.0)
+
+
 def make_order_key(job, waves, is_late):
     """Return the `OrderKey` of a waiting job.
 
@@ -39,7 +46,7 @@
     is_late : bool
     """
     if not job.deadline_at:
-        latest = job.submitted_at + job.ageing_seconds
+        latest = job.submitted_at + find_ageing_seconds(job)
     elif is_late:
         latest = job.deadline_at + job.ageing_seconds
     else:
@@ -102,7 +109,7 @@
 def rank_job(job, key, now):
     """Return the rank of a job among all teams' work, lowest first."""
     rank = URGENCY_RANKS[job.spec.urgency]
-    if rank == IDLE_RANK and now - job.submitted_at >= job.ageing_seconds:
+    if rank == IDLE_RANK and now - job.submitted_at >= find_ageing_seconds(job):
         rank = NORMAL_RANK
     if rank == NORMAL_RANK and job.deadline_at:
         slack = key.latest_start - now
--- a/libs/policy/src/cactustiller/policy/preemption.py
+++ b/libs/policy/src/cactustiller/policy/preemption.py
@@ -3,6 +3,8 @@
 from collections import deque
 from typing import NamedTuple
 
+import numpy as np
+
 from cactustiller.model import WorkerId
 
 from .ordering import IDLE_RANK, URGENCY_RANKS, URGENT_RANK
@@ -56,6 +58,10 @@
         """Return the kept capacity as pairs of worker and `Amounts`."""
         return [(room.worker, room.shape.amounts) for room in self.rooms]
 
+    def has_room(self, shape):
+        """Return whether room is being made for a shape."""
+        return any(room.shape == shape for room in self.rooms)
+
     def note_placed(self, shape, worker):
         """Note that an urgent task took the room made for its shape."""
         for room in self.rooms:
@@ -77,12 +83,55 @@
             wanted -= 1
             left -= len(victims)
             self.rooms.append(UrgentRoom(shape.key, worker, now + KEPT_SECONDS))
-            for task in victims:
-                self._stops.append(now)
-                self._stopped[task.key] = now + STOP_SECONDS
-                found.append(Preemption(task, job, f"urgent {job} finds no room"))
+            reason = f"urgent {job} finds no room"
+            found += [self._stop(task, job, reason, now) for task in victims]
         return found
 
+    def complete(self, state, claims, claim, now):
+        """Return the preemptions that let an overdue claim start.
+
+        Adds at most one task to each worker that has room for some already, where
+        the least work is lost.
+        """
+        fleet = state.fleet
+        shape = state.get_lane(claim.job).shape
+        capacity = claims.find_capacity(fleet, claim)
+        mask = shape.get_mask(fleet)
+        counts = np.where(mask, fleet.count_fitting(shape.amounts, capacity), 0)
+        missing = shape.key.whole_count - int(counts.sum())
+        left = self._count_budget(state) - len(self._stops)
+        options = self._list_completions(state, shape, capacity, counts, now)
+        chosen = options[:missing]
+        victims = [task for _, _, tasks in chosen for task in tasks]
+        if missing <= 0 or len(chosen) < missing or len(victims) > left:
+            return []
+        for _, row, _ in chosen:
+            counts[row] += 1
+        tasks = {fleet.names[row]: int(counts[row]) for row in np.flatnonzero(counts)}
+        claims.settle(claim, tasks, shape.amounts, now)
+        reason = f"{claim.job} waits for the last of its claimed capacity"
+        return [self._stop(task, claim.job, reason, now) for task in victims]
+
+    def _list_completions(self, state, shape, capacity, counts, now):
+        """Return cost, row and victims of one more task, least lost work first."""
+        options = []
+        mask = shape.get_mask(state.fleet)
+        for worker, tasks in state.by_worker.items():
+            row = state.fleet.rows.get(worker)
+            if row is None or not mask[row]:
+                continue
+            free = Amounts(*capacity[:, row].tolist())
+            need = Amounts().plus(shape.amounts, int(counts[row]) + 1)
+            found = self._choose_victims(tasks.values(), free, need, now)
+            if found is not None:
+                options.append((found[0], row, found[1]))
+        return sorted(options, key=lambda option: option[:2])
+
+    def _stop(self, task, job, reason, now):
+        self._stops.append(now)
+        self._stopped[task.key] = now + STOP_SECONDS
+        return Preemption(task, job, reason)
+
     def _count_wanted(self, state, shape):
         wanted = -sum(room.shape == shape.key for room in self.rooms)
         for name in shape.teams:
--- a/libs/policy/src/cactustiller/policy/rounds.py
+++ b/libs/policy/src/cactustiller/policy/rounds.py
@@ -13,7 +13,7 @@
 from .snapshots import LateJob, Placement, Plan, RunningTask, WaitReason
 from .wholes import choose_rows
 
-MOST_BORROWED_SHARE = 0.03
+MOST_BORROWED_SHARE = 0.1
 BACKFILL_SEARCHED = 32
 NO_ROOM = "no worker has room for a task now"
 NO_ROOM_WHOLE = "not all tasks fit at once now"
@@ -52,6 +52,10 @@
         self._preemptor.refresh(self._state, self._now)
         overruns = self._claims.refresh(self._state, self._now)
         self._plan.preemptions.extend(overruns)
+        for claim in self._claims.list_overdue(self._now):
+            self._plan.preemptions += self._preemptor.complete(
+                self._state, self._claims, claim, self._now
+            )
         self._keep()
         self._start_claimed()
         self._open_lanes()
@@ -91,7 +95,6 @@
     def _open_lanes(self):
         """Queue the teams that have work which may find room or is to make some."""
         teams = self._state.teams
-        can_claim = self._claims.can_request
         for shape in self._state.shapes.values():
             if shape.find_obstacle(self._fleet):
                 continue
@@ -102,6 +105,7 @@
             shape.reason = "" if has_room else NO_ROOM
             if not has_room:
                 self._full.add((shape.key, use))
+            can_claim = self._claims.can_request(shape)
             if not (has_room or is_urgent or can_claim):
                 continue
             for name in shape.teams:
@@ -146,7 +150,7 @@
         """Return whether nothing of a lane's shape finds room in this round."""
         if rank == URGENT_RANK or (lane.shape.key, Use.SHORT) not in self._full:
             return False
-        return not (self._claims.can_request and self._may_claim(lane))
+        return not (self._claims.can_request(lane.shape) and self._may_claim(lane))
 
     def _has_borrowed(self, team):
         """Return whether a team went too far beyond its share for its deadlines."""
@@ -210,15 +214,11 @@
 
     def _try_task(self, rank, team, lane, key, job):
         shape = lane.shape
-        use = self._find_use(rank, job)
+        if rank == URGENT_RANK:
+            return self._try_urgent(team, lane, job)
+        use = self._find_use(job)
         if self._place_task(team, lane, job, use):
             return ""
-        if rank == URGENT_RANK:
-            found = self._preemptor.request(self._state, lane, job.job, self._now)
-            self._plan.preemptions.extend(found)
-            if found:
-                self._keep()
-            return f"{NO_ROOM}; {len(found)} tasks are stopped to make some"
         short = self._find_short(lane) if use is Use.LONG else None
         if short is not None and self._place_task(team, lane, short, Use.SHORT):
             return ""
@@ -228,9 +228,25 @@
             return "the free capacity is kept for large work"
         return NO_ROOM
 
-    def _find_use(self, rank, job):
-        if rank == URGENT_RANK:
-            return Use.URGENT
+    def _try_urgent(self, team, lane, job):
+        """Place an urgent task, or make room for it.
+
+        It takes capacity that is kept for claims only where nothing can be stopped,
+        since the claims would never come together under steady urgent work.
+        """
+        has_room = self._preemptor.has_room(lane.shape.key)
+        use = Use.URGENT if has_room else Use.LONG
+        if self._place_task(team, lane, job, use):
+            return ""
+        found = self._preemptor.request(self._state, lane, job.job, self._now)
+        self._plan.preemptions.extend(found)
+        if found:
+            self._keep()
+        elif not has_room and self._place_task(team, lane, job, Use.URGENT):
+            return ""
+        return f"{NO_ROOM}; {len(found)} tasks are stopped to make some"
+
+    def _find_use(self, job):
         start = self._claims.earliest_start
         if start is None or self._now + (job.longest_seconds or inf) <= start:
             return Use.SHORT
@@ -265,7 +281,7 @@
         self._place(
             team, lane, job, [row], policy.reason, candidates, float(scores[row])
         )
-        if use is Use.URGENT:
+        if shape.urgency is Urgency.URGENT:
             self._preemptor.note_placed(shape.key, fleet.names[row])
             self._keep()
         return True
@@ -316,8 +332,7 @@
 
     def _claim(self, team, lane, key):
         """Claim capacity where it is the team's turn; return the reason to wait."""
-        is_due = key.latest_start <= self._now
-        if not is_due and team.level > team.entitled / team.weight:
+        if team.level > team.entitled / team.weight:
             return ""
         claim = self._claims.request(self._state, lane, key, self._now)
         if claim is None:
--- a/libs/policy/src/cactustiller/policy/snapshots.py
+++ b/libs/policy/src/cactustiller/policy/snapshots.py
@@ -65,6 +65,8 @@
         Wall-clock seconds; 0 for no deadline.
     longest_seconds, typical_seconds : float
         Run times of one task that nine and five of ten runs do not exceed.
+    is_learnt : bool
+        Whether they come from what ran, not from what was declared.
     spread, colocate : str
         ``none``, ``rack`` or ``zone``.
     """
@@ -80,6 +82,7 @@
     colocate: str = "none"
     longest_seconds: float = 0.0
     typical_seconds: float = 0.0
+    is_learnt: bool = True
 
 
 @dataclass(slots=True)
--- a/libs/policy/src/cactustiller/policy/state.py
+++ b/libs/policy/src/cactustiller/policy/state.py
@@ -162,6 +162,9 @@
             self.remove_job(job.job)
             lane = self._get_lane(job.spec.team, key)
             self._lanes[job.job] = lane
+        before = self.jobs.get(job.job)
+        if before is None or before.typical_seconds != job.typical_seconds:
+            self.late.discard(job.job)
         self.jobs[job.job] = job
         self._put_key(job, lane)
 
@@ -211,7 +214,10 @@
         return taken
 
     def mark_late(self, job):
-        """Let a late job give way to those that can be in time."""
+        """Let a late job give way to those that can be in time.
+
+        Declared run times are often far off, so they alone hold no job back.
+        """
         self.late.add(job)
         self._put_key(self.jobs[job], self._lanes[job])
 
@@ -259,7 +265,8 @@
 
     def _put_key(self, job, lane):
         waves = self.count_waves(job)
-        key = make_order_key(job, waves, job.job in self.late)
+        gives_way = job.is_learnt and job.job in self.late
+        key = make_order_key(job, waves, gives_way)
         self._keys[job.job] = key
         lane.put(key, len(job.indices))
 
--- a/libs/scheduler/src/cactustiller/scheduler/feed.py
+++ b/libs/scheduler/src/cactustiller/scheduler/feed.py
@@ -142,6 +142,8 @@
         if len(ready) < len(entry.waiting):
             self._delayed.add((home, job))
         state.put_job(_make_waiting(home, entry, ready, values))
+        if job not in state.late and job not in self.planner.parked:
+            entry.notice = ""
 
     def _update_homes(self):
         recovered = {h.home: h for h in self._homes.values() if h.is_recovered}
@@ -318,6 +320,7 @@
         avoided_workers=frozenset(sorted(entry.failed_on)[:MOST_AVOIDED_WORKERS]),
         longest_seconds=0.0 if is_service else times.predict(spec),
         typical_seconds=0.0 if is_service else times.predict(spec, MIDDLE_QUANTILE),
+        is_learnt=times.has_learnt(spec),
     )
 
 
--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -395,6 +395,8 @@
                 entry.failed_on.add(task.worker)
             elif report.state is RunState.SUCCEEDED:
                 self.run_times.note(entry.record.spec, report.run_seconds)
+            elif report.state is RunState.STOPPED:
+                self.run_times.note_unfinished(entry.record.spec, report.run_seconds)
             self.ended_runs.append((entry, task.worker, report.state))
 
     def _learn_run_times(self, entry):
