Look only at teams that may find room

Cause: on a full cell every decision opened every lane of all 340 teams, tried each urgent lane in turn and searched for claims each time.

Change: shapes are checked once and close together with every shape that needs no less; teams without deadlines are opened in the order of their levels and only while a shape is open; claims are searched for once a second.

--- a/libs/policy/src/cactustiller/policy/claims.py
+++ b/libs/policy/src/cactustiller/policy/claims.py
@@ -31,6 +31,7 @@
         self._is_whole = {}
         self._backfilled = {}
         self._refreshed_at = float("-inf")
+        self._searched_at = float("-inf")
 
     @property
     def earliest_start(self):
@@ -38,6 +39,13 @@
         starts = [claim.start_at for claim in self.peers]
         return min((*starts, *self._promised.values()), default=None)
 
+    def begin_search(self, now):
+        """Return whether it is time again to look for work that needs a claim."""
+        is_due = now - self._searched_at >= REFRESH_SECONDS
+        if is_due:
+            self._searched_at = now
+        return is_due
+
     def can_request(self, shape):
         """Return whether one more claim may be made for a job of a shape.
 
--- a/libs/policy/src/cactustiller/policy/fleet.py
+++ b/libs/policy/src/cactustiller/policy/fleet.py
@@ -1,6 +1,6 @@
 """Arrays over the usable workers, kept up to date one worker at a time."""
 
-from enum import Enum
+from enum import IntEnum
 
 import numpy as np
 
@@ -12,16 +12,16 @@
 PLACE_NAMES = ("zone", "rack", "make")
 
 
-class Use(Enum):
+class Use(IntEnum):
     """Which free capacity work may take.
 
     Urgent work takes any; short work, which ends before the claims start, all but what
     is kept for urgent work; long work only what nothing is kept for.
     """
 
-    URGENT = "urgent"
-    SHORT = "short"
-    LONG = "long"
+    URGENT = 0
+    SHORT = 1
+    LONG = 2
 
 
 class Fleet:
--- a/libs/policy/src/cactustiller/policy/rounds.py
+++ b/libs/policy/src/cactustiller/policy/rounds.py
@@ -1,21 +1,19 @@
 """One decision over the present state."""
 
-from heapq import heapify, heappop, heappush, heapreplace
 from math import inf
 
 import numpy as np
 
 from cactustiller.model import Urgency
 
+from .agenda import NO_ROOM, Agenda
 from .fleet import Use
-from .ordering import AT_RISK_RANK, NORMAL_RANK, URGENT_RANK, rank_job
+from .ordering import URGENT_RANK
 from .policies import get_policy
 from .snapshots import LateJob, Placement, Plan, RunningTask, WaitReason
 from .wholes import choose_rows
 
-MOST_BORROWED_SHARE = 0.1
 BACKFILL_SEARCHED = 32
-NO_ROOM = "no worker has room for a task now"
 NO_ROOM_WHOLE = "not all tasks fit at once now"
 
 
@@ -41,9 +39,7 @@
         self._now = now
         self._most = most
         self._plan = Plan()
-        self._heap = []
-        self._open = {}
-        self._full = set()
+        self._agenda = Agenda(state, claims, now, self._make_room)
         self._left = np.zeros(3, dtype=np.int64)
         self._held = np.zeros(3, dtype=np.int64)
 
@@ -58,17 +54,19 @@
             )
         self._keep()
         self._start_claimed()
-        self._open_lanes()
+        self._agenda.open_lanes()
         self._left = np.maximum(self._fleet.get_open(Use.SHORT), 0).sum(axis=1)
-        while self._heap and len(self._plan.placements) < self._most:
-            rank, _, _, name, lane = heappop(self._heap)
-            team = self._state.teams[name]
+        while len(self._plan.placements) < self._most:
+            found = self._agenda.pop()
+            if found is None:
+                return self._plan
+            rank, team, lane = found
             if lane is None:
                 self._held += np.array(self._find_owed(team))
-            else:
-                self._consider(rank, team, lane)
-                self._push_team(team)
-        self._plan.is_cut = any(entry[4] is not None for entry in self._heap)
+                continue
+            self._consider(rank, team, lane)
+            self._agenda.push_team(team)
+        self._plan.is_cut = self._agenda.has_more
         return self._plan
 
     def _keep(self):
@@ -92,69 +90,17 @@
                 self._place(team, lane, job, rows, "its claimed capacity is free")
                 self._keep()
 
-    def _open_lanes(self):
-        """Queue the teams that have work which may find room or is to make some."""
+    def _make_room(self, shape):
+        """Stop tasks for the urgent work of a shape."""
         teams = self._state.teams
-        for shape in self._state.shapes.values():
-            if shape.find_obstacle(self._fleet):
-                continue
-            is_urgent = shape.urgency is Urgency.URGENT
-            use = Use.URGENT if is_urgent else Use.SHORT
-            room = self._fleet.find_room(shape.amounts, use)
-            has_room = (room & shape.get_mask(self._fleet)).any()
-            shape.reason = "" if has_room else NO_ROOM
-            if not has_room:
-                self._full.add((shape.key, use))
-            can_claim = self._claims.can_request(shape)
-            if not (has_room or is_urgent or can_claim):
-                continue
-            for name in shape.teams:
-                lane = teams[name].lanes[shape.key]
-                lane.reason = ""
-                if has_room or is_urgent or self._may_claim(lane):
-                    self._open_lane(name, lane)
-        for name in self._open:
-            self._push_team(teams[name])
-        for team in teams.values():
-            if team.is_remote and any(team.remote_waiting):
-                self._heap.append((NORMAL_RANK, team.level, (), team.team, None))
-        heapify(self._heap)
-
-    def _open_lane(self, team, lane):
-        """Queue a lane of a team by its first job."""
+        lane = teams[min(shape.teams)].lanes[shape.key]
         key = lane.get_first()
-        if key is not None:
-            rank = rank_job(self._state.jobs[key.job], key, self._now)
-            heappush(self._open.setdefault(team, []), (rank, key, lane))
-
-    def _may_claim(self, lane):
-        """Return whether a lane's first job may have capacity kept for it."""
-        key = lane.get_first()
-        return bool(lane.shape.key.whole_count) or key.latest_start <= self._now
-
-    def _push_team(self, team):
-        """Queue a team by its first open job that is worth a look."""
-        lanes = self._open[team.team]
-        while lanes:
-            rank, key, lane = lanes[0]
-            if self._is_closed(rank, lane):
-                heappop(lanes)
-                continue
-            if rank == AT_RISK_RANK and self._has_borrowed(team):
-                heapreplace(lanes, (NORMAL_RANK, key, lane))
-                continue
-            heappush(self._heap, (rank, team.level, key, team.team, lane))
-            return
-
-    def _is_closed(self, rank, lane):
-        """Return whether nothing of a lane's shape finds room in this round."""
-        if rank == URGENT_RANK or (lane.shape.key, Use.SHORT) not in self._full:
-            return False
-        return not (self._claims.can_request(lane.shape) and self._may_claim(lane))
-
-    def _has_borrowed(self, team):
-        """Return whether a team went too far beyond its share for its deadlines."""
-        return max(-team.owed, team.share - team.entitled) > MOST_BORROWED_SHARE
+        found = self._preemptor.request(self._state, lane, key.job, self._now)
+        self._plan.preemptions.extend(found)
+        if found:
+            self._keep()
+        if self._preemptor.has_room(shape.key):
+            shape.reason = f"{NO_ROOM}; tasks are stopped to make some"
 
     def _find_owed(self, team):
         """Return what a remote team may yet take of its share."""
@@ -166,7 +112,6 @@
 
     def _consider(self, rank, team, lane):
         """Place the first task of a lane, or all tasks that start together."""
-        heappop(self._open[team.team])
         key = lane.get_first()
         job = self._state.jobs[key.job]
         if not self._note_late(job):
@@ -175,7 +120,7 @@
                 lane.reason = reason
                 self._plan.waits.append(WaitReason(job.job, reason))
                 return
-        self._open_lane(team.team, lane)
+        self._agenda.open_lane(team.team, lane)
 
     def _note_late(self, job):
         """Mark a job that cannot finish in time; return whether it was new."""
@@ -224,7 +169,7 @@
             return ""
         if key.latest_start <= self._now:
             return self._claim(team, lane, key) or NO_ROOM
-        if use is Use.LONG and (shape.key, Use.SHORT) not in self._full:
+        if use is Use.LONG and Use.SHORT not in shape.full:
             return "the free capacity is kept for large work"
         return NO_ROOM
 
@@ -244,6 +189,7 @@
             self._keep()
         elif not has_room and self._place_task(team, lane, job, Use.URGENT):
             return ""
+        self._agenda.close(lane.shape, Use.URGENT)
         return f"{NO_ROOM}; {len(found)} tasks are stopped to make some"
 
     def _find_use(self, job):
@@ -266,12 +212,12 @@
     def _place_task(self, team, lane, job, use):
         """Place one task on the best worker; return whether there was room."""
         shape, fleet = lane.shape, self._fleet
-        if (shape.key, use) in self._full:
+        if use in shape.full:
             return False
         room = fleet.find_room(shape.amounts, use) & shape.get_mask(fleet)
         candidates = int(np.count_nonzero(room))
         if not candidates:
-            self._full.add((shape.key, use))
+            self._agenda.close(shape, use)
             return False
         policy = get_policy(shape.kind)
         places = self._state.list_rows(job.job) if policy.needs_places(shape) else []
--- a/libs/policy/src/cactustiller/policy/shapes.py
+++ b/libs/policy/src/cactustiller/policy/shapes.py
@@ -37,6 +37,8 @@
         self.spread = key.spread
         self.colocate = key.colocate
         self.teams = set()
+        self.is_open = False
+        self.full = set()
         self._version = 0
         self._mask = None
         self._bonus = None
@@ -53,6 +55,18 @@
         self._refresh(fleet)
         return self._bonus
 
+    def needs_no_less(self, other):
+        """Return whether it fits nowhere where another shape fits nowhere."""
+        key, than = self.key, other.key
+        return (
+            key.urgency is than.urgency
+            and key.required == than.required
+            and not than.avoided
+            and key.amounts[0] >= than.amounts[0]
+            and key.amounts[1] >= than.amounts[1]
+            and key.amounts[2] >= than.amounts[2]
+        )
+
     def find_obstacle(self, fleet):
         """Return why no worker could ever take it, or an empty string."""
         self._refresh(fleet)
--- a/libs/policy/src/cactustiller/policy/state.py
+++ b/libs/policy/src/cactustiller/policy/state.py
@@ -30,6 +30,7 @@
         self.used = NO_AMOUNTS
         self.used_tasks = 0
         self.remote_waiting = NO_AMOUNTS
+        self.deadline_jobs = 0
         self.share = 0.0
         self.entitled = 0.0
         self.owed = snapshot.owed
@@ -163,6 +164,8 @@
             lane = self._get_lane(job.spec.team, key)
             self._lanes[job.job] = lane
         before = self.jobs.get(job.job)
+        if before is None:
+            self.teams[job.spec.team].deadline_jobs += bool(job.deadline_at)
         if before is None or before.typical_seconds != job.typical_seconds:
             self.late.discard(job.job)
         self.jobs[job.job] = job
@@ -173,13 +176,14 @@
         waiting = self.jobs.pop(job, None)
         if waiting is None:
             return
+        team = self.teams[waiting.spec.team]
+        team.deadline_jobs -= bool(waiting.deadline_at)
         self.late.discard(job)
         self._keys.pop(job)
         lane = self._lanes.pop(job)
         lane.remove(job)
         if len(lane):
             return
-        team = self.teams[waiting.spec.team]
         del team.lanes[lane.shape.key]
         lane.shape.teams.discard(team.team)
         if not lane.shape.teams:
