Search for claims apart from placing

Cause: once a second every lane of every team was tried so that claims could be made, which gave the slowest decisions; an explanation named missing room where the team's limit was the reason.

Change: claims are searched after placing, among teams below their share only. explain checks the limit first.

--- a/libs/policy/src/cactustiller/policy/agenda.py
+++ b/libs/policy/src/cactustiller/policy/agenda.py
@@ -31,17 +31,21 @@
         Wall-clock seconds.
     make_room : callable
         Called with each urgent shape that finds no room.
+
+    Attributes
+    ----------
+    searches : bool
+        Whether this decision also looks for work that needs a claim or has aged.
     """
 
     def __init__(self, state, claims, now, make_room):
         self._state = state
-        self._claims = claims
         self._now = now
         self._make_room = make_room
         self._heap = []
         self._open = {}
         self._open_shapes = Counter()
-        self._searches = claims.begin_search(now)
+        self.searches = claims.begin_search(now)
 
     @property
     def has_more(self):
@@ -59,7 +63,7 @@
             if lane is None:
                 return rank, team, None
             if lane is UNOPENED:
-                if self._open_shapes[rank] or self._searches:
+                if self._open_shapes[rank] or self.searches:
                     self._open_team(team, rank)
                 continue
             lanes = self._open[name]
@@ -103,7 +107,7 @@
                 continue
             if team.deadline_jobs and name in normal:
                 self._open_team(team, NORMAL_RANK)
-            elif name in normal or (self._searches and name in idle):
+            elif name in normal or (self.searches and name in idle):
                 self._heap.append((NORMAL_RANK, team.level, (), name, UNOPENED))
             if name in idle:
                 self._heap.append((IDLE_RANK, team.level, (), name, UNOPENED))
@@ -137,8 +141,6 @@
         shape.full.add(use)
         if is_urgent:
             self._make_room(shape)
-        else:
-            shape.is_open = self._searches and self._claims.can_request(shape)
         return is_urgent
 
     def _open_team(self, team, rank):
@@ -151,11 +153,10 @@
             if not shape.is_open:
                 continue
             is_meant = URGENCY_RANKS[shape.urgency] == rank
-            if not is_meant and not (self._searches and self._has_aged(lane)):
+            if not is_meant and not (self.searches and self._has_aged(lane)):
                 continue
             lane.reason = ""
-            if Use.SHORT not in shape.full or self.may_claim(lane):
-                self.open_lane(team.team, lane)
+            self.open_lane(team.team, lane)
         if team.team in self._open:
             self.push_team(team)
 
@@ -172,11 +173,6 @@
         is_idle = lane.shape.urgency is Urgency.IDLE
         return is_idle and key.latest_start <= self._now
 
-    def may_claim(self, lane):
-        """Return whether a lane's first job may have capacity kept for it."""
-        key = lane.get_first()
-        return bool(lane.shape.key.whole_count) or key.latest_start <= self._now
-
     def push_team(self, team):
         """Queue a team by its first open job that is worth a look."""
         lanes = self._open[team.team]
@@ -196,11 +192,7 @@
         full = lane.shape.full
         if rank == URGENT_RANK:
             return Use.URGENT in full
-        if Use.SHORT not in full:
-            return False
-        if not self._searches:
-            return True
-        return not (self._claims.can_request(lane.shape) and self.may_claim(lane))
+        return Use.SHORT in full
 
     def _has_borrowed(self, team):
         """Return whether a team went too far beyond its share for its deadlines."""
@@ -211,7 +203,7 @@
         shape.full.add(use)
         is_urgent = shape.urgency is Urgency.URGENT
         last = Use.URGENT if is_urgent else Use.SHORT
-        if use is not last or self._searches:
+        if use is not last:
             return
         for other in self._state.shapes.values():
             if other.is_open and other.needs_no_less(shape):
--- a/libs/policy/src/cactustiller/policy/explaining.py
+++ b/libs/policy/src/cactustiller/policy/explaining.py
@@ -20,7 +20,10 @@
     team = state.teams[waiting.spec.team]
     lane = state.get_lane(job)
     key = state.get_key(job)
-    lines = [f"waits: {lane.find_reason()}"]
+    allowed = team.count_allowed(lane.shape.amounts)
+    is_limited = allowed is not None and allowed < (lane.shape.key.whole_count or 1)
+    reason = team.describe_limit() if is_limited else lane.find_reason()
+    lines = [f"waits: {reason}"]
     lines.append(_describe_order(state, team, waiting, key))
     lines.append(_describe_share(state, team))
     lines.append(_describe_start(waiting, key, now, job in state.late))
--- a/libs/policy/src/cactustiller/policy/rounds.py
+++ b/libs/policy/src/cactustiller/policy/rounds.py
@@ -14,6 +14,7 @@
 from .wholes import choose_rows
 
 BACKFILL_SEARCHED = 32
+CLAIMS_SEARCHED = 8
 NO_ROOM_WHOLE = "not all tasks fit at once now"
 
 
@@ -59,6 +60,7 @@
         while len(self._plan.placements) < self._most:
             found = self._agenda.pop()
             if found is None:
+                self._search_claims()
                 return self._plan
             rank, team, lane = found
             if lane is None:
@@ -268,6 +270,30 @@
                 )
             )
 
+    def _search_claims(self):
+        """Claim capacity for what found no room and has waited too long."""
+        if not self._agenda.searches:
+            return
+        found = [
+            (team.level, key, team, lane)
+            for team in self._state.teams.values()
+            if team.lanes and team.level <= team.entitled / team.weight
+            for lane in team.lanes.values()
+            if (key := lane.get_first()) and self._may_claim(lane, key)
+        ]
+        found.sort(key=lambda item: item[:2])
+        for _, key, team, lane in found[:CLAIMS_SEARCHED]:
+            job = self._state.jobs[key.job]
+            if not self._find_limit(team, lane, job):
+                lane.reason = self._claim(team, lane, key) or lane.reason
+
+    def _may_claim(self, lane, key):
+        shape = lane.shape
+        if shape.urgency is Urgency.URGENT or shape.obstacle:
+            return False
+        is_due = bool(shape.key.whole_count) or key.latest_start <= self._now
+        return is_due and self._claims.can_request(shape)
+
     def _find_limit(self, team, lane, job):
         """Return why the team's limit allows no more, or an empty string."""
         allowed = team.count_allowed(lane.shape.amounts)
--- a/tests/policy/test_planning.py
+++ b/tests/policy/test_planning.py
@@ -22,6 +22,7 @@
     plan = planner.plan(NOW)
     assert not plan.placements
     assert not plan.preemptions
+    assert "team's limit: it holds 4 of 2" in explain_waiting(planner, "j-0", NOW)[0]
     planner.state.put_team(TeamSnapshot("t-0", limit_tasks=5))
     assert len(planner.plan(NOW).placements) == 1
 
