Say early which deadlines the queue prevents; hold back for peers' teams

Cause: a late job was found only when its turn came, so on a full cell nobody was told. When much capacity came free at once, a team took all of it, since the digest still showed the peer's team at its share (seen on make cell: 92 of 92 tasks).

Change: a few teams a decision have their waiting work run through in order at their fair share, and jobs that would end late are reported with the predicted end. While a peer's team waits, a team starts nothing beyond its own share for 2.5 s. Claims are searched among the 64 teams furthest below their share.

--- a/libs/policy/src/cactustiller/policy/explaining.py
+++ b/libs/policy/src/cactustiller/policy/explaining.py
@@ -26,7 +26,7 @@
     lines = [f"waits: {reason}"]
     lines.append(_describe_order(state, team, waiting, key))
     lines.append(_describe_share(state, team))
-    lines.append(_describe_start(waiting, key, now, job in state.late))
+    lines.append(_describe_start(waiting, key, now, job in state.warned))
     claim = planner.claims.own.get(job)
     if claim is not None:
         lines.append(
@@ -64,8 +64,8 @@
 def _describe_start(waiting, key, now, is_late):
     seconds = key.latest_start - now
     if is_late:
-        finish = now + waiting.typical_seconds - waiting.deadline_at
-        return f"deadline: can't be met; it would end {max(0.0, finish):.0f} s late"
+        left = waiting.deadline_at - now
+        return f"deadline: in {left:.0f} s, predicted not to be met"
     if waiting.deadline_at:
         return f"deadline: it has to start within {seconds:.0f} s"
     return f"ageing: it moves ahead of newer work, and is due in {seconds:.0f} s"
--- a/libs/policy/src/cactustiller/policy/planning.py
+++ b/libs/policy/src/cactustiller/policy/planning.py
@@ -1,6 +1,7 @@
 """The decision: which waiting tasks go to which workers now."""
 
 from .claims import ClaimBook
+from .forecasts import Forecaster
 from .preemption import Preemptor
 from .rounds import Round
 from .snapshots import WaitReason
@@ -29,7 +30,7 @@
         self.claims = ClaimBook()
         self.preemptor = Preemptor()
         self.parked = {}
-        self._parked_at = None
+        self.forecaster = Forecaster()
 
     def plan(self, now, most=MOST_PLACEMENTS):
         """Return the `Plan` at wall-clock time `now` and take it as carried out.
@@ -47,6 +48,7 @@
         state.update_shares(now)
         plan = Round(state, self.claims, self.preemptor, now, most).run()
         self._park(plan)
+        plan.late += self.forecaster.review(state, now)
         return plan
 
     def _park(self, plan):
--- a/libs/policy/src/cactustiller/policy/rounds.py
+++ b/libs/policy/src/cactustiller/policy/rounds.py
@@ -15,6 +15,9 @@
 
 BACKFILL_SEARCHED = 32
 CLAIMS_SEARCHED = 8
+HELD_SECONDS = 2.5
+SHARE_TOLERANCE = 0.001
+TEAMS_SEARCHED = 64
 NO_ROOM_WHOLE = "not all tasks fit at once now"
 
 
@@ -41,6 +44,9 @@
         self._most = most
         self._plan = Plan()
         self._agenda = Agenda(state, claims, now, self._make_room)
+        self._peers_wait = any(
+            team.is_remote and any(team.remote_waiting) for team in state.teams.values()
+        )
         self._left = np.zeros(3, dtype=np.int64)
         self._held = np.zeros(3, dtype=np.int64)
 
@@ -133,7 +139,9 @@
         if finish <= job.deadline_at:
             return False
         self._state.mark_late(job.job)
-        self._plan.late.append(LateJob(job.job, job.deadline_at, finish))
+        if job.job not in self._state.warned:
+            self._state.warned.add(job.job)
+            self._plan.late.append(LateJob(job.job, job.deadline_at, finish))
         return True
 
     def _try(self, rank, team, lane, key, job):
@@ -143,8 +151,10 @@
         if reason:
             return reason
         count = shape.key.whole_count or 1
-        if rank != URGENT_RANK and self._is_held(np.multiply(shape.amounts, count)):
-            return "the free capacity is left for teams that are owed more"
+        if rank != URGENT_RANK:
+            need = np.multiply(shape.amounts, count)
+            if self._is_held(need) or self._is_beyond_share(team, need):
+                return "the free capacity is left for teams that are owed more"
         if shape.key.whole_count:
             capacity = self._fleet.get_open(Use.LONG)
             rows = choose_rows(self._fleet, shape, count, capacity)
@@ -159,6 +169,24 @@
         is_short = (need > self._left - self._held) & (self._held > 0)
         return bool(is_short.any() and (need <= self._left).all())
 
+    def _is_beyond_share(self, team, need):
+        """Return whether a team has to let peers' teams go first for a while.
+
+        Digests lag, so what peers' teams use may be out of date when much capacity
+        comes free at once.
+        """
+        if not self._peers_wait:
+            return False
+        share = team.share + float((need / self._fleet.sum_total).max())
+        if team.share <= 0.0 or share <= team.entitled + max(
+            SHARE_TOLERANCE, team.owed
+        ):
+            team.held_since = None
+            return False
+        if team.held_since is None:
+            team.held_since = self._now
+        return self._now - team.held_since < HELD_SECONDS
+
     def _try_task(self, rank, team, lane, key, job):
         shape = lane.shape
         if rank == URGENT_RANK:
@@ -274,10 +302,15 @@
         """Claim capacity for what found no room and has waited too long."""
         if not self._agenda.searches:
             return
-        found = [
-            (team.level, key, team, lane)
+        teams = [
+            team
             for team in self._state.teams.values()
             if team.lanes and team.level <= team.entitled / team.weight
+        ]
+        teams.sort(key=lambda team: (team.level, team.team))
+        found = [
+            (team.level, key, team, lane)
+            for team in teams[:TEAMS_SEARCHED]
             for lane in team.lanes.values()
             if (key := lane.get_first()) and self._may_claim(lane, key)
         ]
@@ -289,10 +322,11 @@
 
     def _may_claim(self, lane, key):
         shape = lane.shape
+        if not shape.key.whole_count and key.latest_start > self._now:
+            return False
         if shape.urgency is Urgency.URGENT or shape.obstacle:
             return False
-        is_due = bool(shape.key.whole_count) or key.latest_start <= self._now
-        return is_due and self._claims.can_request(shape)
+        return self._claims.can_request(shape)
 
     def _find_limit(self, team, lane, job):
         """Return why the team's limit allows no more, or an empty string."""
--- a/libs/policy/src/cactustiller/policy/state.py
+++ b/libs/policy/src/cactustiller/policy/state.py
@@ -31,6 +31,7 @@
         self.used_tasks = 0
         self.remote_waiting = NO_AMOUNTS
         self.deadline_jobs = 0
+        self.held_since = None
         self.share = 0.0
         self.entitled = 0.0
         self.owed = snapshot.owed
@@ -123,7 +124,8 @@
     jobs : dict of JobId to WaitingJob
     shapes : dict of ShapeKey to Shape
     running : dict of JobId to dict of int to RunningTask
-    late : set of JobId
+    late, warned : set of JobId
+        Jobs that can't be in time even if started now, and those predicted to be late.
     """
 
     def __init__(self, share_window_seconds=600.0):
@@ -135,6 +137,7 @@
         self.running = {}
         self.by_worker = {}
         self.late = set()
+        self.warned = set()
         self.ledger = ShareLedger()
         self._keys = {}
         self._lanes = {}
@@ -179,6 +182,7 @@
         team = self.teams[waiting.spec.team]
         team.deadline_jobs -= bool(waiting.deadline_at)
         self.late.discard(job)
+        self.warned.discard(job)
         self._keys.pop(job)
         lane = self._lanes.pop(job)
         lane.remove(job)
--- a/libs/scheduler/src/cactustiller/scheduler/feed.py
+++ b/libs/scheduler/src/cactustiller/scheduler/feed.py
@@ -142,7 +142,7 @@
         if len(ready) < len(entry.waiting):
             self._delayed.add((home, job))
         state.put_job(_make_waiting(home, entry, ready, values))
-        if job not in state.late and job not in self.planner.parked:
+        if job not in state.warned and job not in self.planner.parked:
             entry.notice = ""
 
     def _update_homes(self):
--- a/tests/policy/test_shares.py
+++ b/tests/policy/test_shares.py
@@ -59,3 +59,17 @@
     plan = make_planner([make_worker()], jobs, [remote]).plan(NOW)
     assert len(plan.placements) == 4
     assert "owed more" in plan.waits[0].reason
+
+
+def test_team_beyond_its_share_waits_a_while_for_teams_of_peers():
+    jobs = [make_job("a", "t-0", 8)]
+    stale = TeamSnapshot(
+        "t-1",
+        used=make_resources(4000, 4096),
+        waiting=make_resources(8000, 8192),
+        is_remote=True,
+    )
+    planner = make_planner([make_worker()], jobs, [stale])
+    assert len(planner.plan(NOW).placements) == 4
+    assert not planner.plan(NOW + 1.0).placements
+    assert len(planner.plan(NOW + 3.0).placements) == 4
