--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,12 @@
 SCHEDULERS ?= 3
 WORKERS ?= 24
 BASE_PORT ?= 21000
+SEED ?= 1
+SECONDS ?= 60
+MINUTES ?= 5
 
-.PHONY: setup test lint format demo cell bench-idle bench-policy bench-decisions
+.PHONY: setup test lint format demo cell chaos soak model bench-idle \
+	bench-recovery bench-control bench-policy bench-decisions
 
 setup: $(VENV)/.ready
 
@@ -35,6 +39,15 @@
 	$(PYTHON) -m demo.cell --gateways $(GATEWAYS) --schedulers $(SCHEDULERS) \
 	  --workers $(WORKERS) --base-port $(BASE_PORT)
 
+chaos: setup
+	$(PYTHON) -m demo.chaos --seed $(SEED) --seconds $(SECONDS) --base-port $(BASE_PORT)
+
+soak: setup
+	SOAK_SEED=$(SEED) SOAK_MINUTES=$(MINUTES) $(PYTHON) -m pytest -s tests/scheduler/test_recovery_machine.py
+
+bench-recovery: setup
+	$(PYTHON) -m benchmarks.recovery
+
 bench-idle: setup
 	$(PYTHON) -m benchmarks.idle
 
@@ -43,3 +56,9 @@
 
 bench-decisions: setup
 	$(PYTHON) -m benchmarks.decisions
+
+bench-control: setup
+	$(PYTHON) -m benchmarks.control
+
+model: setup
+	$(PYTHON) -m specs.check
--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; each prints its conditions and one JSON object."""
+"""Measurements on one machine, each printing one JSON line at its end."""
--- a/libs/gateway/src/cactustiller/gateway/context.py
+++ b/libs/gateway/src/cactustiller/gateway/context.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from cactustiller.ownership import Member, Metrics, SettingsReplica
+from cactustiller.ownership import Member, Metrics, SettingsEditor, SettingsReplica
 
 from .callers import KeyGuard
 from .calls import OwnerCalls
@@ -27,12 +27,14 @@
 
     member: Member
     replica: SettingsReplica
+    editor: SettingsEditor
     guard: KeyGuard
     calls: OwnerCalls
     directory: ExecutorDirectory
     router: RequestRouter
     metrics: Metrics
     stop: asyncio.Event
+    ports: dict[str, object] = field(default_factory=dict)
     phase: Phase = Phase.SERVING
     in_flight: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
--- a/libs/scheduler/src/cactustiller/scheduler/feed.py
+++ b/libs/scheduler/src/cactustiller/scheduler/feed.py
@@ -68,7 +68,8 @@
         self._update_homes()
         for home in self._known.values():
             self._take_ends(home, now)
-            changed, home.changed_jobs = home.changed_jobs, set()
+            changed = sorted(home.changed_jobs)
+            home.changed_jobs.clear()
             for job in changed:
                 self.update_job(home, job)
         for home, job in list(self._delayed):
--- a/libs/scheduler/src/cactustiller/scheduler/partitions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/partitions.py
@@ -12,6 +12,7 @@
 from .home import Home
 from .pools import Pool
 from .shard import Shard
+from .supervision import watch_task
 
 RECOVER_RETRY_SECONDS = 0.5
 GATEWAY_CALL_SECONDS = 1.0
@@ -28,6 +29,8 @@
     worker_port : WorkerPort
     timing : TimingSettings
     clock : WallClock
+    note_failure : callable
+        Function of an exception that has ended a background task.
 
     Attributes
     ----------
@@ -36,16 +39,20 @@
         Called when there is work to place or something to report.
     resume_home : callable
         Called with a home that has been recovered.
+    record_wait : callable
+        Called with kind, team, queue and waiting seconds of a task's first start.
     """
 
-    def __init__(self, member, worker_port, timing, clock, nothing):
+    def __init__(self, member, worker_port, timing, clock, note_failure):
         self.homes = {}
         self.shards = {}
         self.pools = {}
         self.clock = clock
-        self.wake_dispatcher = nothing
-        self.wake_exchange = nothing
+        self.wake_dispatcher = lambda: None
+        self.wake_exchange = lambda: None
         self.resume_home = lambda home: None
+        self._note_failure = note_failure
+        self.record_wait = lambda kind, team, queue, seconds: None
         self._member = member
         self._worker_port = worker_port
         self._timing = timing
@@ -73,10 +80,9 @@
         for task in list(self._starting.values()):
             task.cancel()
         await asyncio.gather(*self._starting.values(), return_exceptions=True)
-        for family in (self.homes, self.shards):
+        for family in (self.homes, self.shards, self.pools):
             await asyncio.gather(*(item.stop() for item in family.values()))
             family.clear()
-        self.pools.clear()
 
     async def release(self, partition):
         """Stop new work under a partition that is about to be handed over."""
@@ -126,8 +132,7 @@
                     continue
                 del family[partition]
                 self._released.discard(partition)
-                if family is not self.pools:
-                    await item.stop()
+                await item.stop()
                 log.info("partition_stopped", partition=partition, epoch=item.epoch)
         for (partition, epoch), task in list(self._starting.items()):
             if not self._is_current(partition, epoch):
@@ -149,6 +154,7 @@
             if is_served or key in self._starting or not member.owns(partition):
                 continue
             task = asyncio.create_task(self._start(partition, epoch))
+            watch_task(task, self._note_failure)
             self._starting[key] = task
             task.add_done_callback(lambda _, key=key: self._starting.pop(key, None))
 
@@ -162,6 +168,8 @@
 
     async def _start_home(self, partition, epoch):
         home = Home(partition, epoch, self._member, self.clock, self.wake_dispatcher)
+        home.on_failure = self._note_failure
+        home.record_wait = self.record_wait
         while not await home.recover():
             await asyncio.sleep(RECOVER_RETRY_SECONDS)
         self.homes[partition] = home
@@ -170,15 +178,23 @@
     async def _start_shard(self, partition, epoch):
         shard = Shard(partition, epoch, self._member, self._worker_port, self._timing)
         shard.on_change = self.wake_exchange
+        shard.on_failure = self._note_failure
         while not await shard.recover():
             await asyncio.sleep(RECOVER_RETRY_SECONDS)
         self.shards[partition] = shard
         await shard.set_workers(self._list_workers(partition))
 
     async def _start_pool(self, partition, epoch):
+        def has_lease():
+            return self._member.has_lease() and self._is_current(partition, epoch)
+
+        # Every gateway that may hold permits joined before the takeover.
+        while not await self._member.refresh():
+            await asyncio.sleep(RECOVER_RETRY_SECONDS)
         service = partition.removeprefix(POOL_PREFIX)
-        pool = Pool(service, epoch, self._listing.backends)
+        pool = Pool(service, epoch, self._listing.backends, has_lease)
         await pool.recover(self._call_gateways)
+        pool.start(self._call_gateways)
         self.pools[partition] = pool
 
     async def _call_gateways(self, message):
--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -16,6 +16,7 @@
 
 from .clock import WorkerClock
 from .runs import RunPhase, key_of
+from .supervision import watch_task
 
 WATCH_SECONDS = 15.0
 FIRST_RETRY_SECONDS = 0.1
@@ -58,8 +59,10 @@
         self._wake = asyncio.Event()
         self._random = random.Random(info.worker)
         self._orphans = []
+        self._renew_at = float("inf")
         self._tasks = []
         self._created_at = asyncio.get_running_loop().time()
+        self._unreachable_since = self._created_at
 
     @property
     def is_usable(self):
@@ -72,9 +75,19 @@
 
     @property
     def is_starting(self):
-        """Whether a start message may be under way to the reachable worker."""
-        return self.is_reachable and any(
-            entry.phase is RunPhase.STARTING for entry in self.entries.values()
+        """Whether a start message may be under way to the worker."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            entry.phase is RunPhase.STARTING and self._may_start(entry, now)
+            for entry in self.entries.values()
+        )
+
+    def _may_start(self, entry, now):
+        """Return whether a start is due, or a copy may yet be acted upon."""
+        if self.is_reachable:
+            return True
+        return entry.start_before > 0.0 and not self._clock.has_surely_passed(
+            entry.start_before, now
         )
 
     @property
@@ -84,12 +97,14 @@
             return NOTHING
         return self.info.resources - self.used
 
-    def start(self):
-        """Begin to watch the worker."""
+    def start(self, note_failure):
+        """Begin to watch the worker; a failed task's exception is passed on."""
         self._tasks = [
             asyncio.create_task(self._watch_regularly()),
             asyncio.create_task(self._apply_regularly()),
         ]
+        for task in self._tasks:
+            watch_task(task, note_failure)
 
     async def stop(self):
         """Stop all calls to the worker."""
@@ -145,8 +160,10 @@
             if entry.phase is RunPhase.RESERVED:
                 if now >= entry.reserved_until_loop_seconds:
                     self.remove(entry.key)
-            elif entry.holds_capacity:
+            elif not self.is_reachable and entry.holds_capacity:
                 self._check_lease(entry, now)
+        if now >= self._renew_at:
+            self._renew_leases(now)
         if any(entry.needs_apply for entry in self.entries.values()):
             self.wake()
 
@@ -166,25 +183,41 @@
             # was fenced.
             grant = OUTAGE_GRANT_SECONDS + self._timing.task_lease_seconds
             has_lapsed = now >= self._created_at + grant
+        elif entry.start_before == entry.lease_until == 0.0:
+            # No start was ever sent to it.
+            window = self._timing.start_window_seconds
+            has_lapsed = now >= self._unreachable_since + window
         else:
             moment = max(entry.lease_until, entry.start_before)
-            has_lapsed = bool(moment) and self._clock.has_surely_passed(moment, now)
-        if has_lapsed and not self.is_reachable:
+            has_lapsed = self._clock.has_surely_passed(moment, now)
+        if has_lapsed:
             self.end(entry, RunState.LAPSED, "lease lapsed on an unreachable worker")
-            return
-        if self._may_renew(entry):
-            self._check_renewal(entry, now)
 
     def _may_renew(self, entry):
         # A run that does not stop when asked to stops when its lease lapses.
         is_wanted = entry.phase is RunPhase.RUNNING and not entry.is_stopping
-        return is_wanted and self._authority.may_renew()
+        # A renewal that is not answered counts as granted, so renewing on would
+        # keep the runs of a dead worker for ever.
+        return is_wanted and self.is_reachable and self._authority.may_renew()
 
-    def _check_renewal(self, entry, now):
-        lease = self._timing.task_lease_seconds
-        remaining = (entry.lease_until or 0.0) - self._clock.estimate(now)
-        if remaining < lease * (1 - 1 / RENEWALS_PER_LEASE):
+    def _renew_leases(self, now):
+        """Renew all leases as soon as one is due, so that one call carries them."""
+        if not (self.is_reachable and self._authority.may_renew()):
+            return
+        wanted = [entry for entry in self.entries.values() if self._may_renew(entry)]
+        for entry in wanted:
             entry.needs_apply = True
+        period = self._timing.task_lease_seconds / RENEWALS_PER_LEASE
+        self._renew_at = now + period if wanted else float("inf")
+
+    def _note_running(self, entry):
+        """Record that a run has started, and when its lease has to be renewed."""
+        entry.note_state(RunState.RUNNING)
+        now = asyncio.get_running_loop().time()
+        remaining = (entry.lease_until or 0.0) - self._clock.estimate(now)
+        lease = self._timing.task_lease_seconds
+        due_in = remaining - lease * (1 - 1 / RENEWALS_PER_LEASE)
+        self._renew_at = min(self._renew_at, now + due_in)
 
     async def _watch_regularly(self):
         retry_seconds = FIRST_RETRY_SECONDS
@@ -213,6 +246,7 @@
             return True
         if self.is_reachable:
             log.warning("worker_unreachable", reason=str(failure))
+            self._unreachable_since = asyncio.get_running_loop().time()
         self.is_reachable = False
         self.failure_reason = failure.reason
         self._on_change(self)
@@ -245,10 +279,11 @@
         if not entry.holds_capacity:
             return
         entry.lease_until = max(entry.lease_until or 0.0, status.lease_until)
+        entry.usage = status.usage
         if status.state is not RunState.RUNNING:
             self.end(entry, status.state, status.reason, status.run_seconds)
         elif entry.phase is not RunPhase.RUNNING:
-            entry.note_state(RunState.RUNNING)
+            self._note_running(entry)
             entry.needs_apply = entry.is_stopping
             self._on_change(self)
 
@@ -279,6 +314,7 @@
                 self.request_start(entry)
 
     async def _apply_regularly(self):
+        retry_seconds = FIRST_RETRY_SECONDS
         while True:
             await self._wake.wait()
             self._wake.clear()
@@ -291,29 +327,38 @@
                 continue
             answer = await self._port.apply(self.info, apply)
             if answer.is_ok():
+                retry_seconds = FIRST_RETRY_SECONDS
                 self._take_apply(apply, answer.unwrap())
             elif self._take_failure(answer.unwrap_err()):
                 return
             else:
-                await asyncio.sleep(FIRST_RETRY_SECONDS)
+                pause = self._random.uniform(retry_seconds / 2, retry_seconds)
+                await asyncio.sleep(pause)
+                retry_seconds = min(2 * retry_seconds, LONGEST_RETRY_SECONDS)
                 self._wake.set()
 
     def _build_apply(self):
-        """Return the `Apply` with everything that the worker must be told."""
+        """Return the `Apply` with everything that the worker must be told.
+
+        A worker that does not answer is first asked with nothing that could run.
+        """
         now = asyncio.get_running_loop().time()
         starts, renewals, stops = [], [], list(self._orphans)
+        is_probe = False
         for entry in self.entries.values():
             if not entry.needs_apply or not entry.holds_capacity:
                 continue
             if entry.is_stopping:
                 stops.append(_make_stop(entry))
-            if entry.phase is RunPhase.STARTING and not entry.is_stopping:
+            if not self.is_reachable:
+                is_probe = True
+            elif entry.phase is RunPhase.STARTING and not entry.is_stopping:
                 start = self._make_start(entry, now)
                 if start is not None:
                     starts.append(start)
             elif self._may_renew(entry):
                 renewals.append(self._make_renewal(entry, now))
-        if not (starts or renewals or stops):
+        if not (starts or renewals or stops or is_probe):
             return None
         return Apply(
             shard=self._authority.shard,
@@ -358,6 +403,7 @@
 
     def _take_apply(self, apply, reply):
         self._clock = WorkerClock(reply.now, asyncio.get_running_loop().time())
+        was_usable = self.is_usable
         self.is_reachable = True
         refused = {key_of(refusal): refusal.reason for refusal in reply.refused}
         for start in apply.starts:
@@ -369,7 +415,7 @@
                 log.info("start_refused", reason=refused[entry.key], run=str(entry.key))
                 continue
             entry.needs_apply = entry.is_stopping
-            entry.note_state(RunState.RUNNING)
+            self._note_running(entry)
         for renewal in apply.renew:
             entry = self.entries.get(key_of(renewal))
             if entry is not None:
@@ -377,7 +423,11 @@
         for stop in apply.stops:
             self._take_stop(self.entries.get(key_of(stop)))
         self._orphans = [stop for stop in self._orphans if stop not in apply.stops]
-        self._on_change(self)
+        if not (apply.starts or apply.renew or apply.stops):
+            self.wake()
+        # A renewal changes no capacity, so that peers need not hear of it.
+        if apply.starts or apply.stops or not was_usable:
+            self._on_change(self)
 
     def _take_stop(self, entry):
         if entry is None:
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -11,7 +11,6 @@
 from cactustiller.gateway.calls import OwnerCalls
 from cactustiller.gateway.context import Gateway
 from cactustiller.gateway.executors import ExecutorDirectory
-from cactustiller.gateway.forwarding import create_session
 from cactustiller.gateway.routing import RequestRouter
 from cactustiller.model import ErrorCode, Failure, MemberRecord, Outcome
 from cactustiller.model.messages import (
@@ -20,7 +19,7 @@
     Done,
     GetSettings,
     JobView,
-    ReturnPermits,
+    SettingsBody,
     SubmitJob,
 )
 from cactustiller.ownership import (
@@ -29,6 +28,7 @@
     Metrics,
     Owner,
     Ownership,
+    SettingsEditor,
     SettingsReplica,
     list_homes,
     pool_of_service,
@@ -140,11 +140,11 @@
     async def answer(self, message):
         if isinstance(message, AcquirePermits):
             return self.pool.acquire(message)
-        if isinstance(message, ReturnPermits):
-            return self.pool.give_back(message)
         if isinstance(message, SubmitJob):
             return self._submit(message)
-        if isinstance(message, AnnounceSettings | GetSettings):
+        if isinstance(message, AnnounceSettings):
+            return SettingsBody(version=message.version)
+        if isinstance(message, GetSettings):
             return Done()
         if message.job not in self.jobs:
             return Failure(code=ErrorCode.NOT_FOUND, step="find job", reason="no job")
@@ -255,7 +255,7 @@
         for executor in self.executors.values():
             await executor.server.start_server()
         backends = [item.describe(name) for name, item in self.executors.items()]
-        self.home.pool = Pool(SERVICE, 1, backends)
+        self.home.pool = Pool(SERVICE, 1, backends, lambda: True)
         self.gateway = await self._start_gateway(backends)
         await self._add_teams()
         self.server = TestServer(build_app(self.gateway))
@@ -270,7 +270,6 @@
         await self.gateway.directory.stop()
         await self.gateway.replica.stop()
         await self.gateway.member.stop()
-        await self.session.close()
         for executor in self.executors.values():
             await executor.server.close()
 
@@ -300,19 +299,21 @@
             build_record("g1"), self.table, self.timing, None, peers=self.peers
         )
         await member.start()
-        replica = SettingsReplica(member, "demo", "main", self.timing)
+        replica = SettingsReplica(member, self.timing)
+        editor = SettingsEditor(replica, member, "demo", "main")
         await replica.start()
+        await editor.create_default()
         directory = ExecutorDirectory(FakeList(backends))
         await directory.start()
-        self.session = create_session()
         metrics = Metrics()
         return Gateway(
             member=member,
             replica=replica,
+            editor=editor,
             guard=KeyGuard(replica, "demo", "main"),
             calls=OwnerCalls(member),
             directory=directory,
-            router=RequestRouter(member, directory, self.session, metrics),
+            router=RequestRouter(member, directory, metrics),
             metrics=metrics,
             stop=asyncio.Event(),
         )
@@ -333,4 +334,4 @@
         self.key_ids[name] = record.key_id
 
     async def _change(self, edit):
-        return (await self.gateway.replica.change(edit, "test")).unwrap()
+        return (await self.gateway.editor.change(edit, "test")).unwrap()
--- a/tests/scheduler/test_feed.py
+++ b/tests/scheduler/test_feed.py
@@ -118,6 +118,6 @@
     task = TaskRecord(job="j-0", index=0, state=TaskState.RUNNING, attempt=1)
     key = RunKey(job="j-0", index=0, attempt=1)
     report = RunReport(run=key, state=RunState.STOPPED, worker="w-0")
-    ended = end_task(entry, task, report, 5.0)
+    ended = end_task(entry.record, task, report, 5.0)
     assert ended.state is TaskState.WAITING
     assert (ended.failures, ended.preemptions) == (0, 1)
