--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 MINUTES ?= 5
 
 .PHONY: setup test lint format demo cell chaos soak model bench-idle \
-	bench-control bench-dissemination bench-gateway bench-recovery check-slots
+	bench-control bench-decisions bench-dissemination bench-gateway bench-policy bench-recovery check-slots
 
 setup: $(VENV)/.ready
 
@@ -60,6 +60,12 @@
 check-slots: setup
 	$(PYTHON) -m benchmarks.gateway_slots
 
+bench-policy: setup
+	$(PYTHON) -m benchmarks.policy
+
+bench-decisions: setup
+	$(PYTHON) -m benchmarks.decisions
+
 bench-control: setup
 	$(PYTHON) -m benchmarks.control
 
--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -1,7 +1,7 @@
 """Home: the single writer of some teams' jobs, queues and running counts."""
 
 import asyncio
-from collections import defaultdict
+from collections import defaultdict, deque
 from types import MappingProxyType
 
 import structlog
@@ -22,6 +22,7 @@
     StopRuns,
 )
 from cactustiller.platform import Conflict, Put, Write
+from cactustiller.policy import RunTimes
 
 from .jobs import JobEntry, TeamUsage, finish_job
 from .recorder import Recorder, put_job, put_task
@@ -39,6 +40,8 @@
 WAIT_FOREVER_SECONDS = 86_400.0
 STOP_RETRY_SECONDS = 1.0
 FIRST_ATTEMPT = 1
+KEPT_DECISIONS = 32
+KEPT_EXPLAINED_JOBS = 2000
 
 log = structlog.get_logger(__name__)
 
@@ -62,18 +65,22 @@
         self.jobs = {}
         self.is_recovered = False
         self.explanations = {}
+        self.changed_jobs = set()
+        self.ended_runs = []
+        self.run_times = RunTimes()
+        self.explain_waiting = lambda job: []
         self.on_failure = lambda error: None
         self.record_wait = lambda kind, team, queue, seconds: None
         self._member = member
         self._clock = clock
         self._wake = wake
         self._submitting = {}
-        self._unfinished = {}
         self._usage = defaultdict(TeamUsage)
         self._tasks = set()
         self._recorder = Recorder(
             home, self.jobs, clock, self._commit, member.epoch_of, wake
         )
+        self._recorder.note_end = self._note_end
 
     @property
     def is_owned(self):
@@ -153,7 +160,9 @@
         """Return ``Ok(Explanation)`` of why a job waits or how it was placed."""
         if message.job not in self.jobs:
             return Err(fail_unknown_job(self.home, message.job))
-        return Ok(Explanation(lines=self.explanations.get(message.job, [])))
+        lines = self.explain_waiting(message.job)
+        placed = self.explanations.get(message.job, [])
+        return Ok(Explanation(lines=[*lines, *placed]))
 
     async def cancel(self, message):
         """Cancel a job; return ``Ok(JobView)`` once that is recorded."""
@@ -169,13 +178,17 @@
             self._spawn(self._stop_holding(entry))
         return Ok(entry.make_view(message.detail))
 
-    def list_waiting(self):
-        """Return the jobs that have tasks to place."""
-        now = self._clock.now()
-        self._unfinished = {
-            job: entry for job, entry in self._unfinished.items() if not entry.is_over
-        }
-        return [entry for entry in self._unfinished.values() if entry.list_ready(now)]
+    def is_new(self, job):
+        """Return whether nothing of a job can be in the table service."""
+        return job not in self.jobs and job not in self._submitting
+
+    def note_decision(self, job, line):
+        """Keep a line that explains a decision about a job."""
+        if job not in self.explanations:
+            self.explanations[job] = deque(maxlen=KEPT_DECISIONS)
+            while len(self.explanations) > KEPT_EXPLAINED_JOBS:
+                del self.explanations[next(iter(self.explanations))]
+        self.explanations[job].append(line)
 
     def find_usage(self, team):
         """Return resources and number of the team's tasks that hold capacity."""
@@ -325,6 +338,7 @@
             state=TaskState.ASSIGNED,
             attempt=run.attempt,
             failures=previous.failures if previous else 0,
+            preemptions=previous.preemptions if previous else 0,
             worker=run.worker,
             shard=shard,
             changed_at=self._clock.now(),
@@ -347,12 +361,30 @@
 
     def _add_job(self, record, tasks):
         usage = self._usage[record.spec.team]
-        entry = JobEntry.recover(record, tasks, usage)
+        entry = JobEntry.recover(record, tasks, usage, self.changed_jobs)
         self.jobs[record.job] = entry
-        if not entry.is_over:
-            self._unfinished[record.job] = entry
+        self._learn_run_times(entry)
         return entry
 
+    def _note_end(self, entry, report):
+        """Learn from the end of an attempt."""
+        spec = entry.record.spec
+        task = entry.tasks[report.run.index]
+        if report.state is RunState.FAILED:
+            entry.failed_on.add(task.worker)
+        elif report.state is RunState.SUCCEEDED:
+            self.run_times.note(spec, report.run_seconds)
+        elif report.state is RunState.STOPPED:
+            self.run_times.note_unfinished(spec, report.run_seconds)
+        self.ended_runs.append((entry, task.worker, report.state))
+
+    def _learn_run_times(self, entry):
+        """Learn from the rows of a job, as far as they tell."""
+        seconds = [task.run_seconds for task in entry.tasks.values()]
+        for found in (entry.record.run_seconds, *seconds):
+            if found:
+                self.run_times.note(entry.record.spec, found)
+
     def _close_finished(self):
         """After a takeover, go on with what the former owner left half done."""
         now = self._clock.now()
@@ -393,6 +425,7 @@
         self.run = run
         self.state = state
         self.reason = reason
+        self.run_seconds = 0.0
 
 
 def _is_settled(task, attempt):
--- a/libs/scheduler/src/cactustiller/scheduler/incarnation.py
+++ b/libs/scheduler/src/cactustiller/scheduler/incarnation.py
@@ -79,7 +79,12 @@
             self.find_values,
         )
         self.dispatcher.on_failure = self._note_failure
-        self.exchange = Exchange(self.member, self.partitions.shards, self._take_views)
+        self.exchange = Exchange(
+            self.member,
+            self.partitions.shards,
+            self._take_views,
+            self.dispatcher.feed.list_usage,
+        )
         self.partitions.wake_dispatcher = self.dispatcher.wake
         self.partitions.wake_exchange = self.exchange.wake
         self.partitions.record_wait = self.metrics.record_wait
@@ -134,6 +139,7 @@
                 self.dispatcher.run(),
                 self.exchange.report_regularly(),
                 self.exchange.publish_regularly(),
+                self.exchange.publish_usage_regularly(),
                 self.partitions.run(),
                 self._list_regularly(),
             )
--- a/libs/scheduler/src/cactustiller/scheduler/jobs.py
+++ b/libs/scheduler/src/cactustiller/scheduler/jobs.py
@@ -6,12 +6,14 @@
 from cactustiller.model import (
     NOTHING,
     Attempt,
+    JobId,
     JobRecord,
     JobState,
     Resources,
     RunState,
     TaskRecord,
     TaskState,
+    WorkerId,
     WorkloadKind,
 )
 from cactustiller.model.messages import JobView, TaskView
@@ -51,6 +53,12 @@
         Indices whose placement is under way.
     restart_at : dict of int to float
         Wall-clock seconds before which a failed service task stays down.
+    failed_on : set of WorkerId
+        Workers on which a task failed.
+    changed_jobs : set of JobId
+        Gets the job's id whenever its tasks change, shared by its home's jobs.
+    notice : str
+        What its submitter should know while it waits.
     usage : TeamUsage
         Counts of the job's team, shared by its jobs.
     held : int
@@ -64,13 +72,19 @@
     usage: TeamUsage = field(default_factory=TeamUsage)
     held: int = 0
     restart_at: dict[int, float] = field(default_factory=dict)
+    failed_on: set[WorkerId] = field(default_factory=set)
+    changed_jobs: set[JobId] = field(default_factory=set)
+    notice: str = ""
     first_start_seconds: float = -1.0
     last_start_seconds: float = -1.0
 
     @classmethod
-    def recover(cls, record, tasks, usage=None):
+    def recover(cls, record, tasks, usage=None, changed_jobs=None):
         """Return the entry of a job as its rows describe it."""
         entry = cls(record, usage=usage or TeamUsage())
+        if changed_jobs is not None:
+            entry.changed_jobs = changed_jobs
+        entry.changed_jobs.add(record.job)
         for task in tasks:
             entry.set_task(task)
         if not record.state.is_final:
@@ -112,6 +126,7 @@
         self.set_task(task)
 
     def _count_held(self, change):
+        self.changed_jobs.add(self.job)
         self.held += change
         self.usage.count(self.record.spec.template.resources, change)
 
@@ -135,6 +150,7 @@
 
     def put_back(self, index):
         """Return a task whose placement failed to the waiting ones."""
+        self.changed_jobs.add(self.job)
         if index in self.placing:
             self.placing.discard(index)
             self._count_held(-1)
@@ -170,7 +186,7 @@
             job=record.job,
             spec=record.spec,
             state=self.find_state(),
-            reason=record.reason,
+            reason=record.reason or ("" if is_final else self.notice),
             submitted_at=record.submitted_at,
             ended_at=record.ended_at,
             waiting=0 if is_final else rest,
@@ -209,8 +225,14 @@
         state = TaskState.FAILED
     else:
         state = TaskState.WAITING
+    has_succeeded = report.state is RunState.SUCCEEDED
     return task.with_changes(
-        state=state, failures=failures, changed_at=now, reason=report.reason
+        state=state,
+        failures=failures,
+        preemptions=task.preemptions + (report.state is RunState.STOPPED),
+        run_seconds=report.run_seconds if has_succeeded else 0.0,
+        changed_at=now,
+        reason=report.reason,
     )
 
 
@@ -238,6 +260,7 @@
         succeeded=succeeded,
         failed=failed,
         ended_at=now,
+        run_seconds=max((task.run_seconds for task in tasks.values()), default=0.0),
         reason=reasons[0] if reasons else "",
     )
 
--- a/libs/scheduler/src/cactustiller/scheduler/recorder.py
+++ b/libs/scheduler/src/cactustiller/scheduler/recorder.py
@@ -79,6 +79,11 @@
         Returns the current epoch of a shard.
     note_recorded : callable
         Called after each write.
+
+    Attributes
+    ----------
+    note_end : callable
+        Called with the entry and the report of each end that was recorded.
     """
 
     def __init__(self, home, jobs, clock, commit, epoch_of, note_recorded):
@@ -88,6 +93,7 @@
         self._commit = commit
         self._epoch_of = epoch_of
         self._note_recorded = note_recorded
+        self.note_end = lambda entry, report: None
         self._ends = {}
         self._cancels = {}
         self._closes = {}
@@ -227,10 +233,14 @@
             entry = self._jobs[job]
             was_final = entry.record.state.is_final
             entry.record = record
+            entry.changed_jobs.add(job)
             if record.state is JobState.CANCELLED:
                 entry.waiting.clear()
             if not was_final:
                 log.info("job_ended", job=job, state=record.state)
+        for report in (end.report for end in current.ends.values()):
+            if report.run.index in current.tasks.get(report.run.job, {}):
+                self.note_end(self._jobs[report.run.job], report)
         for job, tasks in current.tasks.items():
             self._apply_tasks(self._jobs[job], tasks)
 
