Do not end runs of workers that only a lagging or missing list lacks

Change: a shard starts once a list is known; a worker counts as removed after it was missing for 60 s and cannot be reached. Conclusion: mended; 60 s is an assumption about the list's lag.

--- a/libs/scheduler/src/cactustiller/scheduler/partitions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/partitions.py
@@ -59,6 +59,7 @@
         self._timing = timing
         self._listing = InstanceListing()
         self._changed = asyncio.Event()
+        self._is_listed = asyncio.Event()
         self._home_owners = {}
         self._starting = {}
         self._builds = itertools.count()
@@ -103,6 +104,7 @@
     async def set_listing(self, listing):
         """Take the platform's list of workers and executors."""
         self._listing = listing
+        self._is_listed.set()
         for shard in list(self.shards.values()):
             await shard.set_workers(self._list_workers(shard.shard))
         for pool in self.pools.values():
@@ -181,6 +183,8 @@
         shard = Shard(partition, epoch, self._member, self._worker_port, self._timing)
         shard.on_change = self.wake_exchange
         shard.on_failure = self._note_failure
+        # Without a list every worker would look removed.
+        await self._is_listed.wait()
         while not await shard.recover():
             await asyncio.sleep(RECOVER_RETRY_SECONDS)
         self.shards[partition] = shard
--- a/libs/scheduler/src/cactustiller/scheduler/shard.py
+++ b/libs/scheduler/src/cactustiller/scheduler/shard.py
@@ -31,6 +31,7 @@
 
 CHECK_SECONDS = 0.5
 SETTLED_KEYS = 50_000
+REMOVED_SECONDS = 60.0
 RELEASE_POLL_SECONDS = 0.05
 
 log = structlog.get_logger(__name__)
@@ -61,6 +62,7 @@
         self._port = port
         self._timing = timing
         self._recovered = {}
+        self._missing_since = {}
         self._settled = OrderedDict()
         self._is_releasing = False
         self._task = None
@@ -109,10 +111,11 @@
             elif session.info != info:
                 session.info = info
                 self._note_change(session)
-        for worker in [name for name in self.sessions if name not in infos]:
-            await self._drop_removed(worker)
-        for worker in [name for name in self._recovered if name not in infos]:
-            self._add_removed_session(worker)
+        for worker in self._list_removed(infos):
+            if worker in self._recovered:
+                self._add_removed_session(worker)
+            else:
+                await self._drop_removed(worker)
 
     def reserve(self, message):
         """Hold capacity for runs; return `Reservations`."""
@@ -217,6 +220,22 @@
             session.add(entry)
         session.start(self.on_failure)
 
+    def _list_removed(self, infos):
+        """Return the workers that the platform has not listed for a while.
+
+        Its list lags, so a worker that is missing may have only just joined it.
+        """
+        now = asyncio.get_running_loop().time()
+        missing = (self.sessions.keys() | self._recovered.keys()) - infos.keys()
+        self._missing_since = {
+            worker: self._missing_since.get(worker, now) for worker in sorted(missing)
+        }
+        return [
+            worker
+            for worker, since in self._missing_since.items()
+            if now - since >= REMOVED_SECONDS
+        ]
+
     async def _drop_removed(self, worker):
         """End the runs of a worker that neither the platform nor we can see."""
         session = self.sessions[worker]
