Measure a task's wait to its start, not to its home's takeover

Cause: seen on a cell whose scheduler was killed: waiting p50 4.59 s for tasks that had started before the kill, since the new owner of the home took the repeated report for the start. Change: the report of a running task carries its age.

--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -261,7 +261,7 @@
             if _is_settled(task, report.run.attempt):
                 recorded.append(report.run)
             elif report.state is RunState.RUNNING:
-                self._note_running(task, self._clock.now())
+                self._note_running(task, self._clock.now() - report.run_seconds)
             else:
                 # A short run may have ended before its start was reported.
                 if report.run_seconds:
--- a/libs/scheduler/src/cactustiller/scheduler/runs.py
+++ b/libs/scheduler/src/cactustiller/scheduler/runs.py
@@ -27,6 +27,8 @@
     phase : RunPhase
     reserved_until_loop_seconds : float
         End of a reservation on the loop's clock.
+    running_since_loop_seconds : float
+        Start of the run on the loop's clock.
     start_before : float
         Latest start that any message sent so far allows; 0 if none was sent.
     lease_until : float or None
@@ -52,6 +54,7 @@
     record: RunRecord
     phase: RunPhase
     reserved_until_loop_seconds: float = 0.0
+    running_since_loop_seconds: float = 0.0
     start_before: float = 0.0
     lease_until: float | None = 0.0
     unanswered: int = 0
@@ -89,6 +92,13 @@
         else:
             self.phase = RunPhase.ENDED
 
+    def report_again(self, now):
+        """Make the home learn the run's state again, with its age at loop time."""
+        if self.report.state is RunState.RUNNING:
+            seconds = now - self.running_since_loop_seconds
+            self.note_state(RunState.RUNNING, run_seconds=seconds)
+        self.is_reported = False
+
 
 def key_of(record):
     """Return the `RunKey` of anything with job, index and attempt."""
--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -224,10 +224,11 @@
         period = self._timing.task_lease_seconds / RENEWALS_PER_LEASE
         self._renew_at = now + period if wanted else float("inf")
 
-    def _note_running(self, entry):
+    def _note_running(self, entry, run_seconds=0.0):
         """Record that a run has started, and when its lease has to be renewed."""
-        entry.note_state(RunState.RUNNING)
+        entry.note_state(RunState.RUNNING, run_seconds=run_seconds)
         now = asyncio.get_running_loop().time()
+        entry.running_since_loop_seconds = now - run_seconds
         remaining = (entry.lease_until or 0.0) - self._clock.estimate(now)
         lease = self._timing.task_lease_seconds
         due_in = remaining - lease * (1 - 1 / RENEWALS_PER_LEASE)
@@ -314,7 +315,7 @@
                 return
             self.end(entry, status.state, status.reason, status.run_seconds)
         elif entry.phase is not RunPhase.RUNNING:
-            self._note_running(entry)
+            self._note_running(entry, status.run_seconds)
             entry.needs_apply = entry.is_stopping
             self._on_change(self)
 
--- a/libs/scheduler/src/cactustiller/scheduler/shard.py
+++ b/libs/scheduler/src/cactustiller/scheduler/shard.py
@@ -188,10 +188,11 @@
 
     def report_again(self, home):
         """Report every run of a home again, since its owner has changed."""
+        now = asyncio.get_running_loop().time()
         for session in self.sessions.values():
             for entry in session.entries.values():
                 if entry.record.home == home and entry.report is not None:
-                    entry.is_reported = False
+                    entry.report_again(now)
         self.on_change()
 
     def list_views(self, workers=None):
--- a/tests/scheduler/test_attempts.py
+++ b/tests/scheduler/test_attempts.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import pytest
 
 from cactustiller.model import (
@@ -114,3 +116,15 @@
     assert (await home.record_reports(report(first, "failed"))).recorded == []
     failure = (await home.commit_runs({})).unwrap_err()
     assert failure.code in (ErrorCode.CONFLICT, ErrorCode.NOT_OWNER)
+
+
+async def test_new_owner_of_a_home_measures_waits_to_the_start_not_to_itself(home):
+    first = await assign(home, "w1")
+    waits = []
+    home.record_wait = lambda kind, team, queue, seconds: waits.append(seconds)
+    # A shard tells a new owner of the home of a run that has gone on for a while.
+    await asyncio.sleep(50)
+    running = report(first, "running")
+    found = running.reports[0].with_changes(run_seconds=49.0)
+    await home.record_reports(running.with_changes(reports=[found]))
+    assert 0.0 <= waits[0] < 2.0
