Answer at once when an owner has given up on the table service

Cause: in an outage each submission was held until its deadline (10 s) and then answered unknown, since the gateway went on asking the owner, which had refused. Conclusion: as the users ask: a final answer at once.

--- a/libs/gateway/src/cactustiller/gateway/calls.py
+++ b/libs/gateway/src/cactustiller/gateway/calls.py
@@ -6,7 +6,7 @@
 import structlog
 from result import Err
 
-from cactustiller.model import ErrorCode, Failure, Outcome
+from cactustiller.model import TABLE_PEER, ErrorCode, Failure, Outcome
 
 FIRST_BACKOFF_SECONDS = 0.05
 LONGEST_BACKOFF_SECONDS = 0.8
@@ -56,6 +56,10 @@
                 return answer
             if failure.outcome is Outcome.UNKNOWN:
                 unknown = failure
+            if failure.peer == TABLE_PEER and failure.code is not ErrorCode.FENCED:
+                # The owner has given up on the table service, so waiting here
+                # would only hold its answer back.
+                return Err(_conclude(failure, unknown))
             pause = self._random.uniform(backoff / 2, backoff)
             pause = max(pause, min(failure.retry_after_ms / 1000, backoff))
             if loop.time() + pause >= deadline:
--- a/libs/model/src/cactustiller/model/__init__.py
+++ b/libs/model/src/cactustiller/model/__init__.py
@@ -1,6 +1,6 @@
 """Ids, states, resources, jobs and failures shared by all libraries."""
 
-from .errors import Failure, FailureError
+from .errors import TABLE_PEER, Failure, FailureError
 from .ids import (
     Attempt,
     Epoch,
@@ -42,6 +42,7 @@
 
 __all__ = [
     "NOTHING",
+    "TABLE_PEER",
     "Attempt",
     "Epoch",
     "ErrorCode",
--- a/libs/model/src/cactustiller/model/errors.py
+++ b/libs/model/src/cactustiller/model/errors.py
@@ -5,6 +5,8 @@
 from .record import Record
 from .states import ErrorCode, Outcome
 
+TABLE_PEER = "table service"
+
 
 class Failure(Record):
     """Reason why an operation did not succeed.
--- a/libs/ownership/src/cactustiller/ownership/member.py
+++ b/libs/ownership/src/cactustiller/ownership/member.py
@@ -7,7 +7,14 @@
 from reactivex.subject import Subject
 from result import Err, Ok
 
-from cactustiller.model import ErrorCode, Failure, FailureError, MemberRecord, Role
+from cactustiller.model import (
+    TABLE_PEER,
+    ErrorCode,
+    Failure,
+    FailureError,
+    MemberRecord,
+    Role,
+)
 from cactustiller.model.messages import (
     AnnounceOwnership,
     Done,
@@ -292,7 +299,7 @@
                 if reply.is_ok() and reply.unwrap().committed:
                     self.committer.confirmed_at = sent_at
                     return reply.unwrap().version
-            log.warning("join_retried", peer="table service")
+            log.warning("join_retried", peer=TABLE_PEER)
             await asyncio.sleep(JOIN_RETRY_SECONDS)
 
     async def _renew_lease(self):
--- a/libs/platform/src/cactustiller/platform/commits.py
+++ b/libs/platform/src/cactustiller/platform/commits.py
@@ -16,7 +16,7 @@
 import structlog
 from result import Err, Ok
 
-from cactustiller.model import ErrorCode, Failure, Outcome
+from cactustiller.model import TABLE_PEER, ErrorCode, Failure, Outcome
 
 from .batches import Batch, Operation
 from .records import Check, Put, TransactReply, Write
@@ -150,7 +150,7 @@
             Failure(
                 code=ErrorCode.TIMEOUT,
                 step=f"commit {operation.purpose}",
-                peer="table service",
+                peer=TABLE_PEER,
                 reason=f"no answer within {timeout_seconds} s",
                 outcome=Outcome.UNKNOWN,
                 retry_after_ms=1000,
@@ -285,7 +285,7 @@
     return Conflict(
         code=ErrorCode.CONFLICT,
         step=f"commit {purpose}",
-        peer="table service",
+        peer=TABLE_PEER,
         reason=names,
         rows=rows,
     )
@@ -296,7 +296,7 @@
         Failure(
             code=ErrorCode.UNAVAILABLE,
             step=f"commit {operation.purpose}",
-            peer="table service",
+            peer=TABLE_PEER,
             reason="the writer stopped before the answer",
             outcome=Outcome.UNKNOWN,
             retry_after_ms=1000,
@@ -309,7 +309,7 @@
         Failure(
             code=ErrorCode.UNAVAILABLE,
             step="commit",
-            peer="table service",
+            peer=TABLE_PEER,
             reason=reason,
             outcome=Outcome.NOT_RUN,
             retry_after_ms=2000,
@@ -322,7 +322,7 @@
         Failure(
             code=ErrorCode.FENCED,
             step="commit",
-            peer="table service",
+            peer=TABLE_PEER,
             reason="another member has taken over; this one starts again",
             outcome=outcome,
             retry_after_ms=1000,
--- a/libs/platform/src/cactustiller/platform/table.py
+++ b/libs/platform/src/cactustiller/platform/table.py
@@ -8,7 +8,7 @@
 
 from result import Err, Result
 
-from cactustiller.model import ErrorCode, Failure, Outcome
+from cactustiller.model import TABLE_PEER, ErrorCode, Failure, Outcome
 
 from .breaker import Breaker
 from .http import CallCounters, call_json
@@ -132,7 +132,7 @@
     return Failure(
         code=ErrorCode.UNAVAILABLE,
         step="read table",
-        peer="table service",
+        peer=TABLE_PEER,
         reason="the table service does not answer; reads are paused",
         outcome=Outcome.NOT_RUN,
         retry_after_ms=int(retry_after_seconds * 1000),
--- a/libs/scheduler/src/cactustiller/scheduler/recorder.py
+++ b/libs/scheduler/src/cactustiller/scheduler/recorder.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from cactustiller.model import (
+    TABLE_PEER,
     ErrorCode,
     Failure,
     JobState,
@@ -286,7 +287,7 @@
     return Failure(
         code=ErrorCode.TIMEOUT,
         step="cancel job",
-        peer="table service",
+        peer=TABLE_PEER,
         reason=f"no answer within {CANCEL_SECONDS} s; ask again for job {job}",
         outcome=outcome,
         retry_after_ms=1000,
--- a/libs/scheduler/src/cactustiller/scheduler/refusals.py
+++ b/libs/scheduler/src/cactustiller/scheduler/refusals.py
@@ -1,6 +1,6 @@
 """Failures that a home answers."""
 
-from cactustiller.model import ErrorCode, Failure, Outcome
+from cactustiller.model import TABLE_PEER, ErrorCode, Failure, Outcome
 
 
 def fail_handed_over(home, purpose):
@@ -33,7 +33,7 @@
     return Failure(
         code=ErrorCode.UNAVAILABLE,
         step="cancel job",
-        peer="table service",
+        peer=TABLE_PEER,
         reason="the table service does not answer",
         retry_after_ms=2000,
     )
@@ -44,7 +44,7 @@
     return Failure(
         code=ErrorCode.TIMEOUT,
         step="commit job",
-        peer="table service",
+        peer=TABLE_PEER,
         reason=f"no answer within {seconds} s; ask again for job {job}",
         outcome=Outcome.UNKNOWN,
         retry_after_ms=1000,
--- a/libs/scheduler/src/cactustiller/scheduler/shard.py
+++ b/libs/scheduler/src/cactustiller/scheduler/shard.py
@@ -7,6 +7,7 @@
 
 from cactustiller.model import (
     NOTHING,
+    TABLE_PEER,
     ErrorCode,
     Failure,
     FailureError,
@@ -349,7 +350,7 @@
     return Failure(
         code=ErrorCode.UNAVAILABLE,
         step=f"verify an assignment to {shard}",
-        peer="table service",
+        peer=TABLE_PEER,
         reason="the assignment cannot be verified while the table service is down",
         retry_after_ms=500,
     )
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -1,11 +1,14 @@
 import pytest
 
-from cactustiller.model import ErrorCode, Failure, Outcome
+from cactustiller.model import TABLE_PEER, ErrorCode, Failure, Outcome
 from tests.gateway.builders import build_submission
 
 LOST = Failure(
     code=ErrorCode.TIMEOUT, step="test", reason="lost", outcome=Outcome.UNKNOWN
 )
+OUTAGE = Failure(
+    code=ErrorCode.UNAVAILABLE, step="commit", peer=TABLE_PEER, reason="down"
+)
 MOVED = Failure(code=ErrorCode.NOT_OWNER, step="test", reason="moved")
 
 
@@ -94,3 +97,11 @@
     assert response.status == 503
     assert body["error"]["outcome"] == "notRun"
     assert int(response.headers["Retry-After"]) >= 1
+
+
+async def test_refusal_of_an_owner_without_the_table_is_answered_at_once(cell):
+    cell.home.failures = [(OUTAGE, False)]
+    response, body = await cell.call("POST", "/v1/jobs", json=build_submission())
+    assert (response.status, body["error"]["outcome"]) == (503, "notRun")
+    assert int(response.headers["Retry-After"]) >= 1
+    assert cell.home.submissions == 1
