--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -10,10 +10,10 @@
     ErrorCode,
     InstanceState,
     RunState,
-    WorkloadKind,
 )
-from cactustiller.platform import Apply, TaskRenewal, TaskStart, TaskStop, Watch
+from cactustiller.platform import Apply, TaskStop, Watch
 
+from .applies import make_renewal, make_start, make_stop
 from .clock import CLOCK_RATE_MARGIN, WorkerClock
 from .runs import RunPhase, key_of
 from .supervision import watch_task
@@ -393,15 +393,19 @@
             if not entry.needs_apply or not entry.holds_capacity:
                 continue
             if entry.is_stopping:
-                stops.append(_make_stop(entry))
+                stops.append(make_stop(entry))
             if not self.is_reachable:
                 is_probe = True
             elif entry.phase is RunPhase.STARTING and not entry.is_stopping:
-                start = self._make_start(entry, now)
-                if start is not None:
-                    starts.append(start)
+                latest = self._authority.latest_start(self.info, now)
+                window_seconds = min(latest - now, self._timing.start_window_seconds)
+                if window_seconds > 0:
+                    lease = self._timing.task_lease_seconds
+                    estimate = self._clock.estimate(now)
+                    starts.append(make_start(entry, estimate, window_seconds, lease))
             elif self._may_renew(entry):
-                renewals.append(self._make_renewal(entry, now))
+                granted = self._clock.estimate(now) + self._timing.task_lease_seconds
+                renewals.append(make_renewal(entry, granted))
         if not (starts or renewals or stops or is_probe):
             return None
         return Apply(
@@ -413,39 +417,6 @@
             stops=stops,
         )
 
-    def _make_start(self, entry, now):
-        latest = self._authority.latest_start(self.info, now)
-        window = min(latest - now, self._timing.start_window_seconds)
-        if window <= 0:
-            return None
-        estimate = self._clock.estimate(now)
-        entry.unanswered += 1
-        entry.start_before = max(entry.start_before, estimate + window)
-        granted = estimate + self._timing.task_lease_seconds
-        entry.lease_until = max(entry.lease_until or 0.0, granted)
-        template = entry.record.template
-        return TaskStart(
-            job=entry.record.job,
-            index=entry.record.index,
-            attempt=entry.record.attempt,
-            resources=template.resources,
-            run_seconds=template.run_seconds,
-            payload=template.payload,
-            start_before=estimate + window,
-            lease_until=granted,
-            service=entry.record.kind is WorkloadKind.SERVICE,
-        )
-
-    def _make_renewal(self, entry, now):
-        granted = self._clock.estimate(now) + self._timing.task_lease_seconds
-        entry.lease_until = max(entry.lease_until or 0.0, granted)
-        return TaskRenewal(
-            job=entry.record.job,
-            index=entry.record.index,
-            attempt=entry.record.attempt,
-            lease_until=granted,
-        )
-
     def _take_apply(self, apply, reply):
         self._clock = WorkerClock(reply.now, asyncio.get_running_loop().time())
         was_usable = self.is_usable
@@ -493,12 +464,3 @@
             self.end(entry, RunState.STOPPED, "stopped before its start")
             return
         entry.needs_apply = True
-
-
-def _make_stop(entry):
-    return TaskStop(
-        job=entry.record.job,
-        index=entry.record.index,
-        attempt=entry.record.attempt,
-        checkpoint=entry.checkpoint,
-    )
--- a/specs/leases.py
+++ b/specs/leases.py
@@ -112,12 +112,12 @@
         window = WINDOW_TICKS
     if window and len(state.messages) < MAX_MESSAGES:
         yield (
-            "WorkerSession._make_start of the former owner",
+            "applies.make_start of the former owner",
             _send_start(state, FORMER, window),
         )
     if state.grant and state.running and not _refuses(state, flags, FORMER):
         renewed = state._replace(running=TASK_LEASE_TICKS)
-        yield "WorkerSession._make_renewal of the former owner", renewed
+        yield "applies.make_renewal of the former owner", renewed
 
 
 def _recover(state, flags):
@@ -150,13 +150,13 @@
     is_reconciled = state.boot >= 0
     is_starting = state.phase == "starting" and not state.is_stopping
     if is_starting and is_reconciled and len(state.messages) < MAX_MESSAGES:
-        yield "WorkerSession._make_start", _make_start(state)
+        yield "applies.make_start", _make_start(state)
     if state.phase == "running":
         granted = state._replace(held=TASK_LEASE_TICKS)
-        yield "WorkerSession._make_renewal is lost", granted
+        yield "applies.make_renewal is lost", granted
         if state.running:
             renewed = granted._replace(running=TASK_LEASE_TICKS)
-            yield "WorkerSession._make_renewal", renewed
+            yield "applies.make_renewal", renewed
     yield _take_watch(state, flags) if state.reply else _watch(state)
     yield from _check_lease(state, flags)
     if not state.is_stopping:
@@ -313,8 +313,8 @@
         "Claims._hand_over": "ownership/claims.py",
         "Shard.recover": "scheduler/shard.py",
         "Partitions._stop_lost": "scheduler/partitions.py",
-        "WorkerSession._make_start": "scheduler/sessions.py",
-        "WorkerSession._make_renewal": "scheduler/sessions.py",
+        "applies.make_start": "scheduler/applies.py",
+        "applies.make_renewal": "scheduler/applies.py",
         "WorkerSession._watch_regularly": "scheduler/sessions.py",
         "WorkerSession._take_watch": "scheduler/sessions.py",
         "WorkerSession._check_lease": "scheduler/sessions.py",
--- a/specs/runs.py
+++ b/specs/runs.py
@@ -172,7 +172,7 @@
             state, number, attempt
         ):
             started = _enter(state, number, attempt, "running")
-            yield f"WorkerSession._make_start {of}", _apply(started, attempt)
+            yield f"applies.make_start {of}", _apply(started, attempt)
         end = state.runs[attempt - 1]
         if phase == "running" and end in ENDS:
             seen = _enter(state, number, attempt, end)
@@ -273,7 +273,7 @@
         "Shard._start_run": "scheduler/shard.py",
         "Shard._start_unreserved": "scheduler/shard.py",
         "WorkerSession.check_times": "scheduler/sessions.py",
-        "WorkerSession._make_start": "scheduler/sessions.py",
+        "applies.make_start": "scheduler/applies.py",
         "WorkerSession._take_watch": "scheduler/sessions.py",
         "WorkerSession._reconcile": "scheduler/sessions.py",
         "WorkerSession._check_lease": "scheduler/sessions.py",
