--- a/tests/scheduler/memory.py
+++ b/tests/scheduler/memory.py
@@ -1,10 +1,18 @@
-"""In-memory table port over the stand-in's logic, with faults."""
+"""In-memory table port over the stand-in's logic, and records for tests."""
 
 import asyncio
 
 from result import Err, Ok
 
-from cactustiller.model import ErrorCode, Failure, Outcome
+from cactustiller.model import (
+    ErrorCode,
+    Failure,
+    JobSpec,
+    MemberRecord,
+    Outcome,
+    Resources,
+    TaskTemplate,
+)
 from cactustiller.platform import ReadReply, TransactReply
 from standins.table import ReadRequest, TableStore, TransactRequest
 
@@ -57,3 +65,28 @@
             self.lose_next -= 1
             return fail("answer lost")
         return Ok(reply_class.model_validate(reply.model_dump()))
+
+
+SPEC = JobSpec(
+    name="a",
+    team="t",
+    queue="q",
+    kind="batch",
+    task_count=1,
+    template=TaskTemplate(resources=Resources(cpu_millis=1)),
+)
+
+
+async def refuse_all(message, hello):
+    raise AssertionError("no peer calls here")
+
+
+def build_record(name):
+    return MemberRecord(
+        member=name,
+        role="scheduler",
+        instance=name,
+        zone="a",
+        peer_address="127.0.0.1:1",
+        incarnation="",
+    )
--- a/tests/scheduler/test_handover.py
+++ b/tests/scheduler/test_handover.py
@@ -1,39 +1,16 @@
 import pytest
 
-from cactustiller.model import ErrorCode, JobSpec, MemberRecord, Resources, TaskTemplate
+from cactustiller.model import ErrorCode
 from cactustiller.model.messages import SubmitJob
 from cactustiller.ownership import OWNERSHIP_KEY, Claims, Member
 from cactustiller.platform import Put, Write
 from cactustiller.scheduler.clock import WallClock
 from cactustiller.scheduler.home import Home
 from cactustiller.settings import TimingSettings
-from tests.scheduler.memory import MemoryTable
+from tests.scheduler.memory import SPEC, MemoryTable, build_record, refuse_all
 
 pytestmark = pytest.mark.looptime
 HOME = "home-01"
-SPEC = JobSpec(
-    name="a",
-    team="t",
-    queue="q",
-    kind="batch",
-    task_count=1,
-    template=TaskTemplate(resources=Resources(cpu_millis=1)),
-)
-
-
-async def refuse_all(message, hello):
-    raise AssertionError("no peer calls here")
-
-
-def build_record(name):
-    return MemberRecord(
-        member=name,
-        role="scheduler",
-        instance=name,
-        zone="a",
-        peer_address="127.0.0.1:1",
-        incarnation="",
-    )
 
 
 @pytest.fixture
