Do not count members that have left where a majority is needed

Cause: leaving only marked a member's row, though its docstring said that the row was removed. Ruled out: fencing lost gateways too; a paused one may still hold permits, and the pool's owner has to ask it. Change: a gateway that has shut down, and a scheduler that has handed everything over, mark their row as gone.

--- a/libs/ownership/src/cactustiller/ownership/member.py
+++ b/libs/ownership/src/cactustiller/ownership/member.py
@@ -166,8 +166,12 @@
         await self.peers.close()
 
     async def leave(self):
-        """Remove the member's row and stop; the partitions must be handed over."""
-        await self.mark_leaving()
+        """Mark the member as gone and stop; the partitions must be handed over.
+
+        A member that is gone does not count where a majority is needed.
+        """
+        self.record = self.record.with_changes(leaving=True, fenced=True)
+        await self.committer.commit(Write(), "leave")
         await self.stop()
 
     async def mark_leaving(self):
--- a/libs/scheduler/src/cactustiller/scheduler/incarnation.py
+++ b/libs/scheduler/src/cactustiller/scheduler/incarnation.py
@@ -112,7 +112,7 @@
             await self.dispatcher.stop()
             await self.replica.stop()
             await self.partitions.stop()
-            await self.member.stop()
+            await self._stop_member()
 
     async def _start(self, stop):
         """Join the cell; return False if told to stop before that is done."""
@@ -149,6 +149,15 @@
         if await self._wait_for_end(stop):
             await self._drain()
 
+    async def _stop_member(self):
+        """Leave for good if nothing is owned any more, else stop without a word."""
+        member = self.member
+        is_drained = member.record.leaving and not member.is_fenced
+        if is_drained and not member.ownership.list_owned(member.member):
+            await member.leave()
+        else:
+            await member.stop()
+
     async def _wait_for_end(self, stop):
         """Wait until the work ends; return whether to hand over."""
         while not (stop.is_set() or self._drain_asked.is_set()):
--- a/tests/ownership/test_replica.py
+++ b/tests/ownership/test_replica.py
@@ -201,3 +201,13 @@
     )
     await second.replica.answer(wrong, Hello(member="none", role="", zone=""))
     assert second.replica.version == 2
+
+
+async def test_members_that_left_do_not_count_for_a_majority(daemons):
+    first, *others = await add_three(daemons)
+    for daemon in others:
+        await daemon.replica.stop()
+        await daemon.member.leave()
+        daemons.cut_peers(daemon.name)
+    await first.member.refresh()
+    assert (await first.editor.change(set_weight(2.0), "ann")).unwrap() == 2
