--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
-LIBS := model settings platform policy peers ownership scheduler gateway cli
+LIBS := model settings ports policy peers ownership scheduler gateway cli cell
 GATEWAYS ?= 3
 SCHEDULERS ?= 3
 WORKERS ?= 24
@@ -14,11 +14,11 @@
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: constraints.txt dev-requirements.txt $(wildcard libs/*/pyproject.toml)
+$(VENV)/.ready: constraints.txt dev-requirements.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	python3.11 -m venv $(VENV)
 	$(VENV)/bin/pip install -q -c constraints.txt setuptools wheel
 	$(VENV)/bin/pip install -q -c constraints.txt --no-build-isolation \
-	  -r dev-requirements.txt $(foreach lib,$(LIBS),-e libs/$(lib))
+	  -r dev-requirements.txt $(foreach lib,$(LIBS),-e libs/$(lib)) -e platform
 	touch $@
 
 test: setup
--- a/benchmarks/dissemination.py
+++ b/benchmarks/dissemination.py
@@ -26,7 +26,7 @@
     SettingsBody,
 )
 from cactustiller.ownership import Member, SettingsEditor, SettingsReplica
-from cactustiller.platform import ReadReply, TransactReply
+from cactustiller.ports import ReadReply, TransactReply
 from cactustiller.settings import (
     TimingSettings,
     add_queue,
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/__init__.py
@@ -0,0 +1,54 @@
+"""Scheduling of one cell: any member takes jobs, one of them owns the cell."""
+
+from .admission import Admitted, Refusal, admit_call
+from .desired import DesiredState, Pool, Queue, Team
+from .engine import ListedEnd, ListedRun, Listing
+from .followers import Follower
+from .intake import Acceptance
+from .member import Member, MemberSettings, Outside
+from .ports import (
+    Approval,
+    Committed,
+    Conflict,
+    Page,
+    Row,
+    RowKey,
+    StartAnswer,
+    StartOrder,
+    Transaction,
+)
+from .runs import End
+from .specs import JobSpec, QueueRules, StepSpec
+from .workers import WorkerInfo
+
+__all__ = [
+    "Acceptance",
+    "Admitted",
+    "Approval",
+    "Committed",
+    "Conflict",
+    "DesiredState",
+    "End",
+    "Follower",
+    "JobSpec",
+    "ListedEnd",
+    "ListedRun",
+    "Listing",
+    "Member",
+    "MemberSettings",
+    "Outside",
+    "Page",
+    "Pool",
+    "Queue",
+    "QueueRules",
+    "Refusal",
+    "Row",
+    "RowKey",
+    "StartAnswer",
+    "StartOrder",
+    "StepSpec",
+    "Team",
+    "Transaction",
+    "WorkerInfo",
+    "admit_call",
+]
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/election.py
@@ -0,0 +1,182 @@
+"""Who owns a cell: one row of the store, conditional on its version."""
+
+import asyncio
+import random
+from typing import NamedTuple
+
+import orjson
+
+from cactustiller.model import Epoch, MemberId, Outcome
+
+from .events import Event, log_event
+from .ports import OWNER_ROW, Committed, Conflict, Transaction
+
+# An owner renews its row at least this often.
+RENEW_SECONDS = 0.5
+POLL_SECONDS = 0.4
+# Age of the row at which a member takes over: three renewals and a slow answer.
+TAKEOVER_AFTER_SECONDS = 1.8
+# The row must have stood still before a member's own eyes this long, so that an
+# owner can renew it after an outage of the store.
+STILL_SECONDS = 0.7
+CALL_SECONDS = 1.5
+JITTER_SECONDS = 0.15
+
+
+class OwnerRecord(NamedTuple):
+    """Value of the owner's row.
+
+    Attributes
+    ----------
+    sequence : int
+        Rises with each transaction of an epoch, so that a lost answer is resolved.
+    renewed_ms : int
+        The store's clock, as the owner knew it when it wrote.
+    is_released : bool
+        The owner has given up the cell.
+    """
+
+    epoch: Epoch
+    member: MemberId
+    address: str
+    sequence: int
+    renewed_ms: int
+    is_released: bool = False
+
+
+NO_OWNER = OwnerRecord(Epoch(0), MemberId(""), "", 0, 0, True)
+
+
+def encode_owner(record):
+    """Return the text of an owner's row."""
+    return orjson.dumps(list(record))
+
+
+def decode_owner(row):
+    """Return the `OwnerRecord` of a row, or `NO_OWNER` where there is none."""
+    if row is None or row.value is None:
+        return NO_OWNER
+    return OwnerRecord(*orjson.loads(row.value))
+
+
+def should_claim(record, version, seen, page_now_ms, now):
+    """Return whether a member should take the cell over.
+
+    Parameters
+    ----------
+    record : OwnerRecord
+    version : int
+        Version of the row as just read.
+    seen : tuple of (int, float)
+        Version of the row in earlier reads and when it was first read, with no
+        failed read since.
+    page_now_ms : int
+        The store's clock.
+    now : float
+    """
+    if record.is_released:
+        return True
+    age = (page_now_ms - record.renewed_ms) / 1000
+    stood_still = seen[0] == version and now - seen[1] >= STILL_SECONDS
+    return stood_still and age >= TAKEOVER_AFTER_SECONDS
+
+
+class Election:
+    """Watches the owner's row and claims it.
+
+    Parameters
+    ----------
+    store : RowStore
+    member : MemberId
+    address : str
+        Where other members reach this one.
+    on_owner : callable
+        Called with the `OwnerRecord` when it changes.
+    """
+
+    def __init__(self, store, member, address, on_owner):
+        self.record = NO_OWNER
+        self.read_at = float("-inf")
+        self._store = store
+        self._member = member
+        self._address = address
+        self._on_owner = on_owner
+        self._random = random.Random(member)
+        self._seen = (-1, 0.0)
+
+    async def wait_for_claim(self):
+        """Return ``(OwnerRecord, version, now_ms)`` once this member owns the cell."""
+        while True:
+            claim = await self._look()
+            if claim is not None:
+                return claim
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _look(self):
+        loop = asyncio.get_running_loop()
+        key = OWNER_ROW
+        answer = await self._store.read(
+            key.table, key.part, key.key, key.key + "\0", CALL_SECONDS
+        )
+        if answer.is_err():
+            self._seen = (-1, 0.0)
+            return None
+        page = answer.unwrap()
+        row = page.rows[0] if page.rows else None
+        record, version = decode_owner(row), row.version if row else 0
+        now = loop.time()
+        self.read_at = now
+        self._note(record)
+        if version != self._seen[0]:
+            self._seen = (version, now)
+        if not should_claim(record, version, self._seen, page.now_ms, now):
+            return None
+        await asyncio.sleep(self._random.uniform(0, JITTER_SECONDS))
+        return await self._claim(record, version, page.now_ms)
+
+    async def _claim(self, before, version, now_ms):
+        record = OwnerRecord(
+            Epoch(before.epoch + 1), self._member, self._address, 0, now_ms
+        )
+        transaction = Transaction(
+            {OWNER_ROW: version}, {OWNER_ROW: encode_owner(record)}
+        )
+        answer = await self._store.transact(transaction, CALL_SECONDS)
+        if answer.is_err():
+            failure = answer.unwrap_err()
+            if failure.outcome is Outcome.UNKNOWN:
+                return await self._resolve(record)
+            return None
+        match answer.unwrap():
+            case Committed(version=new_version, now_ms=committed_ms):
+                self._note(record)
+                return record, new_version, committed_ms
+            case Conflict():
+                log_event(Event.TAKEOVER_LOST, epoch=record.epoch)
+        return None
+
+    async def _resolve(self, record):
+        """Read the row to learn whether a claim without an answer took effect."""
+        key = OWNER_ROW
+        answer = await self._store.read(
+            key.table, key.part, key.key, key.key + "\0", CALL_SECONDS
+        )
+        if answer.is_err() or not answer.unwrap().rows:
+            return None
+        page = answer.unwrap()
+        if decode_owner(page.rows[0]) == record:
+            self._note(record)
+            return record, page.rows[0].version, page.now_ms
+        return None
+
+    def _note(self, record):
+        if record[:3] != self.record[:3]:
+            log_event(
+                Event.OWNER_CHANGED,
+                owner=record.member,
+                epoch=record.epoch,
+                before=self.record.member,
+            )
+            self.record = record
+            self._on_owner(record)
+        self.record = record
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/followers.py
@@ -0,0 +1,183 @@
+"""Copies of the store's tables, kept up to date by their feeds."""
+
+import asyncio
+
+from cactustiller.model import ErrorCode
+
+from .events import Event, log_event
+from .ports import MEMBER_TABLE
+
+READ_SECONDS = 1.5
+# A feed that hears nothing answers after this long; a lost one is noticed then.
+FEED_WAIT_SECONDS = 1.0
+RETRY_SECONDS = 0.15
+# Rows that changed together share an answer of the feed.
+FEED_PAUSE_SECONDS = 0.02
+# A feed may stay silent while rows change, so the table is read again this often.
+REREAD_SECONDS = 2.0
+PAST_ALL_KEYS = "\x7f"
+
+
+class Follower:
+    """Keeps the rows of one part of a table.
+
+    Parameters
+    ----------
+    store : RowStore
+    table, part : str
+    take_rows : callable
+        Called with the dict of key to value after each change.
+    wait_seconds : float
+        How long the feed waits for a change.
+    """
+
+    def __init__(self, store, table, part, take_rows, wait_seconds=FEED_WAIT_SECONDS):
+        self.fresh_at = float("-inf")
+        self._store = store
+        self._table = table
+        self._part = part
+        self._take_rows = take_rows
+        self._wait_seconds = wait_seconds
+        self._rows = {}
+        self._version = None
+        self._is_lost = False
+        self._read_at = 0.0
+        self._first = asyncio.Event()
+        self._task = None
+
+    def start(self):
+        """Begin to follow."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self):
+        """Stop following."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def wait_until_read(self):
+        """Wait for the first whole read."""
+        await self._first.wait()
+
+    async def _run(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            is_old = loop.time() - self._read_at > REREAD_SECONDS
+            if self._version is None or is_old:
+                answer = await self._read()
+            else:
+                answer = await self._follow()
+            if answer.is_err():
+                self._note_failure(answer.unwrap_err())
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            self.fresh_at = loop.time()
+            if self._is_lost:
+                self._is_lost = False
+                log_event(Event.DEPENDENCY_BACK, dependency=f"table {self._table}")
+            await asyncio.sleep(FEED_PAUSE_SECONDS)
+
+    async def _read(self):
+        answer = await self._store.read(
+            self._table, self._part, "", PAST_ALL_KEYS, READ_SECONDS
+        )
+        if answer.is_ok():
+            page = answer.unwrap()
+            rows = {row.key.key: row.value for row in page.rows}
+            self._version = page.version
+            self._read_at = asyncio.get_running_loop().time()
+            if rows != self._rows or not self._first.is_set():
+                self._rows = rows
+                self._take_rows(rows)
+                self._first.set()
+        return answer
+
+    async def _follow(self):
+        answer = await self._store.follow(
+            self._table, self._version, self._wait_seconds
+        )
+        if answer.is_err():
+            if answer.unwrap_err().code is ErrorCode.HISTORY_LOST:
+                self._version = None
+            return answer
+        page = answer.unwrap()
+        self._version = max(self._version, page.version)
+        changed = [row for row in page.rows if row.key.part == self._part]
+        for row in changed:
+            if row.value is None:
+                self._rows.pop(row.key.key, None)
+            else:
+                self._rows[row.key.key] = row.value
+        if changed:
+            self._take_rows(self._rows)
+        return answer
+
+    def _note_failure(self, failure):
+        if self._is_lost:
+            return
+        self._is_lost = True
+        log_event(
+            Event.DEPENDENCY_LOST,
+            dependency=f"table {self._table}",
+            step=failure.step,
+            peer=failure.peer,
+            reason=failure.reason,
+        )
+
+
+class Registry:
+    """Workers that the platform lists.
+
+    Parameters
+    ----------
+    store : RowStore
+    table, part : str
+    decode : callable
+        Key and value to a `WorkerInfo`, or None for an entry that names no worker.
+    on_change : callable
+    """
+
+    def __init__(self, store, table, part, decode, on_change):
+        self.workers = {}
+        self._decode = decode
+        self._on_change = on_change
+        self._follower = Follower(store, table, part, self._take_rows)
+        self.start = self._follower.start
+        self.stop = self._follower.stop
+        self.wait_until_read = self._follower.wait_until_read
+
+    def _take_rows(self, rows):
+        workers = {}
+        for key, value in rows.items():
+            info = self._decode(key, value)
+            if info is not None:
+                workers[info.worker] = info
+        if workers != self.workers:
+            self.workers = workers
+            self._on_change()
+
+
+class Roster:
+    """Addresses of the other members.
+
+    Parameters
+    ----------
+    store : RowStore
+    own_address : str
+    """
+
+    def __init__(self, store, own_address):
+        self._addresses = []
+        self._own_address = own_address
+        # Members come and go seldom: the regular read is enough.
+        self._follower = Follower(store, MEMBER_TABLE, MEMBER_TABLE, self._take_rows)
+        self.start = self._follower.start
+        self.stop = self._follower.stop
+
+    def find_addresses(self):
+        """Return the peer addresses of the other members."""
+        return self._addresses
+
+    def _take_rows(self, rows):
+        addresses = {value.decode() for value in rows.values()}
+        self._addresses = sorted(addresses - {self._own_address})
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/health.py
@@ -0,0 +1,77 @@
+"""Workers that fail or hold up what they start are avoided for a while."""
+
+from .events import Event, log_event
+from .runs import RunPhase
+
+# Distinct jobs that have to fail in a row on one worker.
+FAILURES_NEEDED = 3
+FIRST_PAUSE_SECONDS = 2.0
+LONGEST_PAUSE_SECONDS = 8.0
+# A run whose percentage has not risen for this long stands still; a percent of the
+# longest tasks takes 0.2 s on a worker of usual speed.
+STALL_SECONDS = 2.5
+# No more than this part of the workers is avoided at once.
+MOST_AVOIDED = 0.34
+
+
+def note_success(worker):
+    """Note that a run ended well on a worker."""
+    worker.failures = 0
+    worker.failed_jobs.clear()
+
+
+def note_failure(worker, task, workers, now):
+    """Note that a run failed; return whether the worker is avoided from now on.
+
+    Parameters
+    ----------
+    worker : Worker
+    task : TaskRun
+    workers : iterable of Worker
+        All workers, to bound how many are avoided.
+    now : float
+    """
+    worker.failed_jobs.add(task.step.job.spec.job)
+    worker.failures += 1
+    if len(worker.failed_jobs) < FAILURES_NEEDED:
+        return False
+    everyone = list(workers)
+    avoided = sum(other.avoided_until > now for other in everyone)
+    if avoided + 1 > MOST_AVOIDED * len(everyone):
+        return False
+    pause = FIRST_PAUSE_SECONDS * 2 ** min(worker.failures - FAILURES_NEEDED, 4)
+    worker.avoided_until = now + min(pause, LONGEST_PAUSE_SECONDS)
+    log_event(
+        Event.WORKER_AVOIDED,
+        worker=worker.info.worker,
+        failures=worker.failures,
+        jobs=len(worker.failed_jobs),
+        seconds=round(worker.avoided_until - now, 3),
+    )
+    return True
+
+
+def is_stalled(task, worker, now):
+    """Return whether a run has made no progress although its worker answers."""
+    return (
+        task.phase is RunPhase.RUNNING
+        and not task.is_stopping
+        and not task.step.spec.is_service
+        and not task.step.spec.fills
+        and bool(task.progressed_at)
+        and now - task.progressed_at > STALL_SECONDS
+    )
+
+
+def note_stall(worker, task, workers, now):
+    """Note that a run stood still; counts like a failure of its job there."""
+    log_event(
+        Event.RUN_STALLED,
+        job=task.step.job.spec.job,
+        task=task.name,
+        run=task.run,
+        worker=worker.info.worker,
+        progress=task.progress,
+        seconds=round(now - task.progressed_at, 3),
+    )
+    note_failure(worker, task, workers, now)
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -0,0 +1,279 @@
+"""One member of a cell: intake, election and, at one of them, ownership."""
+
+import asyncio
+import random
+import traceback
+import uuid
+from dataclasses import dataclass
+
+from cactustiller.model import ErrorCode, Failure, MemberId
+from cactustiller.model.messages import (
+    ApprovalGiven,
+    AskApproval,
+    CountPending,
+    Done,
+    FindJobState,
+    Hello,
+    OfferJob,
+)
+from cactustiller.peers import PeerClient, PeerServer, Traffic
+
+from .desired import DesiredState
+from .election import Election
+from .events import Event, log_event
+from .followers import Registry, Roster
+from .intake import Intake
+from .owner import Owner
+from .ports import (
+    MEMBER_TABLE,
+    ApprovalService,
+    RowKey,
+    RowStore,
+    Transaction,
+    WorkerCalls,
+)
+
+ROLE = "cell"
+ROW_RETRY_SECONDS = 0.5
+ROW_CALL_SECONDS = 1.5
+TERM_PAUSE_SECONDS = 0.5
+# A member that has not heard from the store for this long sends new connections
+# elsewhere.
+READY_WITHIN_SECONDS = 2.5
+
+
+@dataclass(frozen=True, slots=True)
+class MemberSettings:
+    """Identity of a member and the bounds that it keeps.
+
+    Attributes
+    ----------
+    status_ms : int
+        How long finished jobs stay readable.
+    """
+
+    member: MemberId
+    zone: str
+    host: str
+    peer_port: int
+    status_ms: int = 120_000
+
+    @property
+    def peer_address(self):
+        """Where other members reach this one."""
+        return f"{self.host}:{self.peer_port}"
+
+
+@dataclass(slots=True)
+class Outside:
+    """Systems that a member talks to.
+
+    Attributes
+    ----------
+    worker_table, worker_part : str
+        Where the platform lists workers.
+    decode_worker : callable
+        Key and value of an entry to a `WorkerInfo`, or None.
+    """
+
+    store: RowStore
+    worker_calls: WorkerCalls
+    approvals: ApprovalService
+    worker_table: str
+    worker_part: str
+    decode_worker: object
+
+
+class Member:
+    """Serves callers, and owns the cell when elected.
+
+    Parameters
+    ----------
+    settings : MemberSettings
+    outside : Outside
+    """
+
+    def __init__(self, settings, outside):
+        self.settings = settings
+        self.desired_state = DesiredState()
+        self._desired_follower = None
+        self.store = outside.store
+        self.worker_calls = outside.worker_calls
+        self.approvals = outside.approvals
+        self._outside = outside
+        self._owner = None
+        self._stop = asyncio.Event()
+        self._tasks = []
+        identity = Hello(
+            member=settings.member,
+            role=ROLE,
+            zone=settings.zone,
+            incarnation=uuid.uuid4().hex,
+        )
+        self.peers = PeerClient(identity, Traffic())
+        self._server = PeerServer(identity, self._answer, Traffic())
+        self._election = Election(
+            self.store, settings.member, settings.peer_address, lambda record: None
+        )
+        self.intake = Intake(
+            self.store, self.peers, self._find_owner, random.Random(settings.member)
+        )
+
+    async def start(self):
+        """Listen to peers and take part in the election."""
+        await self._server.start(self.settings.host, self.settings.peer_port)
+        self._tasks = [
+            asyncio.create_task(self._publish()),
+            asyncio.create_task(self._take_terms()),
+        ]
+        log_event(Event.STARTED, what="member", address=self.settings.peer_address)
+
+    async def release(self):
+        """Give up ownership; calls are still served."""
+        self._stop.set()
+        log_event(Event.STOPPING, owns_cell=self._owner is not None)
+        publish, terms = self._tasks
+        publish.cancel()
+        if self._owner is None:
+            terms.cancel()
+        await asyncio.gather(publish, terms, return_exceptions=True)
+        await self._remove_row()
+
+    async def stop(self):
+        """Close every connection."""
+        await self._server.stop()
+        await self.peers.close()
+        log_event(Event.STOPPED)
+
+    def is_ready(self):
+        """Return whether new connections should come here."""
+        now = asyncio.get_running_loop().time()
+        return (
+            not self._stop.is_set()
+            and self.desired_state.version > 0
+            and now - self._desired_follower.fresh_at <= READY_WITHIN_SECONDS
+        )
+
+    def watch_desired(self, follower):
+        """Take the `Follower` whose freshness tells that of the desired state."""
+        self._desired_follower = follower
+
+    def apply_desired(self, desired):
+        """Take a desired state that is not older than the one in force."""
+        if desired.version > self.desired_state.version:
+            log_event(
+                Event.DESIRED_STATE_APPLIED,
+                version=desired.version,
+                before=self.desired_state.version,
+                queues=len(desired.queues),
+                keys=len(desired.keys),
+            )
+            self.desired_state = desired
+            if self._owner is not None:
+                self._owner.wake()
+
+    def read_metrics(self):
+        """Return counters and gauges by name."""
+        owner = self._owner
+        values = {"desired_version": self.desired_state.version}
+        values["is_owner"] = int(owner is not None)
+        if owner is not None:
+            values |= {f"cell_{k}": v for k, v in owner.engine.counters.items()}
+            values["cell_jobs"] = len(owner.engine.jobs)
+            values["cell_workers"] = len(owner.engine.workers)
+        return values
+
+    # Ports of an owner
+
+    def desired(self):
+        """Return the desired state in force."""
+        return self.desired_state
+
+    def make_registry(self, on_change):
+        """Return a follower of the list of workers."""
+        outside = self._outside
+        return Registry(
+            self.store,
+            outside.worker_table,
+            outside.worker_part,
+            outside.decode_worker,
+            on_change,
+        )
+
+    def make_roster(self):
+        """Return a follower of the list of members."""
+        return Roster(self.store, self.settings.peer_address)
+
+    # Inner steps
+
+    async def _take_terms(self):
+        while not self._stop.is_set():
+            claim = await self._election.wait_for_claim()
+            self._owner = Owner(self, claim, self.settings.status_ms)
+            try:
+                await self._owner.run(self._stop)
+            except Exception as error:
+                # A fault of the program ends the term; another member takes over.
+                log_event(
+                    Event.TERM_FAILED,
+                    epoch=claim[0].epoch,
+                    reason=repr(error),
+                    trace=traceback.format_exc(),
+                )
+                await asyncio.sleep(TERM_PAUSE_SECONDS)
+            finally:
+                self._owner = None
+
+    def _find_owner(self):
+        owner = self._owner
+        if owner is not None and owner.is_loaded:
+            return owner, ""
+        record = self._election.record
+        if record.is_released or record.address == self.settings.peer_address:
+            return None, ""
+        return None, record.address
+
+    async def _publish(self):
+        """Write this member's row, so that owners find it."""
+        key = RowKey(MEMBER_TABLE, MEMBER_TABLE, self.settings.member)
+        row = {key: self.settings.peer_address.encode()}
+        while True:
+            answer = await self.store.transact(Transaction({}, row), ROW_CALL_SECONDS)
+            if answer.is_ok():
+                return
+            await asyncio.sleep(ROW_RETRY_SECONDS)
+
+    async def _remove_row(self):
+        key = RowKey(MEMBER_TABLE, MEMBER_TABLE, self.settings.member)
+        await self.store.transact(Transaction({}, {}, (key,)), ROW_RETRY_SECONDS)
+
+    async def _answer(self, message, hello):
+        match message:
+            case FindJobState():
+                return self.intake.answer_state(message)
+            case OfferJob():
+                owner, _ = self._find_owner()
+                if owner is not None:
+                    owner.offer_job(message.job, message.row.encode())
+                    return Done()
+            case CountPending():
+                reply = self.intake.answer_pending(message)
+                if reply is not None:
+                    return reply
+            case AskApproval():
+                return await self._ask_approval(message)
+        return Failure(
+            code=ErrorCode.NOT_OWNER,
+            step=f"answer {type(message).__name__}",
+            peer=hello.member,
+            reason="this member does not own the cell",
+        )
+
+    async def _ask_approval(self, message):
+        answer = await self.approvals.ask(message.step, message.workers)
+        if answer.is_err():
+            return answer.unwrap_err()
+        approval = answer.unwrap()
+        return ApprovalGiven(
+            tickets=approval.tickets, valid_ms=int(approval.valid_seconds * 1000)
+        )
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/placement.py
@@ -0,0 +1,254 @@
+"""Choice of workers for waiting steps; changes only the room it takes."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from .ordering import URGENT
+from .runs import RunPhase, StepRun, TaskRun
+from .workers import Worker
+
+# Gangs for which room is kept free at once; more would idle the cell.
+MOST_RESERVATIONS = 3
+# Tickets are used only while they outlast the start's way to the worker.
+TICKET_MARGIN_SECONDS = 0.25
+# A blocked gang asks again before its room is expected to be free.
+ASK_AHEAD_SECONDS = 0.8
+
+
+class Placement(NamedTuple):
+    """Task to be started on a worker."""
+
+    task: TaskRun
+    worker: Worker
+    ticket: str
+
+
+@dataclass(slots=True)
+class Round:
+    """Input and outcome of one round of placing.
+
+    Attributes
+    ----------
+    room_of_team : callable
+        ``(team, amounts, most)`` to the number of tasks under the team's limit.
+    wants_approval : list of StepRun
+        Steps whose approval is to be asked, in order.
+    """
+
+    now: float
+    workers: list[Worker]
+    room_of_team: object
+    take_of_team: object
+    placements: list[Placement] = field(default_factory=list)
+    wants_approval: list[StepRun] = field(default_factory=list)
+    reservations: int = 0
+
+
+def place_steps(current, ordered):
+    """Place the steps in order; the round collects the outcome.
+
+    Parameters
+    ----------
+    current : Round
+    ordered : list of (OrderKey, StepRun, QueueRules)
+    """
+    kept = {worker: worker.reserved_for for worker in current.workers}
+    for worker in current.workers:
+        worker.reserved_for = None
+    for key, step, rules in ordered:
+        if step.retry_at > current.now:
+            continue
+        candidates = _find_candidates(current, step, rules)
+        if candidates is None:
+            current.wants_approval.append(step)
+        elif step.spec.is_gang:
+            _place_gang(current, step, rules, candidates, kept)
+        else:
+            _place_tasks(current, key, step, rules, candidates)
+
+
+def has_valid_tickets(step, now):
+    """Return whether starts of the step would be accepted."""
+    return step.approved is not None and (
+        now + TICKET_MARGIN_SECONDS <= step.approved_until
+    )
+
+
+def _find_candidates(current, step, rules):
+    """Return the workers that may run the step, or None if approval is unknown."""
+    label = step.spec.required_label
+    workers = [
+        worker
+        for worker in current.workers
+        if worker.info.service == rules.service
+        and (not label or label in worker.info.labels)
+    ]
+    if not rules.needs_approval:
+        return workers
+    if step.approved is None:
+        return None
+    return [worker for worker in workers if worker.info.worker in step.approved]
+
+
+def _count_by_worker(step):
+    return Counter(task.worker for task in step.tasks if task.holds_room)
+
+
+def _limit_by_worker(step, counts, worker, most):
+    if step.spec.max_per_worker:
+        most = min(most, step.spec.max_per_worker - counts[worker.info.worker])
+    return most
+
+
+def _place_tasks(current, key, step, rules, candidates):
+    amounts = step.spec.counted
+    counts = _count_by_worker(step)
+    wanted = current.room_of_team(step.job.spec.team, step.spec.amounts, step.waiting)
+    if wanted <= 0:
+        return
+    waiting = [task for task in step.tasks if task.phase is RunPhase.WAITING]
+    may_use_reserved = key.band == URGENT or step.spec.fills
+    fits = []
+    for worker in candidates:
+        if worker.reserved_for is not None and not may_use_reserved:
+            continue
+        most = _limit_by_worker(step, counts, worker, wanted)
+        room = worker.count_fits(amounts, most)
+        if room:
+            is_far = bool(step.spec.data_rack) and step.spec.data_rack != (
+                worker.info.rack
+            )
+            fits.append((is_far, worker.free_cpu, worker.info.worker, room, worker))
+    if not fits:
+        return
+    if rules.needs_approval and not has_valid_tickets(step, current.now):
+        current.wants_approval.append(step)
+        return
+    # Best fit keeps large blocks free for gangs.
+    fits.sort(key=lambda fit: fit[:3])
+    position = 0
+    for _, _, _, room, worker in fits:
+        for _ in range(room):
+            if position >= min(wanted, len(waiting)):
+                return
+            _assign(current, waiting[position], worker)
+            position += 1
+
+
+def _place_gang(current, step, rules, candidates, kept):
+    spec = step.spec
+    if step.waiting < spec.count:
+        return
+    if current.room_of_team(step.job.spec.team, spec.amounts, spec.count) < spec.count:
+        return
+    open_workers = [worker for worker in candidates if worker.reserved_for is None]
+    chosen = _choose_for_gang(step, open_workers)
+    if chosen is None:
+        _reserve(current, step, open_workers, kept)
+        return
+    if rules.needs_approval and not has_valid_tickets(step, current.now):
+        current.wants_approval.append(step)
+        for worker, _ in chosen:
+            worker.reserved_for = step
+        return
+    tasks = iter(step.tasks)
+    for worker, count in chosen:
+        for _ in range(count):
+            _assign(current, next(tasks), worker)
+
+
+def _choose_for_gang(step, workers):
+    """Return pairs of worker and count that hold the gang now, or None."""
+    counts = Counter()
+    rooms = []
+    for worker in workers:
+        most = _limit_by_worker(step, counts, worker, step.spec.count)
+        room = worker.count_fits(step.spec.counted, most)
+        if room:
+            rooms.append((-room, worker.free_cpu, worker.info.worker, worker))
+    if step.spec.is_tightly_coupled:
+        rooms = _keep_one_rack(rooms, step.spec.count)
+    rooms.sort(key=lambda entry: entry[:3])
+    missing = step.spec.count
+    chosen = []
+    for negative_room, _, _, worker in rooms:
+        count = min(missing, -negative_room)
+        chosen.append((worker, count))
+        missing -= count
+        if not missing:
+            return chosen
+    return None
+
+
+def _keep_one_rack(rooms, count):
+    """Return the rooms of one rack where that is enough, else all."""
+    by_rack = Counter()
+    for entry in rooms:
+        by_rack[entry[3].info.rack] -= entry[0]
+    for rack, room in by_rack.most_common(1):
+        if room >= count:
+            return [entry for entry in rooms if entry[3].info.rack == rack]
+    return rooms
+
+
+def _reserve(current, step, workers, kept):
+    """Keep workers free for a gang that does not fit yet.
+
+    Takes the workers that are free soonest; those kept for it in the last round go
+    first, so that they drain.
+    """
+    if current.reservations >= MOST_RESERVATIONS:
+        return
+    amounts = step.spec.counted
+    choices = []
+    for worker in workers:
+        most = _limit_by_worker(step, Counter(), worker, step.spec.count)
+        room = _count_fits_when_empty(worker, amounts, most)
+        if room:
+            free_at = _estimate_free_at(worker, current.now)
+            choices.append((kept.get(worker) is not step, free_at, room, worker))
+    choices.sort(key=lambda choice: (choice[0], choice[1], choice[3].info.worker))
+    missing = step.spec.count
+    taken = []
+    for _, free_at, room, worker in choices:
+        taken.append((free_at, worker))
+        missing -= room
+        if missing <= 0:
+            break
+    if missing > 0:
+        return
+    current.reservations += 1
+    for _, worker in taken:
+        worker.reserved_for = step
+    is_near = max(free_at for free_at, _ in taken) <= current.now + ASK_AHEAD_SECONDS
+    if is_near and not has_valid_tickets(step, current.now + ASK_AHEAD_SECONDS):
+        current.wants_approval.append(step)
+
+
+def _count_fits_when_empty(worker, amounts, most):
+    capacity = worker.info.capacity
+    for needed, available in zip(amounts, capacity, strict=True):
+        if needed:
+            most = min(most, available // needed)
+    return most
+
+
+def _estimate_free_at(worker, now):
+    """Return when the worker's runs are expected to have ended."""
+    latest = now
+    for task, _ in worker.runs.values():
+        if task.step.spec.is_service:
+            continue
+        estimate = task.step.spec.estimate_ms / 1000
+        ends_at = (task.started_at or now) + estimate
+        latest = max(latest, ends_at)
+    return latest
+
+
+def _assign(current, task, worker):
+    step = task.step
+    ticket = (step.approved or {}).get(worker.info.worker, "")
+    worker.take(step.spec.counted)
+    current.take_of_team(step.job.spec.team, step.spec.amounts)
+    current.placements.append(Placement(task, worker, ticket))
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/specs.py
@@ -0,0 +1,171 @@
+"""Jobs as submitted: steps, resources and times."""
+
+from dataclasses import dataclass, field
+
+import orjson
+
+from cactustiller.model import (
+    NO_AMOUNTS,
+    Amounts,
+    JobId,
+    QueueName,
+    ServiceName,
+    TeamId,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class StepSpec:
+    """Step of a job: `count` like tasks.
+
+    Attributes
+    ----------
+    after : tuple of int
+        Earlier steps whose tasks must all have succeeded.
+    is_gang : bool
+        The tasks start together and end together.
+    is_tightly_coupled : bool
+        The tasks slow down when they run on more than one rack.
+    required_label, data_rack : str
+        Label that a worker must have; rack where the data is. Empty for none.
+    max_per_worker : int
+        Most tasks of the step on one worker; 0 for no limit.
+    is_service : bool
+        The tasks run until the job is cancelled.
+    fills : bool
+        The processor amount is not counted against a worker's capacity.
+    max_unavailable : int
+        Most tasks of a service step that the scheduler may make unavailable at once.
+    """
+
+    count: int
+    amounts: Amounts = NO_AMOUNTS
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    is_gang: bool = False
+    is_tightly_coupled: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_worker: int = 0
+    has_checkpoints: bool = False
+    allows_copies: bool = False
+    is_service: bool = False
+    image: str = ""
+    latency_target_ms: int = 0
+    fills: bool = False
+    max_unavailable: int = 0
+
+    @property
+    def counted(self):
+        """Amounts that one task takes of a worker's capacity."""
+        if self.fills:
+            return Amounts(0, self.amounts[1], self.amounts[2])
+        return self.amounts
+
+
+@dataclass(frozen=True, slots=True)
+class QueueRules:
+    """What a queue's definition says about its jobs.
+
+    Attributes
+    ----------
+    priority : int
+        0 comes first.
+    slack_factor : float
+        The objective is this times the longest chain of work plus `objective_ms`.
+    needs_approval : bool
+        A service names the workers that may run a step.
+    approval_ms, approval_worker_ms : float
+        Time that the service takes for a call, and for each worker named in it.
+    """
+
+    service: ServiceName
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1.0
+    objective_ms: float = 0.0
+    needs_approval: bool = False
+    approval_ms: float = 0.0
+    approval_worker_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpec:
+    """Job as accepted; times are Unix milliseconds.
+
+    Attributes
+    ----------
+    rules : QueueRules
+        The queue's rules at acceptance; a newer definition goes before them.
+    repeat_count : int
+        Occurrences of the steps; 0 for a job without times.
+    """
+
+    job: JobId
+    queue: QueueName
+    team: TeamId
+    payload: str
+    steps: tuple[StepSpec, ...]
+    rules: QueueRules
+    accepted_ms: int = 0
+    first_run_ms: int = 0
+    interval_ms: int = 0
+    repeat_count: int = 0
+    tag: str = field(default="", compare=False)
+
+
+_STEP_DEFAULTS = StepSpec(count=1)
+_STEP_FIELDS = tuple(
+    name for name in StepSpec.__dataclass_fields__ if name not in ("count", "amounts")
+)
+_RULE_FIELDS = tuple(QueueRules.__dataclass_fields__)
+
+
+def encode_job(spec):
+    """Return the text of a job's row."""
+    steps = []
+    for step in spec.steps:
+        extra = {
+            name: getattr(step, name)
+            for name in _STEP_FIELDS
+            if getattr(step, name) != getattr(_STEP_DEFAULTS, name)
+        }
+        steps.append([step.count, *step.amounts, extra])
+    times = [spec.accepted_ms, spec.first_run_ms, spec.interval_ms, spec.repeat_count]
+    rules = [getattr(spec.rules, name) for name in _RULE_FIELDS]
+    fields = [spec.queue, spec.team, spec.payload, steps, rules, times, spec.tag]
+    return orjson.dumps(fields)
+
+
+def decode_job(job, data):
+    """Return the `JobSpec` in a row.
+
+    Raises
+    ------
+    ValueError
+        If the row is not one that `encode_job` wrote.
+    """
+    try:
+        queue, team, payload, steps, rules, times, tag = orjson.loads(data)
+        return JobSpec(
+            job=job,
+            queue=queue,
+            team=team,
+            payload=payload,
+            steps=tuple(_decode_step(step) for step in steps),
+            rules=QueueRules(*rules),
+            accepted_ms=times[0],
+            first_run_ms=times[1],
+            interval_ms=times[2],
+            repeat_count=times[3],
+            tag=tag,
+        )
+    except (TypeError, ValueError, IndexError) as error:
+        raise ValueError(f"row of job {job}: {error}") from error
+
+
+def _decode_step(fields):
+    count, cpu, memory, accelerators, extra = fields
+    if "after" in extra:
+        extra["after"] = tuple(extra["after"])
+    return StepSpec(count=count, amounts=Amounts(cpu, memory, accelerators), **extra)
--- a/libs/cli/src/cactustiller/cli/exits.py
+++ b/libs/cli/src/cactustiller/cli/exits.py
@@ -54,6 +54,7 @@
     ErrorCode.PROTOCOL: "check that the address is a gateway of this version",
     ErrorCode.NEVER_RUNNABLE: "ask for less, or for attributes that workers have",
     ErrorCode.UPSTREAM: "check the backend server",
+    ErrorCode.HISTORY_LOST: "read the rows anew and follow them from there",
 }
 UNKNOWN_REMEDY = "find out whether it took effect before you repeat it"
 
--- a/libs/gateway/src/cactustiller/gateway/deduplication.py
+++ b/libs/gateway/src/cactustiller/gateway/deduplication.py
@@ -14,7 +14,7 @@
 import structlog
 
 from cactustiller.model import ErrorCode, Failure, FailureError, Outcome, Record, Role
-from cactustiller.platform import Check, Put, Read, Scan, Write
+from cactustiller.ports import Check, Put, Read, Scan, Write
 
 from .errors import refuse
 from .forwarding import ServiceAnswer
--- a/libs/gateway/src/cactustiller/gateway/executors.py
+++ b/libs/gateway/src/cactustiller/gateway/executors.py
@@ -5,7 +5,7 @@
 import structlog
 
 from cactustiller.model import InstanceState
-from cactustiller.platform import InstanceListing
+from cactustiller.ports import InstanceListing
 
 POLL_SECONDS = 0.5
 
--- a/libs/gateway/src/cactustiller/gateway/serving.py
+++ b/libs/gateway/src/cactustiller/gateway/serving.py
@@ -10,7 +10,7 @@
 
 from cactustiller.model import MemberRecord, Role
 from cactustiller.ownership import Member, Metrics, SettingsEditor, SettingsReplica
-from cactustiller.platform import HttpInstanceList, HttpTable
+from cactustiller.ports import HttpInstanceList, HttpTable
 
 from .bodies import MAX_JSON_BYTES
 from .callers import KeyGuard
--- a/libs/model/src/cactustiller/model/__init__.py
+++ b/libs/model/src/cactustiller/model/__init__.py
@@ -1,5 +1,6 @@
 """Ids, states, resources, jobs and failures shared by all libraries."""
 
+from .amounts import NO_AMOUNTS, Amounts
 from .errors import TABLE_PEER, Failure, FailureError
 from .ids import (
     Attempt,
@@ -42,7 +43,9 @@
 
 __all__ = [
     "NOTHING",
+    "NO_AMOUNTS",
     "TABLE_PEER",
+    "Amounts",
     "Attempt",
     "Epoch",
     "ErrorCode",
--- /dev/null
+++ b/libs/model/src/cactustiller/model/amounts.py
@@ -0,0 +1,31 @@
+"""Amounts of resources as plain integers."""
+
+from typing import NamedTuple
+
+
+class Amounts(NamedTuple):
+    """Plain integers of a `Resources`, which are cheap to compare."""
+
+    cpu_millis: int = 0
+    memory_mib: int = 0
+    accelerators: int = 0
+
+    @classmethod
+    def of(cls, resources):
+        """Return the amounts of a `Resources`."""
+        return cls(resources.cpu_millis, resources.memory_mib, resources.accelerators)
+
+    def fits_within(self, other):
+        """Return whether every amount is at most that of `other`."""
+        return self[0] <= other[0] and self[1] <= other[1] and self[2] <= other[2]
+
+    def plus(self, other, count=1):
+        """Return the sum with `count` times `other`."""
+        return Amounts(
+            self[0] + count * other[0],
+            self[1] + count * other[1],
+            self[2] + count * other[2],
+        )
+
+
+NO_AMOUNTS = Amounts()
--- a/libs/model/src/cactustiller/model/messages.capnp
+++ b/libs/model/src/cactustiller/model/messages.capnp
@@ -39,6 +39,13 @@
     drain @32 :Void;
     publishUsage @33 :PublishUsage;
     releaseRuns @34 :ReleaseRuns;
+    offerJob @35 :OfferJob;
+    findJobState @36 :FindJobState;
+    jobStateFound @37 :JobStateFound;
+    countPending @38 :CountPending;
+    pendingCounted @39 :PendingCounted;
+    askApproval @40 :AskApproval;
+    approvalGiven @41 :ApprovalGiven;
   }
 }
 
@@ -258,3 +265,11 @@
   memberCount @4 :UInt32;
 }
 struct Stats { text @0 :Text; }
+
+struct OfferJob { job @0 :Text; row @1 :Text; }
+struct FindJobState { queue @0 :Text; job @1 :Text; }
+struct JobStateFound { state @0 :Text; }
+struct CountPending { queue @0 :Text; }
+struct PendingCounted { count @0 :UInt32; }
+struct AskApproval { step @0 :Text; workers @1 :List(Text); }
+struct ApprovalGiven { tickets @0 :List(Label); validMs @1 :UInt32; }
--- a/libs/model/src/cactustiller/model/messages.py
+++ b/libs/model/src/cactustiller/model/messages.py
@@ -1,5 +1,7 @@
 """Messages between daemons; each class has a struct in ``messages.capnp``."""
 
+from pydantic import Field
+
 from .errors import Failure
 from .ids import (
     Attempt,
@@ -8,12 +10,13 @@
     KeyId,
     MemberId,
     PartitionId,
+    QueueName,
     ServiceName,
     TeamId,
     WorkerId,
 )
 from .jobs import JobSpec, RunRecord
-from .record import Record
+from .record import Labels, Record
 from .resources import NOTHING, Resources
 from .states import JobState, RunState, TaskState
 
@@ -380,6 +383,55 @@
     """Asks a member to shut down gracefully."""
 
 
+class OfferJob(Record):
+    """Tells a cell's owner of an accepted job, or of its cancelling.
+
+    `row` is the text of the stored row, empty for a job that is cancelled.
+    """
+
+    job: JobId
+    row: str = ""
+
+
+class FindJobState(Record):
+    """Asks a cell's owner for the state of a job."""
+
+    queue: QueueName
+    job: JobId
+
+
+class JobStateFound(Record):
+    """State of a job; empty where the owner does not know the job."""
+
+    state: str = ""
+
+
+class CountPending(Record):
+    """Asks a cell's owner how many jobs of a queue have not started."""
+
+    queue: QueueName
+
+
+class PendingCounted(Record):
+    """Number of jobs of a queue that have not started."""
+
+    count: int
+
+
+class AskApproval(Record):
+    """Asks a member to call the approval service for a step."""
+
+    step: str
+    workers: list[WorkerId]
+
+
+class ApprovalGiven(Record):
+    """Tickets by worker, valid for `valid_ms` from the service's answer."""
+
+    tickets: Labels = Field(default_factory=dict)
+    valid_ms: int = 0
+
+
 MESSAGES = (
     Hello,
     Done,
@@ -413,4 +465,11 @@
     Drain,
     PublishUsage,
     ReleaseRuns,
+    OfferJob,
+    FindJobState,
+    JobStateFound,
+    CountPending,
+    PendingCounted,
+    AskApproval,
+    ApprovalGiven,
 )
--- a/libs/model/src/cactustiller/model/states.py
+++ b/libs/model/src/cactustiller/model/states.py
@@ -113,3 +113,4 @@
     PROTOCOL = "protocol"
     NEVER_RUNNABLE = "neverRunnable"
     UPSTREAM = "upstream"
+    HISTORY_LOST = "historyLost"
--- a/libs/ownership/src/cactustiller/ownership/claims.py
+++ b/libs/ownership/src/cactustiller/ownership/claims.py
@@ -7,7 +7,7 @@
 
 from cactustiller.model import Role
 from cactustiller.model.messages import AnnounceOwnership
-from cactustiller.platform import Check, Put, Write
+from cactustiller.ports import Check, Put, Write
 
 from .planning import plan_owners
 from .records import OWNERSHIP_KEY, member_key
--- a/libs/ownership/src/cactustiller/ownership/editor.py
+++ b/libs/ownership/src/cactustiller/ownership/editor.py
@@ -10,7 +10,7 @@
 
 from cactustiller.model import ErrorCode, Failure, Outcome
 from cactustiller.model.messages import AnnounceSettings, SettingsBody
-from cactustiller.platform import Check, Put, Write
+from cactustiller.ports import Check, Put, Write
 from cactustiller.settings import (
     default_tree,
     diff_trees,
--- a/libs/ownership/src/cactustiller/ownership/member.py
+++ b/libs/ownership/src/cactustiller/ownership/member.py
@@ -21,7 +21,7 @@
     Hello,
 )
 from cactustiller.peers import PeerClient, PeerServer, Traffic
-from cactustiller.platform import (
+from cactustiller.ports import (
     Check,
     Committer,
     Get,
--- a/libs/policy/src/cactustiller/policy/snapshots.py
+++ b/libs/policy/src/cactustiller/policy/snapshots.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass, field
 from math import inf
-from typing import NamedTuple
 
 from cactustiller.model import (
     NOTHING,
+    Amounts,
     Attempt,
     JobId,
     JobSpec,
@@ -17,30 +17,6 @@
 )
 
 
-class Amounts(NamedTuple):
-    """Plain integers of a `Resources`, which are cheap to compare."""
-
-    cpu_millis: int = 0
-    memory_mib: int = 0
-    accelerators: int = 0
-
-    @classmethod
-    def of(cls, resources):
-        """Return the amounts of a `Resources`."""
-        return cls(resources.cpu_millis, resources.memory_mib, resources.accelerators)
-
-    def plus(self, other, count=1):
-        """Return the sum with `count` times `other`."""
-        return Amounts(
-            self[0] + count * other[0],
-            self[1] + count * other[1],
-            self[2] + count * other[2],
-        )
-
-
-NO_AMOUNTS = Amounts()
-
-
 @dataclass(slots=True)
 class WorkerSnapshot:
     """Usable worker with its free capacity."""
--- a/libs/policy/src/cactustiller/policy/state.py
+++ b/libs/policy/src/cactustiller/policy/state.py
@@ -2,11 +2,12 @@
 
 import numpy as np
 
+from cactustiller.model import NO_AMOUNTS, Amounts
+
 from .fleet import Fleet
 from .ordering import Lane, make_order_key
 from .shapes import Shape, make_shape_key
 from .shares import ShareLedger
-from .snapshots import NO_AMOUNTS, Amounts
 
 SHARE_SECONDS = 1.0
 
--- a/libs/scheduler/src/cactustiller/scheduler/applies.py
+++ b/libs/scheduler/src/cactustiller/scheduler/applies.py
@@ -1,7 +1,7 @@
 """What a worker is told of one run; times are on the worker's clock in seconds."""
 
 from cactustiller.model import WorkloadKind
-from cactustiller.platform import TaskRenewal, TaskStart, TaskStop
+from cactustiller.ports import TaskRenewal, TaskStart, TaskStop
 
 
 def make_start(entry, now, window_seconds, lease_seconds):
--- a/libs/scheduler/src/cactustiller/scheduler/daemon.py
+++ b/libs/scheduler/src/cactustiller/scheduler/daemon.py
@@ -6,7 +6,7 @@
 import structlog
 
 from cactustiller.model import MemberId, MemberRecord, Role
-from cactustiller.platform import HttpInstanceList, HttpTable, HttpWorkers
+from cactustiller.ports import HttpInstanceList, HttpTable, HttpWorkers
 
 from .incarnation import Incarnation, Ports
 
--- a/libs/scheduler/src/cactustiller/scheduler/dispatch.py
+++ b/libs/scheduler/src/cactustiller/scheduler/dispatch.py
@@ -11,8 +11,8 @@
     StartRuns,
     StopRuns,
 )
-from cactustiller.platform import Conflict
 from cactustiller.policy import explain_waiting
+from cactustiller.ports import Conflict
 
 from .feed import PlannerFeed
 from .runs import key_of
--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -21,8 +21,8 @@
     RunKey,
     StopRuns,
 )
-from cactustiller.platform import Conflict, Put, Write
 from cactustiller.policy import RunTimes
+from cactustiller.ports import Conflict, Put, Write
 
 from .jobs import JobEntry, TeamUsage, finish_job
 from .recorder import Recorder, put_job, put_task
--- a/libs/scheduler/src/cactustiller/scheduler/incarnation.py
+++ b/libs/scheduler/src/cactustiller/scheduler/incarnation.py
@@ -15,8 +15,8 @@
     count_control,
     list_partitions,
 )
-from cactustiller.platform import InstanceListPort, TablePort, WorkerPort
-from cactustiller.platform.records import InstanceListing
+from cactustiller.ports import InstanceListPort, TablePort, WorkerPort
+from cactustiller.ports.records import InstanceListing
 from cactustiller.settings import has_path, resolve
 
 from .clock import WallClock
--- a/libs/scheduler/src/cactustiller/scheduler/partitions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/partitions.py
@@ -8,7 +8,7 @@
 from cactustiller.model import ErrorCode, Failure, Role
 from cactustiller.ownership import shard_of_rack
 from cactustiller.ownership.partitions import HOME_PREFIX, POOL_PREFIX, SHARD_PREFIX
-from cactustiller.platform.records import InstanceListing
+from cactustiller.ports.records import InstanceListing
 
 from .home import Home
 from .pools import Pool
--- a/libs/scheduler/src/cactustiller/scheduler/recorder.py
+++ b/libs/scheduler/src/cactustiller/scheduler/recorder.py
@@ -21,7 +21,7 @@
     TaskState,
 )
 from cactustiller.model.messages import RunReport
-from cactustiller.platform import Put, Write
+from cactustiller.ports import Put, Write
 
 from .jobs import end_task, find_restart_pause, finish_job
 from .runs import run_row_key
--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -11,7 +11,7 @@
     InstanceState,
     RunState,
 )
-from cactustiller.platform import Apply, TaskStop, Watch
+from cactustiller.ports import Apply, TaskStop, Watch
 
 from .applies import make_renewal, make_start, make_stop
 from .clock import CLOCK_RATE_MARGIN, WorkerClock
--- a/libs/scheduler/src/cactustiller/scheduler/shard.py
+++ b/libs/scheduler/src/cactustiller/scheduler/shard.py
@@ -23,7 +23,7 @@
     StartAnswer,
     WorkerView,
 )
-from cactustiller.platform import WorkerInfo
+from cactustiller.ports import WorkerInfo
 
 from .authority import ShardAuthority
 from .runs import RunEntry, RunPhase, key_of, run_row_key
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -34,8 +34,8 @@
     list_homes,
     pool_of_service,
 )
-from cactustiller.platform import BackendInfo, InstanceListing, ReadReply, TransactReply
-from cactustiller.platform.records import GotRow, Row, ScanPage
+from cactustiller.ports import BackendInfo, InstanceListing, ReadReply, TransactReply
+from cactustiller.ports.records import GotRow, Row, ScanPage
 from cactustiller.scheduler.pools import Pool
 from cactustiller.settings import TimingSettings, add_key, add_queue, add_team
 from cactustiller.settings import create_key as make_key
--- a/tests/gateway/slot_cell.py
+++ b/tests/gateway/slot_cell.py
@@ -11,7 +11,7 @@
 from cactustiller.gateway.permits import PermitStore
 from cactustiller.model import ErrorCode, Failure, FailureError, Outcome, Urgency
 from cactustiller.model.messages import ReportPermits
-from cactustiller.platform import BackendInfo
+from cactustiller.ports import BackendInfo
 from cactustiller.scheduler.pools import Pool
 
 SERVICE = "prices"
--- a/tests/platform/test_commits.py
+++ b/tests/ports/test_commits.py
@@ -3,7 +3,7 @@
 import pytest
 
 from cactustiller.model import Outcome
-from cactustiller.platform import Check, Committer, Conflict, Put, Write
+from cactustiller.ports import Check, Committer, Conflict, Put, Write
 from standins.table import Put as StoredPut
 from standins.table import TransactRequest
 from tests.scheduler.memory import MemoryTable
--- a/tests/platform/test_fences.py
+++ b/tests/ports/test_fences.py
@@ -2,7 +2,7 @@
 from result import Err
 
 from cactustiller.model import ErrorCode, Failure, Outcome
-from cactustiller.platform import Committer, Put, Write
+from cactustiller.ports import Committer, Put, Write
 from tests.scheduler.memory import MemoryTable
 
 pytestmark = pytest.mark.looptime
--- a/tests/platform/test_http.py
+++ b/tests/ports/test_http.py
@@ -4,7 +4,7 @@
 import aiohttp
 from aiohttp import web
 
-from cactustiller.platform import HttpInstanceList
+from cactustiller.ports import HttpInstanceList
 from standins.faults import FaultSwitch
 from standins.instances import (
     EntryInfo,
--- a/tests/scheduler/builders.py
+++ b/tests/scheduler/builders.py
@@ -16,7 +16,7 @@
 )
 from cactustiller.model.messages import CancelJob, GetJob, SubmitJob
 from cactustiller.ownership import home_of_team
-from cactustiller.platform import (
+from cactustiller.ports import (
     ApplyReply,
     InstanceListing,
     WatchReply,
--- a/tests/scheduler/memory.py
+++ b/tests/scheduler/memory.py
@@ -13,7 +13,7 @@
     Resources,
     TaskTemplate,
 )
-from cactustiller.platform import ReadReply, TransactReply
+from cactustiller.ports import ReadReply, TransactReply
 from standins.table import ReadRequest, TableStore, TransactRequest
 
 
--- a/tests/scheduler/test_attempts.py
+++ b/tests/scheduler/test_attempts.py
@@ -8,7 +8,7 @@
 )
 from cactustiller.model.messages import ReportRuns, RunKey, RunReport, SubmitJob
 from cactustiller.ownership import OWNERSHIP_KEY, Member
-from cactustiller.platform import Put, Write
+from cactustiller.ports import Put, Write
 from cactustiller.scheduler.clock import WallClock
 from cactustiller.scheduler.home import Home
 from cactustiller.settings import TimingSettings
--- a/tests/scheduler/test_feed.py
+++ b/tests/scheduler/test_feed.py
@@ -5,8 +5,8 @@
 from cactustiller.model import JobRecord, RunState, TaskRecord, TaskState
 from cactustiller.model.codec import Frame, decode_frame, encode_frame
 from cactustiller.model.messages import RunKey, RunReport
-from cactustiller.platform.records import InstanceListing, WorkerInfo
 from cactustiller.policy import Amounts, Claim, RunTimes
+from cactustiller.ports.records import InstanceListing, WorkerInfo
 from cactustiller.scheduler.clock import WallClock
 from cactustiller.scheduler.feed import PlannerFeed
 from cactustiller.scheduler.jobs import JobEntry, end_task
--- a/tests/scheduler/test_former_owners.py
+++ b/tests/scheduler/test_former_owners.py
@@ -11,7 +11,7 @@
     RunState,
     TaskTemplate,
 )
-from cactustiller.platform import ApplyReply, TaskStatus, WatchReply, WorkerInfo
+from cactustiller.ports import ApplyReply, TaskStatus, WatchReply, WorkerInfo
 from cactustiller.scheduler.runs import RunEntry, RunPhase
 from cactustiller.scheduler.sessions import OUTAGE_GRANT_SECONDS, WorkerSession
 from cactustiller.settings import TimingSettings
--- a/tests/scheduler/test_handover.py
+++ b/tests/scheduler/test_handover.py
@@ -3,7 +3,7 @@
 from cactustiller.model import ErrorCode
 from cactustiller.model.messages import SubmitJob
 from cactustiller.ownership import OWNERSHIP_KEY, Claims, Member
-from cactustiller.platform import Put, Write
+from cactustiller.ports import Put, Write
 from cactustiller.scheduler.clock import WallClock
 from cactustiller.scheduler.home import Home
 from cactustiller.settings import TimingSettings
--- a/tests/scheduler/test_pools.py
+++ b/tests/scheduler/test_pools.py
@@ -5,7 +5,7 @@
 
 from cactustiller.model import ErrorCode, Failure
 from cactustiller.model.messages import AcquirePermits, HeldPermits
-from cactustiller.platform import BackendInfo
+from cactustiller.ports import BackendInfo
 from cactustiller.scheduler.ballots import CONFIRMED_SECONDS
 from cactustiller.scheduler.fairness import find_level
 from cactustiller.scheduler.pools import (
--- a/tests/scheduler/test_removed_workers.py
+++ b/tests/scheduler/test_removed_workers.py
@@ -4,7 +4,7 @@
 
 from cactustiller.model import Resources, RunRecord, RunState, TaskTemplate
 from cactustiller.ownership import OWNERSHIP_KEY
-from cactustiller.platform import InstanceListing, Put, WorkerInfo, Write
+from cactustiller.ports import InstanceListing, Put, WorkerInfo, Write
 from cactustiller.scheduler.clock import WallClock
 from cactustiller.scheduler.partitions import Partitions
 from cactustiller.scheduler.shard import REMOVED_SECONDS, Shard
--- a/tests/scheduler/test_sessions.py
+++ b/tests/scheduler/test_sessions.py
@@ -4,7 +4,7 @@
 from result import Ok
 
 from cactustiller.model import Resources, RunRecord, TaskTemplate
-from cactustiller.platform import ApplyReply, TaskStatus, WatchReply, WorkerInfo
+from cactustiller.ports import ApplyReply, TaskStatus, WatchReply, WorkerInfo
 from cactustiller.scheduler.runs import RunEntry, RunPhase
 from cactustiller.scheduler.sessions import WorkerSession
 from cactustiller.settings import TimingSettings
