Let the lease of a worker that does not answer lapse; settle late starts

A stop's answer was overwritten by the next one, so a start without an answer was never settled. An offer of a job was dropped while the owner was not known yet.

Ruled out: slow registry feed; quarantine of workers.

Change: nothing is granted to a worker that does not answer; the first answer to a stop counts and is followed by a look at the list; offers are tried again.

--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -17,6 +17,8 @@
 from .workers import CLOCK_DRIFT, Worker, WorkerInfo
 
 STOP_RETRY_SECONDS = 0.5
+# A run that is still there this long after its stop was answered is stopped again.
+STOP_PATIENCE_SECONDS = 2.0
 # Placements older than this go by a view of workers and tickets that is too old.
 STALE_BATCH_SECONDS = 0.6
 # Longest time without the store for which a former owner may go on renewing leases.
@@ -445,7 +447,8 @@
         """
         held = stop.worker.runs.get(stop.task)
         if held is not None and held[1] == stop.run:
-            held[0].stopped_at = now
+            # Listings asked for before this one stay of no use, so the first counts.
+            held[0].stopped_at = held[0].stopped_at or now
         stop.worker.strays.pop((stop.task, stop.run), None)
 
     def find_stops(self):
@@ -454,7 +457,10 @@
         stops = []
         for worker in self.workers.values():
             for task, run in worker.runs.values():
-                if task.is_stopping:
+                is_answered = (
+                    task.stopped_at and now - task.stopped_at < STOP_PATIENCE_SECONDS
+                )
+                if task.is_stopping and not is_answered:
                     stops.append(Stop(worker, task.name, run))
             stops += [Stop(worker, name, run) for name, run in worker.strays]
         due = [
--- a/libs/cell/src/cactustiller/cell/health.py
+++ b/libs/cell/src/cactustiller/cell/health.py
@@ -10,6 +10,7 @@
 # A run whose percentage has not risen for this long stands still; a percent of the
 # longest tasks takes 0.2 s on a worker of usual speed.
 STALL_SECONDS = 2.5
+STALL_PAUSE_SECONDS = 4.0
 # No more than this part of the workers is avoided at once.
 MOST_AVOIDED = 0.34
 
@@ -35,18 +36,23 @@
     worker.failures += 1
     if len(worker.failed_jobs) < FAILURES_NEEDED:
         return False
+    pause = FIRST_PAUSE_SECONDS * 2 ** min(worker.failures - FAILURES_NEEDED, 4)
+    return _avoid(worker, workers, now, min(pause, LONGEST_PAUSE_SECONDS))
+
+
+def _avoid(worker, workers, now, seconds):
+    """Avoid a worker unless too many are avoided already."""
     everyone = list(workers)
     avoided = sum(other.avoided_until > now for other in everyone)
-    if avoided + 1 > MOST_AVOIDED * len(everyone):
+    if avoided + 1 > max(1.0, MOST_AVOIDED * len(everyone)):
         return False
-    pause = FIRST_PAUSE_SECONDS * 2 ** min(worker.failures - FAILURES_NEEDED, 4)
-    worker.avoided_until = now + min(pause, LONGEST_PAUSE_SECONDS)
+    worker.avoided_until = now + seconds
     log_event(
         Event.WORKER_AVOIDED,
         worker=worker.info.worker,
         failures=worker.failures,
         jobs=len(worker.failed_jobs),
-        seconds=round(worker.avoided_until - now, 3),
+        seconds=seconds,
     )
     return True
 
@@ -64,7 +70,7 @@
 
 
 def note_stall(worker, task, workers, now):
-    """Note that a run stood still; counts like a failure of its job there."""
+    """Note that a run stood still: nothing else is to be held up there."""
     log_event(
         Event.RUN_STALLED,
         job=task.step.job.spec.job,
@@ -74,4 +80,5 @@
         progress=task.progress,
         seconds=round(now - task.progressed_at, 3),
     )
-    note_failure(worker, task, workers, now)
+    worker.failures += 1
+    _avoid(worker, workers, now, STALL_PAUSE_SECONDS)
--- a/libs/cell/src/cactustiller/cell/intake.py
+++ b/libs/cell/src/cactustiller/cell/intake.py
@@ -37,6 +37,9 @@
 STORE_RETRY_SECONDS = 0.06
 NOT_RUN_TRIES = 2
 OWNER_CALL_SECONDS = 0.4
+# Offers are tried through a takeover, which takes about 3 s.
+OFFER_TRIES = 12
+OFFER_RETRY_SECONDS = 0.25
 # Back when the store has had time to return, or another owner to take over.
 RETRY_AFTER_SECONDS = 1
 
@@ -204,14 +207,24 @@
         return Lookup(True, JobState.CANCELLED if is_cancelled else JobState.WAITING)
 
     def _offer(self, job, row):
-        """Tell the owner; where that fails, its feed brings the row."""
-        owner, address = self._find_owner()
+        """Tell the owner; where that fails for long, its feed brings the row."""
+        owner, _ = self._find_owner()
         if owner is not None:
             owner.offer_job(job, row)
-        elif address:
-            message = OfferJob(job=job, row=row.decode())
-            task = asyncio.create_task(
-                self._peers.call(address, message, OWNER_CALL_SECONDS)
-            )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            return
+        task = asyncio.create_task(self._offer_to_owner(job, row))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _offer_to_owner(self, job, row):
+        for _ in range(OFFER_TRIES):
+            owner, address = self._find_owner()
+            if owner is not None:
+                owner.offer_job(job, row)
+                return
+            if address:
+                message = OfferJob(job=job, row=row.decode())
+                answer = await self._peers.call(address, message, OWNER_CALL_SECONDS)
+                if answer.is_ok():
+                    return
+            await asyncio.sleep(OFFER_RETRY_SECONDS)
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -74,6 +74,8 @@
         Where the platform lists workers.
     decode_worker : callable
         Key and value of an entry to a `WorkerInfo`, or None.
+    make_peers : callable, optional
+        Identity and handler to a client and a server of peers; by default over TCP.
     """
 
     store: RowStore
@@ -82,6 +84,7 @@
     worker_table: str
     worker_part: str
     decode_worker: object
+    make_peers: object = None
 
 
 class Member:
@@ -110,8 +113,8 @@
             zone=settings.zone,
             incarnation=uuid.uuid4().hex,
         )
-        self.peers = PeerClient(identity, Traffic())
-        self._server = PeerServer(identity, self._answer, Traffic())
+        make_peers = outside.make_peers or _make_tcp_peers
+        self.peers, self._server = make_peers(identity, self._answer)
         self._election = Election(
             self.store, settings.member, settings.peer_address, lambda record: None
         )
@@ -139,6 +142,18 @@
         await asyncio.gather(publish, terms, return_exceptions=True)
         await self._remove_row()
 
+    @property
+    def is_owner(self):
+        """Whether this member owns the cell and has loaded it."""
+        return self._owner is not None and self._owner.is_loaded
+
+    async def abort(self):
+        """End at once, as a killed process does."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._server.stop()
+
     async def stop(self):
         """Close every connection."""
         await self._server.stop()
@@ -277,3 +292,8 @@
         return ApprovalGiven(
             tickets=approval.tickets, valid_ms=int(approval.valid_seconds * 1000)
         )
+
+
+def _make_tcp_peers(identity, handle):
+    traffic = Traffic()
+    return PeerClient(identity, traffic), PeerServer(identity, handle, traffic)
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -242,11 +242,16 @@
         loop = asyncio.get_running_loop()
         run, step = task.run, task.step
         sent_at = loop.time()
+        deadline_ms = worker.make_deadline_ms(sent_at, LEASE_SECONDS)
+        if deadline_ms is None:
+            # The worker was lost after it was chosen.
+            self.engine.reject_start(worker, task, run, sent_at)
+            return
         order = StartOrder(
             task=task.name,
             run=run,
             payload=step.job.spec.payload,
-            deadline_ms=worker.make_deadline_ms(sent_at, LEASE_SECONDS),
+            deadline_ms=deadline_ms,
             fence=self._fence,
             checkpoint=task.checkpoint,
             ticket=ticket,
@@ -302,6 +307,18 @@
                 run=stop.run,
                 worker=stop.worker.info.worker,
             )
+            await self._look(stop.worker)
+
+    async def _look(self, worker):
+        """Take a worker's list at once, beside the call that waits for ends."""
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        answer = await self._ports.worker_calls.hold(
+            worker.info, self._fence, worker.acked_through, None, 0
+        )
+        if answer.is_ok():
+            self.engine.apply_listing(worker, answer.unwrap(), sent_at, loop.time())
+            self._wake.set()
 
     # Loops
 
--- a/libs/cell/src/cactustiller/cell/workers.py
+++ b/libs/cell/src/cactustiller/cell/workers.py
@@ -117,12 +117,13 @@
         self.clock_offset = clock_ms / 1000 - received_at
 
     def make_deadline_ms(self, now, lease_seconds):
-        """Return the deadline on the worker's clock, or None before its first answer.
+        """Return the deadline on the worker's clock, or None where none is granted.
 
         A worker's clock that runs slow reaches the deadline later; the bound that is
-        kept counts for that.
+        kept counts for that. A call without an answer may be carried out later, so
+        nothing more is granted to a worker that does not answer: its lease must lapse.
         """
-        if self.clock_offset is None:
+        if self.clock_offset is None or not self.is_reachable:
             return None
         bound = now + lease_seconds * (1 + CLOCK_DRIFT) + LEASE_MARGIN_SECONDS
         self.lease_ends_at = max(self.lease_ends_at, bound)
--- /dev/null
+++ b/standins/fleet/cell.py
@@ -0,0 +1,210 @@
+"""A whole cell in one process: members, workers, store, approvals and callers."""
+
+import asyncio
+import itertools
+
+from cactustiller.cell import (
+    DesiredState,
+    Follower,
+    JobSpec,
+    Member,
+    MemberSettings,
+    Outside,
+    Queue,
+    QueueRules,
+    RowKey,
+    StepSpec,
+    Team,
+    WorkerInfo,
+)
+from cactustiller.model import Amounts, JobId, MemberId, QueueName, TeamId, WorkerId
+
+from .audit import Audit
+from .peers import PeerNetwork
+from .store import Store, StoreClient
+from .workers import FleetApprovals, FleetWorker, WorkerClient
+
+SERVICE = "recon"
+WORKER_TABLE = "workers"
+CONFIG_TABLE = "settings"
+CAPACITY = Amounts(32_000, 65_536, 0)
+PEER_PORT = 7000
+
+
+def make_queue(name="urgent", **rules):
+    """Return a queue of the cell's only service."""
+    defaults = {"slack_factor": 2.0, "objective_ms": 1000.0, "max_attempts": 3}
+    return Queue(
+        QueueName(name), "host", f"/{name}/", QueueRules(SERVICE, **defaults | rules)
+    )
+
+
+def make_job(number=1, queue=None, count=1, cpu=1000, estimate_ms=1000, **step):
+    """Return a job of one step."""
+    queue = queue or make_queue()
+    spec = StepSpec(
+        count=count, amounts=Amounts(cpu, 100, 0), estimate_ms=estimate_ms, **step
+    )
+    return JobSpec(
+        job=JobId(f"{number:016x}"),
+        queue=queue.name,
+        team=TeamId("team"),
+        payload="text",
+        steps=(spec,),
+        rules=queue.rules,
+        accepted_ms=0,
+    )
+
+
+class FleetCell:
+    """Cell whose members run on the loop's clock.
+
+    Parameters
+    ----------
+    members, workers : int
+    approves : callable
+        Step name and worker to whether the worker may run the step.
+    """
+
+    def __init__(
+        self,
+        members=3,
+        workers=4,
+        queues=None,
+        capacity=CAPACITY,
+        approves=lambda step, worker: True,
+        limit=(0, 0, 0),
+    ):
+        self.audit = Audit()
+        self.store = Store()
+        self.network = PeerNetwork()
+        self.seconds = {}
+        self.jobs = {}
+        self._approves = approves
+        queues = queues or [make_queue()]
+        team = Team(TeamId("team"), 1000.0, limit)
+        self.desired = DesiredState(
+            1, {queue.name: queue for queue in queues}, {team.name: team}
+        )
+        self.workers = {}
+        for index in range(workers):
+            info = WorkerInfo(
+                WorkerId(f"w{index}"),
+                f"w{index}:1",
+                SERVICE,
+                "z",
+                capacity,
+                ("a", f"r{index % 2}"),
+                born_ms=1,
+            )
+            self.workers[info.worker] = FleetWorker(info, self.audit, self._describe)
+        self.members = {}
+        self.stores = {}
+        self.worker_clients = {}
+        self._numbers = itertools.count()
+        self._terms = {}
+        self._count = members
+
+    async def __aenter__(self):
+        await self.start()
+        await self.wait_for_owner()
+        return self
+
+    async def __aexit__(self, *exception):
+        await self.stop()
+        if exception[0] is None:
+            assert self.audit.violations == []
+
+    async def start(self):
+        """Start the workers, list them, and start the members."""
+        for worker in self.workers.values():
+            worker.start()
+            self.list_worker(worker)
+        for _ in range(self._count):
+            await self.add_member()
+
+    async def stop(self):
+        """Stop everything."""
+        for name in list(self.members):
+            await self.kill(name)
+        for worker in self.workers.values():
+            await worker.stop()
+
+    def list_worker(self, worker, **changes):
+        """Write a worker's entry."""
+        self.store.put(self._make_worker_key(worker.info.worker), b"%d" % id(worker))
+
+    def remove_entry(self, worker_id):
+        """Remove a worker's entry."""
+        self.store.remove(self._make_worker_key(worker_id))
+
+    async def add_member(self):
+        """Start one more member and return its name."""
+        name = f"m{next(self._numbers)}"
+        store = self.stores[name] = StoreClient(self.store)
+        calls = self.worker_clients[name] = WorkerClient(self.workers)
+        outside = Outside(
+            store=store,
+            worker_calls=calls,
+            approvals=FleetApprovals(self._approves),
+            worker_table=WORKER_TABLE,
+            worker_part="",
+            decode_worker=self._decode_worker,
+            make_peers=self.network.make_peers,
+        )
+        member = Member(MemberSettings(MemberId(name), "z", name, PEER_PORT), outside)
+        follower = Follower(store, CONFIG_TABLE, "", lambda rows: None)
+        member.watch_desired(follower)
+        follower.start()
+        member.apply_desired(self.desired)
+        await member.start()
+        self.members[name] = member
+        self._terms[name] = follower
+        return name
+
+    async def kill(self, name):
+        """End a member without a word to the others."""
+        member = self.members.pop(name)
+        await self._terms.pop(name).stop()
+        await member.abort()
+
+    def find_owner(self):
+        """Return the name of the member that owns the cell, or None."""
+        for name, member in self.members.items():
+            if member.is_owner:
+                return name
+        return None
+
+    async def wait_for_owner(self, seconds=10.0, besides=None):
+        """Wait until a member owns the cell and return its name."""
+        async with asyncio.timeout(seconds):
+            while self.find_owner() in (None, besides):
+                await asyncio.sleep(0.02)
+        return self.find_owner()
+
+    async def submit(self, spec, seconds=1.0, member=None):
+        """Hand in a job whose tasks take `seconds`; return the `Acceptance`."""
+        self.seconds[spec.job] = seconds
+        self.jobs[spec.job] = spec
+        name = member or next(iter(self.members))
+        return await self.members[name].intake.accept(spec)
+
+    async def wait_for_state(self, spec, state, seconds=30.0, member=None):
+        """Wait until a job is shown in a state."""
+        async with asyncio.timeout(seconds):
+            while True:
+                name = member or next(iter(self.members))
+                found = await self.members[name].intake.find_state(spec.queue, spec.job)
+                if found.is_known and found.value is state:
+                    return
+                await asyncio.sleep(0.05)
+
+    def _describe(self, task):
+        job, _, step, _ = task.split(".")
+        return self.jobs[job].steps[int(step)].amounts, self.seconds[job]
+
+    def _decode_worker(self, key, value):
+        return self.workers[key].info
+
+    def _make_worker_key(self, worker_id):
+        return RowKey(WORKER_TABLE, "", worker_id)
--- /dev/null
+++ b/standins/fleet/peers.py
@@ -0,0 +1,76 @@
+"""Calls between members in one process."""
+
+import asyncio
+
+from result import Err, Ok
+
+from cactustiller.model import ErrorCode, Failure, Outcome
+
+CALL_SECONDS = 0.002
+
+
+class PeerNetwork:
+    """Carries messages between members; `cut` names those that hear nothing."""
+
+    def __init__(self):
+        self.cut = set()
+        self._handlers = {}
+
+    def make_peers(self, identity, handle):
+        """Return a client and a server for a member."""
+        return _Client(self, identity), _Server(self, identity, handle)
+
+    async def carry(self, sender, address, message, seconds):
+        """Deliver a message and return its answer."""
+        member, handle = self._handlers.get(address, (None, None))
+        if handle is None or sender.member in self.cut or member in self.cut:
+            await asyncio.sleep(seconds)
+            return Err(
+                Failure(
+                    code=ErrorCode.UNAVAILABLE,
+                    step="call peer",
+                    peer=address,
+                    reason="no answer",
+                    outcome=Outcome.UNKNOWN,
+                )
+            )
+        await asyncio.sleep(CALL_SECONDS)
+        reply = await handle(message, sender)
+        return Err(reply) if isinstance(reply, Failure) else Ok(reply)
+
+    def connect(self, address, member, handle):
+        """Let a member be reached."""
+        self._handlers[address] = (member, handle)
+
+    def disconnect(self, address):
+        """Let a member be reached no more."""
+        self._handlers.pop(address, None)
+
+
+class _Client:
+    def __init__(self, network, identity):
+        self._network = network
+        self._identity = identity
+
+    async def call(self, address, message, timeout_seconds=2.0):
+        return await self._network.carry(
+            self._identity, address, message, timeout_seconds
+        )
+
+    async def close(self):
+        pass
+
+
+class _Server:
+    def __init__(self, network, identity, handle):
+        self._network = network
+        self._identity = identity
+        self._handle = handle
+        self._address = ""
+
+    async def start(self, host, port):
+        self._address = f"{host}:{port}"
+        self._network.connect(self._address, self._identity.member, self._handle)
+
+    async def stop(self):
+        self._network.disconnect(self._address)
--- /dev/null
+++ b/standins/fleet/store.py
@@ -0,0 +1,188 @@
+"""Versioned rows with conditional transactions, and the faults of the real store."""
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum
+
+from result import Err, Ok
+
+from cactustiller.cell import Committed, Conflict, Page, Row
+from cactustiller.model import ErrorCode, Failure, Outcome
+
+READ_SECONDS = 0.004
+TRANSACT_SECONDS = 0.009
+PAGE_ROWS = 500
+
+
+class Trouble(Enum):
+    """How the store treats a client."""
+
+    NONE = "none"
+    REFUSING = "refusing"
+    SILENT = "silent"
+    CARRYING_OUT_LATE = "carryingOutLate"
+
+
+@dataclass
+class Store:
+    """Rows, their changes and one counter of versions.
+
+    Attributes
+    ----------
+    late_seconds : float
+        Delay of a transaction that is carried out late.
+    slowness : float
+        Factor on the time of each call.
+    """
+
+    rows: dict = field(default_factory=dict)
+    changes: list = field(default_factory=list)
+    version: int = 0
+    oldest: int = 0
+    late_seconds: float = 2.0
+    slowness: float = 1.0
+    calls: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def apply(self, transaction):
+        """Apply a transaction; return `Committed` or `Conflict`."""
+        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        for key, version in transaction.expected.items():
+            row = self.rows.get(key)
+            if (row.version if row else 0) != version:
+                found = [self.rows[k] for k in transaction.expected if k in self.rows]
+                return Conflict(tuple(found))
+        self.version += 1
+        for key, value in transaction.puts.items():
+            self._change(Row(key, value, self.version))
+        for key in transaction.removes:
+            if self.rows.pop(key, None) is not None:
+                self.changes.append(Row(key, None, self.version))
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return Committed(self.version, now_ms)
+
+    def put(self, key, value):
+        """Write a row as the operator or another system would."""
+        self.version += 1
+        self._change(Row(key, value, self.version))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def remove(self, key):
+        """Remove a row as another system would."""
+        self.version += 1
+        if self.rows.pop(key, None) is not None:
+            self.changes.append(Row(key, None, self.version))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget_history(self):
+        """Drop the changes that feeds go by."""
+        self.changes.clear()
+        self.oldest = self.version
+
+    def _change(self, row):
+        self.rows[row.key] = row
+        self.changes.append(row)
+
+
+class StoreClient:
+    """One member's way to the store, with troubles of its own."""
+
+    def __init__(self, store):
+        self.trouble = Trouble.NONE
+        self.is_deaf = False
+        self.answers_to_lose = 0
+        self._store = store
+        self._late = set()
+
+    async def transact(self, transaction, seconds):
+        """Perform one transaction."""
+        self._store.calls += 1
+        failure = await self._wait(TRANSACT_SECONDS, seconds)
+        if failure is not None:
+            return failure
+        if self.trouble is Trouble.CARRYING_OUT_LATE:
+            self._carry_out_later(transaction)
+            return await self._lose(seconds)
+        reply = self._store.apply(transaction)
+        if self.answers_to_lose:
+            self.answers_to_lose -= 1
+            return await self._lose(seconds)
+        return Ok(reply)
+
+    async def read(self, table, part, first, last, seconds):
+        """Return rows with keys from `first` to before `last`."""
+        self._store.calls += 1
+        failure = await self._wait(READ_SECONDS, seconds)
+        if failure is not None:
+            return failure
+        found = sorted(
+            row
+            for key, row in self._store.rows.items()
+            if key.table == table and key.part == part and first <= key.key < last
+        )
+        return Ok(self._make_page(found[:PAGE_ROWS], len(found) > PAGE_ROWS))
+
+    async def follow(self, table, after, wait_seconds):
+        """Return the rows changed after a version."""
+        self._store.calls += 1
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_seconds
+        failure = await self._wait(READ_SECONDS, wait_seconds + 1.0)
+        if failure is not None:
+            return failure
+        while True:
+            if after < self._store.oldest:
+                return _fail(ErrorCode.HISTORY_LOST, "history lost", Outcome.NOT_RUN)
+            latest = {
+                row.key: row
+                for row in self._store.changes
+                if row.key.table == table and row.version > after
+            }
+            if (latest and not self.is_deaf) or loop.time() >= until:
+                return Ok(self._make_page([] if self.is_deaf else latest.values()))
+            try:
+                async with asyncio.timeout(until - loop.time()):
+                    await self._store.changed.wait()
+            except TimeoutError:
+                return Ok(self._make_page([]))
+
+    async def _wait(self, usual, seconds):
+        """Pass the time of a call; return its failure where there is one."""
+        if self.trouble is Trouble.REFUSING:
+            await asyncio.sleep(usual)
+            return _fail(ErrorCode.OVERLOADED, "status 503", Outcome.NOT_RUN)
+        if self.trouble is Trouble.SILENT:
+            return await self._lose(seconds)
+        needed = usual * self._store.slowness
+        if needed > seconds:
+            return await self._lose(seconds)
+        await asyncio.sleep(needed)
+        return None
+
+    async def _lose(self, seconds):
+        await asyncio.sleep(seconds)
+        return _fail(ErrorCode.TIMEOUT, "no answer", Outcome.UNKNOWN)
+
+    def _carry_out_later(self, transaction):
+        async def carry_out():
+            await asyncio.sleep(self._store.late_seconds)
+            self._store.apply(transaction)
+
+        task = asyncio.create_task(carry_out())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+    def _make_page(self, rows, has_more=False):
+        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        return Page(tuple(rows), self._store.version, now_ms, has_more)
+
+
+def _fail(code, reason, outcome):
+    return Err(
+        Failure(
+            code=code, step="call store", peer="store", reason=reason, outcome=outcome
+        )
+    )
--- /dev/null
+++ b/standins/fleet/workers.py
@@ -0,0 +1,283 @@
+"""Workers that run tasks under leases and fences, and the approval service."""
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum
+
+from result import Err, Ok
+
+from cactustiller.cell import (
+    Approval,
+    End,
+    ListedEnd,
+    ListedRun,
+    Listing,
+    StartAnswer,
+    WorkerInfo,
+)
+from cactustiller.model import ErrorCode, Failure, Outcome
+
+CALL_SECONDS = 0.003
+LOST_SECONDS = 1.0
+STOP_SECONDS = 0.2
+TICK_SECONDS = 0.01
+GANG_SECONDS = 3.0
+
+
+class WorkerTrouble(Enum):
+    """What befalls a worker or its orders."""
+
+    NONE = "none"
+    CUT_OFF = "cutOff"
+    ORDERS_LATE = "ordersLate"
+    FAILING = "failing"
+    STANDING_STILL = "standingStill"
+
+
+@dataclass
+class FleetRun:
+    """Run on a worker; `seconds` is the work that is left."""
+
+    task: str
+    run: int
+    amounts: tuple
+    seconds: float
+    total: float
+    stops_at: float = 0.0
+
+
+@dataclass
+class FleetWorker:
+    """One worker.
+
+    Parameters
+    ----------
+    describe : callable
+        Task name to its amounts and seconds of work.
+    """
+
+    info: WorkerInfo
+    audit: object
+    describe: object
+    trouble: WorkerTrouble = WorkerTrouble.NONE
+    late_seconds: float = 3.0
+    fence: int = 0
+    lease_until: float = 0.0
+    runs: dict = field(default_factory=dict)
+    stopped: dict = field(default_factory=dict)
+    ends: list = field(default_factory=list)
+    ends_count: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    _task: asyncio.Task | None = None
+
+    def start(self):
+        """Begin to work."""
+        self._task = asyncio.create_task(self._work())
+
+    async def stop(self):
+        """Stop working."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    def be_reborn(self, born_ms):
+        """Lose everything and start a new life."""
+        for run in self.runs.values():
+            self.audit.note_end(self.info.worker, run.task, run.run)
+        self.info = self.info.__class__(
+            **{
+                name: getattr(self.info, name)
+                for name in self.info.__dataclass_fields__
+                if name != "born_ms"
+            },
+            born_ms=born_ms,
+        )
+        self.runs, self.stopped, self.ends = {}, {}, []
+        self.fence = self.ends_count = 0
+        self.lease_until = 0.0
+
+    def take_start(self, order):
+        """Carry out a start."""
+        now = asyncio.get_running_loop().time()
+        if order.fence < self.fence:
+            return StartAnswer.FENCED
+        self.fence = order.fence
+        held = self.runs.get(order.task)
+        if held is not None and held.run == order.run:
+            return StartAnswer.STARTED
+        if order.run <= self.stopped.get(order.task, 0) or held is not None:
+            return StartAnswer.OLD_RUN
+        if order.deadline_ms / 1000 <= now:
+            return StartAnswer.TOO_LATE
+        self.lease_until = max(self.lease_until, order.deadline_ms / 1000)
+        amounts, seconds = self.describe(order.task)
+        run = FleetRun(order.task, order.run, amounts, seconds, seconds)
+        self.runs[order.task] = run
+        self.audit.note_start(self.info.worker, order.task, order.run)
+        free = [
+            capacity - sum(run.amounts[index] for run in self.runs.values())
+            for index, capacity in enumerate(self.info.capacity)
+        ]
+        if min(free) < 0:
+            self.audit.note_overload(self.info.worker, free)
+        return StartAnswer.STARTED
+
+    def take_stop(self, task, run, fence):
+        """Carry out a stop."""
+        if fence < self.fence:
+            return
+        self.fence = fence
+        self.stopped[task] = max(self.stopped.get(task, 0), run)
+        held = self.runs.get(task)
+        if held is not None and held.run <= run and not held.stops_at:
+            held.stops_at = asyncio.get_running_loop().time() + STOP_SECONDS
+
+    def take_hold(self, fence, acked_through, deadline_ms):
+        """Renew the lease; return the `Listing`, or None for a lower fence."""
+        if fence < self.fence:
+            return None
+        self.fence = fence
+        if deadline_ms is not None:
+            self.lease_until = max(self.lease_until, deadline_ms / 1000)
+        for end in self.ends:
+            if end.number <= acked_through and end.end is End.DONE:
+                self.audit.note_acknowledged(end.task)
+        self.ends = [end for end in self.ends if end.number > acked_through]
+        return self.list_runs()
+
+    def list_runs(self):
+        """Return the `Listing` as of now."""
+        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        active = tuple(
+            ListedRun(
+                run.task, run.run, "", int(100 * (1 - run.seconds / run.total)), 0
+            )
+            for run in self.runs.values()
+        )
+        return Listing(now_ms, self.info.born_ms, active, tuple(self.ends))
+
+    async def _work(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now = loop.time()
+            for run in list(self.runs.values()):
+                if self.trouble is not WorkerTrouble.STANDING_STILL:
+                    run.seconds -= TICK_SECONDS
+                if now > self.lease_until:
+                    self._end(run, End.LAPSED)
+                elif run.stops_at and now >= run.stops_at:
+                    self._end(run, End.STOPPED)
+                elif self.trouble is WorkerTrouble.FAILING:
+                    self._end(run, End.FAILED)
+                elif run.seconds <= 0:
+                    self._end(run, End.DONE)
+
+    def _end(self, run, how):
+        del self.runs[run.task]
+        self.stopped[run.task] = max(self.stopped.get(run.task, 0), run.run)
+        self.ends_count += 1
+        self.ends.append(ListedEnd(self.ends_count, run.task, run.run, how, ""))
+        self.audit.note_end(self.info.worker, run.task, run.run)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class WorkerClient:
+    """One member's way to the workers."""
+
+    def __init__(self, workers):
+        self.is_cut_off = False
+        self._workers = workers
+        self._late = set()
+
+    async def start(self, worker, order):
+        """Start a run."""
+        found = self._workers[worker.worker]
+        if await self._lose(found, lambda: found.take_start(order)):
+            return StartAnswer.UNANSWERED
+        return found.take_start(order)
+
+    async def stop(self, worker, task, run, fence):
+        """Stop a run."""
+        found = self._workers[worker.worker]
+        if await self._lose(found, lambda: found.take_stop(task, run, fence)):
+            return _fail(ErrorCode.TIMEOUT, "no answer")
+        found.take_stop(task, run, fence)
+        return Ok(None)
+
+    async def hold(self, worker, fence, acked_through, deadline_ms, wait_ms):
+        """Renew the lease and wait for an end."""
+        found = self._workers[worker.worker]
+        if await self._lose(found, None):
+            return _fail(ErrorCode.TIMEOUT, "no answer")
+        listing = found.take_hold(fence, acked_through, deadline_ms)
+        if listing is None:
+            return _fail(ErrorCode.FENCED, "a lower fence")
+        if wait_ms and not listing.ended:
+            try:
+                async with asyncio.timeout(wait_ms / 1000):
+                    await found.changed.wait()
+            except TimeoutError:
+                pass
+            listing = found.list_runs()
+        return Ok(listing)
+
+    async def _lose(self, worker, carry_out):
+        """Pass the time of a call; return whether its answer is lost."""
+        await asyncio.sleep(CALL_SECONDS)
+        if self.is_cut_off or worker.trouble is WorkerTrouble.CUT_OFF:
+            await asyncio.sleep(LOST_SECONDS)
+            return True
+        if worker.trouble is WorkerTrouble.ORDERS_LATE and carry_out is not None:
+            task = asyncio.create_task(_carry_out(worker.late_seconds, carry_out))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            await asyncio.sleep(LOST_SECONDS)
+            return True
+        return False
+
+
+async def _carry_out(seconds, carry_out):
+    await asyncio.sleep(seconds)
+    carry_out()
+
+
+class FleetApprovals:
+    """Approval service of one calling member.
+
+    Parameters
+    ----------
+    decide : callable
+        Step name and worker to whether the worker may run the step.
+    """
+
+    def __init__(self, decide, seconds=0.01, valid_seconds=2.0):
+        self.calls = 0
+        self._decide = decide
+        self._seconds = seconds
+        self._valid_seconds = valid_seconds
+        self._lock = asyncio.Lock()
+
+    async def ask(self, step, workers):
+        """Return the approval for the workers named."""
+        self.calls += 1
+        async with self._lock:
+            await asyncio.sleep(self._seconds)
+        tickets = {
+            worker: f"{step}/{worker}"
+            for worker in workers
+            if self._decide(step, worker)
+        }
+        return Ok(Approval(tickets, self._valid_seconds))
+
+
+def _fail(code, reason):
+    return Err(
+        Failure(
+            code=code,
+            step="call worker",
+            peer="worker",
+            reason=reason,
+            outcome=Outcome.UNKNOWN,
+        )
+    )
