Let the owner store jobs in its batches; tell the youngest member of a release

Cause: each member wrote each job in a transaction of its own.

Ruled out: longer time-outs (the part's queue refuses after a second of work).

Change: members hand jobs to the owner, who stores them with its next batch and asks for approval meanwhile; without an owner a member inserts in groups, and not at all while the store is slow. A released cell goes to the youngest member, which is not stopped next in a rolling restart. Transactions count their entries.

--- a/libs/cell/src/cactustiller/cell/__init__.py
+++ b/libs/cell/src/cactustiller/cell/__init__.py
@@ -4,7 +4,7 @@
 from .desired import DesiredState, Pool, Queue, Team
 from .engine import ListedEnd, ListedRun, Listing
 from .followers import Follower
-from .intake import Acceptance
+from .insertion import Acceptance
 from .member import Member, MemberSettings, Outside
 from .ports import (
     Approval,
--- a/libs/cell/src/cactustiller/cell/commits.py
+++ b/libs/cell/src/cactustiller/cell/commits.py
@@ -8,18 +8,42 @@
 from .engine import OWNER_WITHOUT_STORE_SECONDS
 from .events import Event, log_event
 from .ports import (
+    JOB_TABLE,
     OWNER_ROW,
     Committed,
     Conflict,
     Transaction,
+    make_job_key,
     make_progress_key,
 )
 
 # Bound of one call; a slow store answers within it.
 COMMIT_CALL_SECONDS = 1.2
 RETRY_SECONDS = 0.12
-# The store takes 100 entries a transaction; the owner's row is one of them.
-MOST_ROWS = 90
+# The store takes 100 entries and 1 MB a transaction; a row that must not exist yet
+# is two entries, and the owner's row is among them. Values grow by a third on the way.
+MOST_ENTRIES = 96
+MOST_BYTES = 600_000
+
+
+def split_puts(puts):
+    """Return the puts as dicts that each fit one transaction, at least one.
+
+    Parameters
+    ----------
+    puts : list of (RowKey, bytes)
+    """
+    chunks = [{}]
+    entries = size = 0
+    for key, value in puts:
+        cost = 2 if key.table == JOB_TABLE else 1
+        if entries + cost > MOST_ENTRIES or size + len(value) > MOST_BYTES:
+            chunks.append({})
+            entries = size = 0
+        chunks[-1][key] = value
+        entries += cost
+        size += len(value)
+    return chunks
 
 
 class OwnershipLostError(Exception):
@@ -48,22 +72,26 @@
         now = asyncio.get_running_loop().time()
         return now - self.succeeded_at >= RENEW_SECONDS
 
-    async def write(self, rows):
+    async def write(self, rows, new_jobs=()):
         """Store rows, all of them before it returns.
 
         Parameters
         ----------
         rows : list of (JobId, bytes)
+            Progress of jobs.
+        new_jobs : list of (JobId, bytes)
+            Rows of jobs that are handed in; one that is stored already is kept.
 
         Raises
         ------
         OwnershipLostError
             If another member has taken over, or the store stays away too long.
         """
-        for first in range(0, max(1, len(rows)), MOST_ROWS):
-            chunk = rows[first : first + MOST_ROWS]
-            puts = {make_progress_key(job): value for job, value in chunk}
-            await self._write_chunk(puts)
+        # A job's row goes before its progress, or with it.
+        puts = [(make_job_key(job), value) for job, value in new_jobs]
+        puts += [(make_progress_key(job), value) for job, value in rows]
+        for chunk in split_puts(puts):
+            await self._write_chunk(chunk)
 
     async def release(self):
         """Give the cell up, so that another member takes over at once."""
@@ -82,17 +110,23 @@
                 int(self._now_ms + since),
                 is_released,
             )
+            expected = {key: 0 for key in puts if key.table == JOB_TABLE}
             transaction = Transaction(
-                {OWNER_ROW: self._version}, {**puts, OWNER_ROW: encode_owner(record)}
+                {OWNER_ROW: self._version, **expected},
+                {**puts, OWNER_ROW: encode_owner(record)},
             )
             answer = await self._store.transact(transaction, COMMIT_CALL_SECONDS)
-            if answer.is_ok() and self._accept(answer.unwrap(), record):
-                return
             if answer.is_err():
                 self._note_failure(answer.unwrap_err())
-            await asyncio.sleep(RETRY_SECONDS)
+                await asyncio.sleep(RETRY_SECONDS)
+            elif self._accept(answer.unwrap(), record, puts):
+                return
+
+    def _accept(self, reply, record, puts):
+        """Take a reply; return whether the transaction is settled.
 
-    def _accept(self, reply, record):
+        Jobs that other members have stored meanwhile are taken out of `puts`.
+        """
         loop = asyncio.get_running_loop()
         match reply:
             case Committed(version=version, now_ms=now_ms):
@@ -100,8 +134,10 @@
             case Conflict(rows=rows):
                 row = next((row for row in rows if row.key == OWNER_ROW), None)
                 stored = decode_owner(row)
-                if stored[:2] != record[:2] or stored.sequence != record.sequence:
+                if stored[:2] != record[:2]:
                     raise OwnershipLostError(f"owned by {stored.member}")
+                if stored.sequence != record.sequence:
+                    return self._drop_stored(rows, puts)
                 # An earlier try took effect although its answer was lost.
                 self._version = row.version
         self.record = record
@@ -111,6 +147,13 @@
             log_event(Event.DEPENDENCY_BACK, dependency="store")
         return True
 
+    def _drop_stored(self, rows, puts):
+        stored = [row.key for row in rows if puts.pop(row.key, None) is not None]
+        if not stored:
+            raise OwnershipLostError("the owner's row changed")
+        log_event(Event.JOBS_STORED_BEFORE, jobs=[key.key for key in stored])
+        return False
+
     def _note_failure(self, failure):
         away = asyncio.get_running_loop().time() - self.succeeded_at
         if not self.is_store_lost:
--- a/libs/cell/src/cactustiller/cell/election.py
+++ b/libs/cell/src/cactustiller/cell/election.py
@@ -19,6 +19,8 @@
 # The row must have stood still before a member's own eyes this long, so that an
 # owner can renew it after an outage of the store.
 STILL_SECONDS = 0.7
+# A renewal takes about two calls' time, and the owner waits for one before the next.
+SLOW_READS = 4.0
 CALL_SECONDS = 1.5
 JITTER_SECONDS = 0.15
 
@@ -59,7 +61,7 @@
     return OwnerRecord(*orjson.loads(row.value))
 
 
-def should_claim(record, version, seen, page_now_ms, now):
+def should_claim(record, version, seen, page_now_ms, now, read_seconds=0.0):
     """Return whether a member should take the cell over.
 
     Parameters
@@ -73,17 +75,21 @@
     page_now_ms : int
         The store's clock.
     now : float
+    read_seconds : float
+        How long the read took; an owner of a slow store renews its row less often.
     """
     if record.is_released:
         return True
     age = (page_now_ms - record.renewed_ms) / 1000
     stood_still = seen[0] == version and now - seen[1] >= STILL_SECONDS
-    return stood_still and age >= TAKEOVER_AFTER_SECONDS
+    return stood_still and age >= TAKEOVER_AFTER_SECONDS + SLOW_READS * read_seconds
 
 
 class Election:
     """Watches the owner's row and claims it.
 
+    `read_seconds` is how long the latest read of the row took.
+
     Parameters
     ----------
     store : RowStore
@@ -96,13 +102,18 @@
 
     def __init__(self, store, member, address, on_owner):
         self.record = NO_OWNER
-        self.read_at = float("-inf")
+        self.read_seconds = 0.0
         self._store = store
         self._member = member
         self._address = address
         self._on_owner = on_owner
         self._random = random.Random(member)
         self._seen = (-1, 0.0)
+        self._poke = asyncio.Event()
+
+    def look_soon(self):
+        """Read the owner's row now, since it may be released."""
+        self._poke.set()
 
     async def wait_for_claim(self):
         """Return ``(OwnerRecord, version, now_ms)`` once this member owns the cell."""
@@ -110,11 +121,18 @@
             claim = await self._look()
             if claim is not None:
                 return claim
-            await asyncio.sleep(POLL_SECONDS)
+            try:
+                async with asyncio.timeout(POLL_SECONDS):
+                    await self._poke.wait()
+            except TimeoutError:
+                continue
 
     async def _look(self):
         loop = asyncio.get_running_loop()
         key = OWNER_ROW
+        asked_at = loop.time()
+        is_told = self._poke.is_set()
+        self._poke.clear()
         answer = await self._store.read(
             key.table, key.part, key.key, key.key + "\0", CALL_SECONDS
         )
@@ -125,13 +143,16 @@
         row = page.rows[0] if page.rows else None
         record, version = decode_owner(row), row.version if row else 0
         now = loop.time()
-        self.read_at = now
         self._note(record)
         if version != self._seen[0]:
             self._seen = (version, now)
-        if not should_claim(record, version, self._seen, page.now_ms, now):
+        self.read_seconds = now - asked_at
+        if not should_claim(
+            record, version, self._seen, page.now_ms, now, self.read_seconds
+        ):
             return None
-        await asyncio.sleep(self._random.uniform(0, JITTER_SECONDS))
+        if not is_told:
+            await asyncio.sleep(self._random.uniform(0, JITTER_SECONDS))
         return await self._claim(record, version, page.now_ms)
 
     async def _claim(self, before, version, now_ms):
--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -118,13 +118,17 @@
 
     # Jobs
 
-    def add_job(self, spec, progress=None):
-        """Add an accepted job, with its progress row where there is one."""
+    def add_job(self, spec, progress=None, is_stored=True):
+        """Add a job, with its progress row where there is one.
+
+        A job that is not stored yet is shown only after `confirm_jobs`.
+        """
         if spec.job in self.jobs:
             return
         job = decode_progress(spec, progress) if progress else JobRun(spec)
         self.jobs[spec.job] = job
-        self.shown[spec.job] = job.state
+        if is_stored:
+            self.shown[spec.job] = job.state
         if job.state.is_final:
             return
         team = self.desired.teams.get(spec.team)
@@ -138,6 +142,15 @@
                 if task.holds_room:
                     self._hold(task)
         self._refresh(job)
+        if not progress:
+            self._dirty.discard(spec.job)
+
+    def confirm_jobs(self, jobs):
+        """Note that the rows of jobs are stored."""
+        for job_id in jobs:
+            job = self.jobs.get(job_id)
+            if job is not None:
+                self.shown.setdefault(job_id, job.state)
 
     def cancel_job(self, job_id):
         """Cancel a job; its runs are stopped once the rows hold that."""
@@ -500,6 +513,17 @@
         self._last_placements += current.placements
         return current.wants_approval
 
+    def find_unapproved(self):
+        """Return the steps whose approval was never asked, in order."""
+        now_ms = self._wall_clock_ms()
+        found = []
+        for step in self._eligible:
+            rules = self.find_rules(step.job)
+            if rules.needs_approval and step.approved is None:
+                found.append((make_order_key(step, rules, now_ms), step))
+        found.sort(key=lambda entry: entry[0])
+        return [step for _, step in found]
+
     def _assign(self, placement):
         task, worker, ticket = placement
         step = task.step
--- a/libs/cell/src/cactustiller/cell/followers.py
+++ b/libs/cell/src/cactustiller/cell/followers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cactustiller.model import ErrorCode
+from cactustiller.model.messages import AnnounceOwnership
 
 from .events import Event, log_event
 from .ports import MEMBER_TABLE
@@ -15,6 +16,8 @@
 FEED_PAUSE_SECONDS = 0.02
 # A feed may stay silent while rows change, so the table is read again this often.
 REREAD_SECONDS = 2.0
+NOTIFY_SECONDS = 0.2
+MOST_SUCCESSORS = 3
 PAST_ALL_KEYS = "\x7f"
 
 
@@ -158,7 +161,7 @@
 
 
 class Roster:
-    """Addresses of the other members.
+    """Addresses of the other members, the youngest first.
 
     Parameters
     ----------
@@ -178,6 +181,31 @@
         """Return the peer addresses of the other members."""
         return self._addresses
 
+    async def notify_successor(self, peers, epoch):
+        """Tell the youngest member that the cell is released.
+
+        Members are restarted in turn, so the youngest stays the longest.
+        """
+        for address in self._addresses[:MOST_SUCCESSORS]:
+            message = AnnounceOwnership(version=epoch)
+            answer = await peers.call(address, message, NOTIFY_SECONDS)
+            if answer.is_ok():
+                return
+
     def _take_rows(self, rows):
-        addresses = {value.decode() for value in rows.values()}
-        self._addresses = sorted(addresses - {self._own_address})
+        members = [decode_member_row(value) for value in rows.values()]
+        members.sort(key=lambda member: -member[1])
+        self._addresses = [
+            address for address, _ in members if address != self._own_address
+        ]
+
+
+def encode_member_row(address, started_ms):
+    """Return the text of a member's row."""
+    return f"{address} {started_ms}".encode()
+
+
+def decode_member_row(value):
+    """Return a member's address and the Unix milliseconds of its start."""
+    address, _, started_ms = value.decode().partition(" ")
+    return address, int(started_ms)
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/insertion.py
@@ -0,0 +1,118 @@
+"""Rows that a member stores by itself, many in one transaction."""
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+
+from cactustiller.model import Outcome
+from cactustiller.ports.breaker import Breaker
+
+from .ports import Committed, RowKey, Transaction
+
+# A call to the store that takes longer leaves no time for another try.
+CALL_SECONDS = 0.9
+RETRY_SECONDS = 0.06
+# Tries after answers that promise that nothing was done.
+NOT_RUN_TRIES = 2
+# Each row is two entries of a transaction, which takes 100.
+MOST_ROWS = 45
+
+
+class Acceptance(Enum):
+    """What became of a submission or a cancelling."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    NOT_FOUND = "notFound"
+
+
+@dataclass(slots=True)
+class _Pending:
+    value: bytes
+    deadline: float
+    future: asyncio.Future
+    may_have_run: bool = False
+    tries: int = 0
+
+
+class Inserter:
+    """Inserts rows that must not exist yet, one transaction at a time.
+
+    Parameters
+    ----------
+    store : RowStore
+    generator : random.Random
+        Source of the jitter of pauses after failures.
+    """
+
+    def __init__(self, store, generator):
+        self._store = store
+        self._breaker = Breaker(generator)
+        self._pending: dict[RowKey, _Pending] = {}
+        self._task = None
+
+    async def insert(self, key, value, deadline, may_have_run=False):
+        """Store a row; `REFUSED` promises that it never will be there.
+
+        Parameters
+        ----------
+        key : RowKey
+        value : bytes
+        deadline : float
+            Time of the loop after which no new try is made.
+        may_have_run : bool
+            An earlier try elsewhere may still take effect.
+        """
+        if not self._breaker.allows() and not may_have_run:
+            return Acceptance.REFUSED
+        pending = self._pending.get(key)
+        if pending is None:
+            future = asyncio.get_running_loop().create_future()
+            pending = _Pending(value, deadline, future, may_have_run)
+            self._pending[key] = pending
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._run())
+        return await asyncio.shield(pending.future)
+
+    async def _run(self):
+        while self._pending:
+            batch = dict(list(self._pending.items())[:MOST_ROWS])
+            answer = await self._store.transact(
+                Transaction(
+                    dict.fromkeys(batch, 0), {k: p.value for k, p in batch.items()}
+                ),
+                CALL_SECONDS,
+            )
+            self._breaker.record(answer.is_ok())
+            if answer.is_ok():
+                self._take_reply(answer.unwrap(), batch)
+                continue
+            is_sure = answer.unwrap_err().outcome is Outcome.NOT_RUN
+            self._take_failure(batch, is_sure)
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _take_reply(self, reply, batch):
+        if isinstance(reply, Committed):
+            stored = set(batch)
+        else:
+            # Rows that are there already: the same job, handed in before.
+            stored = {row.key for row in reply.rows if row.value is not None}
+        for key in batch:
+            if key in stored:
+                self._settle(key, Acceptance.ACCEPTED)
+
+    def _take_failure(self, batch, is_sure):
+        now = asyncio.get_running_loop().time()
+        for key, pending in batch.items():
+            pending.may_have_run |= not is_sure
+            pending.tries += 1
+            if pending.may_have_run and now >= pending.deadline:
+                self._settle(key, Acceptance.UNKNOWN)
+            elif not pending.may_have_run and pending.tries >= NOT_RUN_TRIES:
+                self._settle(key, Acceptance.REFUSED)
+
+    def _settle(self, key, outcome):
+        pending = self._pending.pop(key)
+        if not pending.future.done():
+            pending.future.set_result(outcome)
--- a/libs/cell/src/cactustiller/cell/intake.py
+++ b/libs/cell/src/cactustiller/cell/intake.py
@@ -1,28 +1,27 @@
 """What callers ask of a cell, at whichever member they reach."""
 
 import asyncio
-from enum import Enum
 from typing import NamedTuple
 
-from cactustiller.model import JobState, Outcome
+from result import Err
+
+from cactustiller.model import ErrorCode, Failure, JobState, Outcome
 from cactustiller.model.messages import (
     CountPending,
     FindJobState,
+    HandInJob,
     JobStateFound,
-    OfferJob,
     PendingCounted,
+    WithdrawJob,
 )
-from cactustiller.ports.breaker import Breaker
 
 from .events import Event, log_event
+from .insertion import Acceptance, Inserter
 from .ports import (
     CANCEL_SUFFIX,
     CELL_PART,
-    JOB_PART,
     JOB_TABLE,
     PROGRESS_TABLE,
-    Committed,
-    Transaction,
     make_cancel_key,
     make_job_key,
     split_job_key,
@@ -32,25 +31,29 @@
 
 # A call to the store that takes longer leaves no time for another try.
 STORE_CALL_SECONDS = 0.9
-# Bound of all tries: half of what callers wait.
+# Bound of this member's own tries.
 STORE_SECONDS = 1.5
-STORE_RETRY_SECONDS = 0.06
-NOT_RUN_TRIES = 2
+# A store that takes longer for a read is left to the owner, who writes in batches.
+SLOW_STORE_SECONDS = 0.05
+# The owner answers after its next transaction; two of a store that is slow.
+HAND_IN_SECONDS = 1.7
+# Callers wait 3 s: the answer has to be on its way before.
+TOTAL_SECONDS = 2.8
+# An owner that did not answer is passed by until another had time to take over.
+SUSPECT_SECONDS = 2.0
 OWNER_CALL_SECONDS = 0.4
-# Offers are tried through a takeover, which takes about 3 s.
-OFFER_TRIES = 12
-OFFER_RETRY_SECONDS = 0.25
+# The owner is told through a takeover, which takes about 3 s.
+TELL_TRIES = 12
+TELL_RETRY_SECONDS = 0.25
 # Back when the store has had time to return, or another owner to take over.
 RETRY_AFTER_SECONDS = 1
 
 
-class Acceptance(Enum):
-    """What became of a submission or a cancelling."""
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-    NOT_FOUND = "notFound"
+JOB_EVENTS = {
+    Acceptance.ACCEPTED: Event.JOB_ACCEPTED,
+    Acceptance.REFUSED: Event.JOB_REFUSED,
+    Acceptance.UNKNOWN: Event.JOB_REFUSED,
+}
 
 
 class Lookup(NamedTuple):
@@ -68,52 +71,83 @@
     store : RowStore
     peers : PeerClient
     find_owner : callable
-        Returns the `Owner` of this member or None, and the address of the owning
-        member, empty if unknown.
+        Returns the `Owner` of this member or None, the address of the owning member,
+        empty if unknown, and its epoch.
+    read_store_seconds : callable
+        Returns how long the store took for its latest answer.
+    generator : random.Random
     """
 
-    def __init__(self, store, peers, find_owner, generator):
+    def __init__(self, store, peers, find_owner, read_store_seconds, generator):
         self._store = store
         self._peers = peers
         self._find_owner = find_owner
-        self._breaker = Breaker(generator)
+        self._inserter = Inserter(store, generator)
+        self._read_store_seconds = read_store_seconds
+        self._suspects = {}
         self._tasks = set()
 
     async def accept(self, spec):
-        """Store a job; `REFUSED` promises that it never runs."""
+        """Store a job; `REFUSED` promises that it never runs.
+
+        The owner stores jobs together with what else it writes, so that a slow store
+        still takes many. Where no owner answers, this member stores the job itself.
+        """
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
         row = encode_job(spec)
-        key = make_job_key(spec.job)
-        outcome = await self._insert(Transaction({key: 0}, {key: row}))
-        if outcome is Acceptance.ACCEPTED:
-            self._offer(spec.job, row)
-            log_event(
-                Event.JOB_ACCEPTED, job=spec.job, queue=spec.queue, team=spec.team
-            )
-        else:
-            log_event(
-                Event.JOB_REFUSED, job=spec.job, queue=spec.queue, outcome=outcome.value
-            )
+        message = HandInJob(job=spec.job, row=row.decode())
+        outcome = await self._ask_owner(message)
+        path = "owner"
+        if outcome is not Acceptance.ACCEPTED:
+            path = "store"
+            key = make_job_key(spec.job)
+            may_have_run = outcome is Acceptance.UNKNOWN
+            deadline = min(loop.time() + STORE_SECONDS, asked_at + TOTAL_SECONDS)
+            outcome = await self._insert(key, row, deadline, may_have_run)
+            self._tell_owner_later(message, outcome)
+        log_event(
+            JOB_EVENTS[outcome],
+            job=spec.job,
+            queue=spec.queue,
+            team=spec.team,
+            outcome=outcome.value,
+            path=path,
+            epoch=self._find_owner()[2],
+            seconds=round(loop.time() - asked_at, 3),
+        )
         return outcome
 
     async def cancel(self, job):
         """Store that a job is cancelled."""
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        message = WithdrawJob(job=job)
+        outcome = await self._ask_owner(message)
+        if outcome is not Acceptance.ACCEPTED:
+            outcome = await self._store_cancel(job, asked_at + TOTAL_SECONDS)
+            self._tell_owner_later(message, outcome)
+        log_event(
+            Event.JOB_CANCELLED,
+            job=job,
+            outcome=outcome.value,
+            seconds=round(loop.time() - asked_at, 3),
+        )
+        return outcome
+
+    async def _store_cancel(self, job, deadline):
         rows = await self._read_job_rows(job)
         if rows is None:
             return Acceptance.REFUSED
         if not rows:
             return Acceptance.NOT_FOUND
-        outcome = Acceptance.ACCEPTED
-        if not any(row.key.key.endswith(CANCEL_SUFFIX) for row in rows):
-            key = make_cancel_key(job)
-            outcome = await self._insert(Transaction({key: 0}, {key: b"1"}))
-        if outcome is Acceptance.ACCEPTED:
-            self._offer(job, b"")
-        log_event(Event.JOB_CANCELLED, job=job, outcome=outcome.value)
-        return outcome
+        if any(row.key.key.endswith(CANCEL_SUFFIX) for row in rows):
+            return Acceptance.ACCEPTED
+        return await self._insert(make_cancel_key(job), b"1", deadline)
 
     async def find_state(self, queue, job):
         """Return a `Lookup` of the job's `JobState`."""
-        owner, address = self._find_owner()
+        owner, address, _ = self._find_owner()
         if owner is not None:
             state = owner.engine.shown.get(job)
             if state is not None:
@@ -128,7 +162,7 @@
 
     async def count_pending(self, queue):
         """Return a `Lookup` of the number of jobs that have not started."""
-        owner, address = self._find_owner()
+        owner, address, _ = self._find_owner()
         if owner is not None:
             return Lookup(True, owner.engine.count_pending(queue))
         if address:
@@ -141,48 +175,78 @@
 
     def answer_state(self, message):
         """Answer another member's `FindJobState`."""
-        owner, _ = self._find_owner()
+        owner, _, _ = self._find_owner()
         state = owner.engine.shown.get(message.job) if owner else None
         return JobStateFound(state=state.value if state else "")
 
     def answer_pending(self, message):
         """Answer another member's `CountPending`; None where this is no owner."""
-        owner, _ = self._find_owner()
+        owner, _, _ = self._find_owner()
         if owner is None:
             return None
         return PendingCounted(count=owner.engine.count_pending(message.queue))
 
-    async def _insert(self, transaction):
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + STORE_SECONDS
-        may_have_run = False
-        tries = 0
-        while loop.time() < deadline:
-            if not self._breaker.allows() and not may_have_run:
-                return Acceptance.REFUSED
-            tries += 1
-            seconds = min(STORE_CALL_SECONDS, deadline - loop.time())
-            answer = await self._store.transact(transaction, seconds)
-            self._breaker.record(answer.is_ok())
-            if answer.is_ok():
-                return self._read_reply(answer.unwrap(), transaction)
-            may_have_run |= answer.unwrap_err().outcome is not Outcome.NOT_RUN
-            if not may_have_run and tries >= NOT_RUN_TRIES:
-                return Acceptance.REFUSED
-            await asyncio.sleep(STORE_RETRY_SECONDS)
-        return Acceptance.UNKNOWN if may_have_run else Acceptance.REFUSED
-
-    def _read_reply(self, reply, transaction):
-        if isinstance(reply, Committed):
+    async def _ask_owner(self, message):
+        """Return what the owner made of a job; `REFUSED` is sure."""
+        owner, address, _ = self._find_owner()
+        if owner is not None:
+            answer = await self._call_own(owner, message)
+        elif not address or self._is_suspect(address):
+            return Acceptance.REFUSED
+        else:
+            answer = await self._peers.call(address, message, HAND_IN_SECONDS)
+            if answer.is_err() and answer.unwrap_err().code is ErrorCode.TIMEOUT:
+                now = asyncio.get_running_loop().time()
+                self._suspects = {address: now + SUSPECT_SECONDS}
+        if answer.is_ok():
             return Acceptance.ACCEPTED
-        # The row is there already: the same job, handed in before.
-        (key,) = transaction.expected
-        is_there = any(row.key == key and row.value is not None for row in reply.rows)
-        return Acceptance.ACCEPTED if is_there else Acceptance.UNKNOWN
+        is_sure = answer.unwrap_err().outcome is Outcome.NOT_RUN
+        return Acceptance.REFUSED if is_sure else Acceptance.UNKNOWN
+
+    def _tell_owner_later(self, message, outcome):
+        """Tell the owner of a row that this member stored; its feed is slower."""
+        if outcome is Acceptance.ACCEPTED:
+            task = asyncio.create_task(self._tell_owner(message))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _tell_owner(self, message):
+        for _ in range(TELL_TRIES):
+            if await self._ask_owner(message) is Acceptance.ACCEPTED:
+                return
+            await asyncio.sleep(TELL_RETRY_SECONDS)
+
+    async def _call_own(self, owner, message):
+        try:
+            async with asyncio.timeout(HAND_IN_SECONDS):
+                return await serve_owner_call(owner, message)
+        except TimeoutError:
+            return Err(
+                Failure(
+                    code=ErrorCode.TIMEOUT,
+                    step="store job",
+                    reason="the store does not answer",
+                    outcome=Outcome.UNKNOWN,
+                )
+            )
+
+    def _is_suspect(self, address):
+        now = asyncio.get_running_loop().time()
+        return self._suspects.get(address, 0.0) > now
+
+    async def _insert(self, key, value, deadline, may_have_run=False):
+        """Store a row without the owner, unless the store is slow.
+
+        One transaction for each member would take a slow store longer than callers
+        wait, and hold up the owner's; then callers are told at once when to return.
+        """
+        if self._read_store_seconds() > SLOW_STORE_SECONDS:
+            return Acceptance.UNKNOWN if may_have_run else Acceptance.REFUSED
+        return await self._inserter.insert(key, value, deadline, may_have_run)
 
     async def _read_job_rows(self, job):
         answer = await self._store.read(
-            JOB_TABLE, JOB_PART, job, job + CANCEL_SUFFIX + "\0", STORE_CALL_SECONDS
+            JOB_TABLE, CELL_PART, job, job + CANCEL_SUFFIX + "\0", STORE_CALL_SECONDS
         )
         if answer.is_err():
             return None
@@ -206,25 +270,9 @@
         is_cancelled = any(row.key.key.endswith(CANCEL_SUFFIX) for row in rows)
         return Lookup(True, JobState.CANCELLED if is_cancelled else JobState.WAITING)
 
-    def _offer(self, job, row):
-        """Tell the owner; where that fails for long, its feed brings the row."""
-        owner, _ = self._find_owner()
-        if owner is not None:
-            owner.offer_job(job, row)
-            return
-        task = asyncio.create_task(self._offer_to_owner(job, row))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _offer_to_owner(self, job, row):
-        for _ in range(OFFER_TRIES):
-            owner, address = self._find_owner()
-            if owner is not None:
-                owner.offer_job(job, row)
-                return
-            if address:
-                message = OfferJob(job=job, row=row.decode())
-                answer = await self._peers.call(address, message, OWNER_CALL_SECONDS)
-                if answer.is_ok():
-                    return
-            await asyncio.sleep(OFFER_RETRY_SECONDS)
+
+async def serve_owner_call(owner, message):
+    """Pass a job or its cancelling to the owner of this process."""
+    if isinstance(message, HandInJob):
+        return await owner.hand_in(message.job, message.row.encode())
+    return await owner.withdraw(message.job)
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -2,27 +2,30 @@
 
 import asyncio
 import random
+import time
 import traceback
 import uuid
 from dataclasses import dataclass
 
 from cactustiller.model import ErrorCode, Failure, MemberId
 from cactustiller.model.messages import (
+    AnnounceOwnership,
     ApprovalGiven,
     AskApproval,
     CountPending,
     Done,
     FindJobState,
+    HandInJob,
     Hello,
-    OfferJob,
+    WithdrawJob,
 )
 from cactustiller.peers import PeerClient, PeerServer, Traffic
 
 from .desired import DesiredState
 from .election import Election
 from .events import Event, log_event
-from .followers import Registry, Roster
-from .intake import Intake
+from .followers import Registry, Roster, encode_member_row
+from .intake import Intake, serve_owner_call
 from .owner import Owner
 from .ports import (
     MEMBER_TABLE,
@@ -119,7 +122,11 @@
             self.store, settings.member, settings.peer_address, lambda record: None
         )
         self.intake = Intake(
-            self.store, self.peers, self._find_owner, random.Random(settings.member)
+            self.store,
+            self.peers,
+            self._find_owner,
+            lambda: self._election.read_seconds,
+            random.Random(settings.member),
         )
 
     async def start(self):
@@ -241,17 +248,18 @@
 
     def _find_owner(self):
         owner = self._owner
-        if owner is not None and owner.is_loaded:
-            return owner, ""
         record = self._election.record
+        if owner is not None and owner.is_loaded:
+            return owner, "", record.epoch
         if record.is_released or record.address == self.settings.peer_address:
-            return None, ""
-        return None, record.address
+            return None, "", record.epoch
+        return None, record.address, record.epoch
 
     async def _publish(self):
         """Write this member's row, so that owners find it."""
         key = RowKey(MEMBER_TABLE, MEMBER_TABLE, self.settings.member)
-        row = {key: self.settings.peer_address.encode()}
+        started_ms = int(time.time() * 1000)
+        row = {key: encode_member_row(self.settings.peer_address, started_ms)}
         while True:
             answer = await self.store.transact(Transaction({}, row), ROW_CALL_SECONDS)
             if answer.is_ok():
@@ -266,11 +274,14 @@
         match message:
             case FindJobState():
                 return self.intake.answer_state(message)
-            case OfferJob():
-                owner, _ = self._find_owner()
+            case HandInJob() | WithdrawJob():
+                owner, _, _ = self._find_owner()
                 if owner is not None:
-                    owner.offer_job(message.job, message.row.encode())
-                    return Done()
+                    answer = await serve_owner_call(owner, message)
+                    return Done() if answer.is_ok() else answer.unwrap_err()
+            case AnnounceOwnership():
+                self._election.look_soon()
+                return Done()
             case CountPending():
                 reply = self.intake.answer_pending(message)
                 if reply is not None:
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-from cactustiller.model import ErrorCode, JobId
+from result import Err, Ok
+
+from cactustiller.model import ErrorCode, Failure, JobId, Outcome
 
 from .approvals import ApprovalDesk
 from .commits import BatchWriter, OwnershipLostError
@@ -10,7 +12,6 @@
 from .events import Event, log_event
 from .ports import (
     CELL_PART,
-    JOB_PART,
     JOB_TABLE,
     PROGRESS_TABLE,
     StartAnswer,
@@ -63,6 +64,8 @@
         self._wake = asyncio.Event()
         self._committed = asyncio.Event()
         self._cancelled = set()
+        self._handed_in = {}
+        self._withdrawn = {}
         self._loops = {}
         self._tasks = set()
         self._feed_version = 0
@@ -74,7 +77,7 @@
             ports.approvals,
             ports.peers,
             self._roster.find_addresses,
-            self._wake.set,
+            self._take_approval,
         )
 
     async def run(self, stop):
@@ -88,10 +91,12 @@
             await self._serve(stop)
             await self._writer.release()
             log_event(Event.OWNERSHIP_RELEASED, epoch=record.epoch)
+            await self._roster.notify_successor(self._ports.peers, record.epoch)
         except OwnershipLostError as error:
             log_event(Event.OWNERSHIP_LOST, epoch=record.epoch, reason=str(error))
         finally:
             self.is_loaded = False
+            self._fail_callers()
             tasks = [*self._loops.values(), *self._tasks]
             tasks += [feed] if feed else []
             for task in tasks:
@@ -103,14 +108,33 @@
 
     # Entry points of this member
 
-    def offer_job(self, job, row):
-        """Take an accepted job, or its cancelling where `row` is empty."""
-        if not row:
-            self._cancelled.add(job)
-            self.engine.cancel_job(job)
-        elif job not in self.engine.jobs:
-            self._add_job(job, row)
+    async def hand_in(self, job, row):
+        """Store a job with the next batch; return ``Ok(None)`` once it is stored."""
+        if job in self.engine.shown:
+            return Ok(None)
+        if job not in self._handed_in:
+            self._handed_in[job] = (row, asyncio.get_running_loop().create_future())
+            self._add_job(job, row, is_stored=False)
+            # Approval comes while the store is busy, so that the job's row and its
+            # placement share a transaction.
+            self._desk.ask(self.engine.find_unapproved())
+            self._wake.set()
+        _, future = self._handed_in[job]
+        return await asyncio.shield(future)
+
+    async def withdraw(self, job):
+        """Cancel a job; return ``Ok(None)`` once that is stored."""
+        run = self.engine.jobs.get(job)
+        if run is None:
+            return self._fail(ErrorCode.NOT_FOUND, "this owner knows no such job")
+        if run.state.is_final and self.engine.shown.get(job) is run.state:
+            return Ok(None)
+        self.engine.cancel_job(job)
+        future = self._withdrawn.setdefault(
+            job, asyncio.get_running_loop().create_future()
+        )
         self._wake.set()
+        return await asyncio.shield(future)
 
     def wake(self):
         """Ask for a round soon."""
@@ -123,7 +147,7 @@
         self._registry.start()
         self._roster.start()
         progress, _ = await self._read_table(PROGRESS_TABLE, CELL_PART)
-        jobs, self._feed_version = await self._read_table(JOB_TABLE, JOB_PART)
+        jobs, self._feed_version = await self._read_table(JOB_TABLE, CELL_PART)
         rows = {row.key.key: row.value for row in progress}
         self._take_job_rows(jobs, rows)
         await self._registry.wait_until_read()
@@ -177,15 +201,20 @@
         for job in self._cancelled:
             self.engine.cancel_job(job)
 
-    def _add_job(self, job, row, progress=None):
+    def _add_job(self, job, row, progress=None, is_stored=True):
         try:
-            self.engine.add_job(decode_job(JobId(job), row), progress)
+            spec = decode_job(JobId(job), row)
+            self.engine.add_job(spec, progress, is_stored)
         except ValueError as error:
             log_event(Event.ENTRY_UNREADABLE, what="job", job=job, reason=str(error))
             return
         if job in self._cancelled:
             self.engine.cancel_job(job)
 
+    def _take_approval(self):
+        self._desk.ask(self.engine.find_unapproved())
+        self._wake.set()
+
     # Rounds
 
     async def _serve(self, stop):
@@ -215,18 +244,52 @@
         engine.find_stalled()
         self._desk.ask(engine.plan())
         batch = engine.collect()
-        if batch is not None and batch.rows:
-            await self._writer.write(list(batch.rows.items()))
+        handed_in, withdrawn = dict(self._handed_in), dict(self._withdrawn)
+        if handed_in or (batch is not None and batch.rows):
+            rows = list(batch.rows.items()) if batch else []
+            await self._writer.write(
+                rows, [(job, row) for job, (row, _) in handed_in.items()]
+            )
         elif self._writer.needs_renewal:
             await self._writer.write([])
+        engine.confirm_jobs(handed_in)
         if batch is not None:
             for placement in engine.confirm(batch):
                 self._run_aside(self._send_start(placement))
             self._committed.set()
             self._committed = asyncio.Event()
+        self._answer_callers(handed_in, withdrawn)
         for stop in engine.find_stops():
             self._run_aside(self._send_stop(stop))
 
+    def _answer_callers(self, handed_in, withdrawn):
+        for job, (_, future) in handed_in.items():
+            del self._handed_in[job]
+            future.set_result(Ok(None))
+        for job, future in withdrawn.items():
+            del self._withdrawn[job]
+            future.set_result(Ok(None))
+
+    def _fail_callers(self):
+        """Answer those who wait when the term ends; their rows may still be stored."""
+        futures = [future for _, future in self._handed_in.values()]
+        for future in [*futures, *self._withdrawn.values()]:
+            if not future.done():
+                future.set_result(
+                    self._fail(ErrorCode.NOT_OWNER, "the term ended", Outcome.UNKNOWN)
+                )
+
+    def _fail(self, code, reason, outcome=Outcome.NOT_RUN):
+        return Err(
+            Failure(
+                code=code,
+                step="store job",
+                peer=self._writer.record.member,
+                reason=reason,
+                outcome=outcome,
+            )
+        )
+
     def _run_aside(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -396,7 +459,7 @@
                 rows = page.rows
             elif answer.unwrap_err().code is ErrorCode.HISTORY_LOST:
                 rows, self._feed_version = await self._read_table(
-                    JOB_TABLE, JOB_PART, renews=False
+                    JOB_TABLE, CELL_PART, renews=False
                 )
             else:
                 continue
--- a/libs/cell/src/cactustiller/cell/ports.py
+++ b/libs/cell/src/cactustiller/cell/ports.py
@@ -156,7 +156,8 @@
 PROGRESS_TABLE = "progress"
 OWNER_TABLE = "owner"
 MEMBER_TABLE = "members"
-JOB_PART = "jobs"
+# One transaction changes the owner's row together with jobs and progress, so all
+# of a cell lies in one part.
 CELL_PART = "cell"
 CANCEL_SUFFIX = "!"
 OWNER_ROW = RowKey(OWNER_TABLE, CELL_PART, "owner")
@@ -164,12 +165,12 @@
 
 def make_job_key(job):
     """Return the key of a job's row."""
-    return RowKey(JOB_TABLE, JOB_PART, job)
+    return RowKey(JOB_TABLE, CELL_PART, job)
 
 
 def make_cancel_key(job):
     """Return the key of the row that says a job is cancelled."""
-    return RowKey(JOB_TABLE, JOB_PART, job + CANCEL_SUFFIX)
+    return RowKey(JOB_TABLE, CELL_PART, job + CANCEL_SUFFIX)
 
 
 def make_progress_key(job):
--- a/libs/model/src/cactustiller/model/messages.capnp
+++ b/libs/model/src/cactustiller/model/messages.capnp
@@ -39,13 +39,14 @@
     drain @32 :Void;
     publishUsage @33 :PublishUsage;
     releaseRuns @34 :ReleaseRuns;
-    offerJob @35 :OfferJob;
+    handInJob @35 :HandInJob;
     findJobState @36 :FindJobState;
     jobStateFound @37 :JobStateFound;
     countPending @38 :CountPending;
     pendingCounted @39 :PendingCounted;
     askApproval @40 :AskApproval;
     approvalGiven @41 :ApprovalGiven;
+    withdrawJob @42 :WithdrawJob;
   }
 }
 
@@ -266,7 +267,8 @@
 }
 struct Stats { text @0 :Text; }
 
-struct OfferJob { job @0 :Text; row @1 :Text; }
+struct HandInJob { job @0 :Text; row @1 :Text; }
+struct WithdrawJob { job @0 :Text; }
 struct FindJobState { queue @0 :Text; job @1 :Text; }
 struct JobStateFound { state @0 :Text; }
 struct CountPending { queue @0 :Text; }
--- a/libs/model/src/cactustiller/model/messages.py
+++ b/libs/model/src/cactustiller/model/messages.py
@@ -383,14 +383,17 @@
     """Asks a member to shut down gracefully."""
 
 
-class OfferJob(Record):
-    """Tells a cell's owner of an accepted job, or of its cancelling.
+class HandInJob(Record):
+    """Asks a cell's owner to store a job; `row` is the text of its row."""
 
-    `row` is the text of the stored row, empty for a job that is cancelled.
-    """
+    job: JobId
+    row: str
+
+
+class WithdrawJob(Record):
+    """Asks a cell's owner to cancel a job."""
 
     job: JobId
-    row: str = ""
 
 
 class FindJobState(Record):
@@ -465,11 +468,12 @@
     Drain,
     PublishUsage,
     ReleaseRuns,
-    OfferJob,
+    HandInJob,
     FindJobState,
     JobStateFound,
     CountPending,
     PendingCounted,
     AskApproval,
     ApprovalGiven,
+    WithdrawJob,
 )
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -12,6 +12,7 @@
 READ_SECONDS = 0.004
 TRANSACT_SECONDS = 0.009
 PAGE_ROWS = 500
+MOST_ENTRIES = 100
 
 
 class Trouble(Enum):
@@ -103,6 +104,9 @@
         failure = await self._wait(TRANSACT_SECONDS, seconds)
         if failure is not None:
             return failure
+        parts = (transaction.expected, transaction.puts, transaction.removes)
+        if sum(map(len, parts)) > MOST_ENTRIES:
+            return _fail(ErrorCode.PROTOCOL, "status 400", Outcome.UNKNOWN)
         if self.trouble is Trouble.CARRYING_OUT_LATE:
             self._carry_out_later(transaction)
             return await self._lose(seconds)
--- a/tests/cell/test_failures.py
+++ b/tests/cell/test_failures.py
@@ -240,3 +240,21 @@
         cell.store.put(next(iter(cell.store.rows)), b"x")
         cell.store.forget_history()
         await cell.wait_for_state(spec, JobState.SUCCEEDED, member=owner, seconds=8.0)
+
+
+async def test_a_slow_store_still_takes_many_jobs():
+    # An answer takes 0.7 s: one transaction a job would take the store a minute.
+    async with FleetCell() as cell:
+        cell.store.slowness = 75.0
+        await asyncio.sleep(2.0)
+        jobs = [make_job(number) for number in range(1, 121)]
+        outcomes = await asyncio.gather(
+            *(
+                cell.submit(spec, member=f"m{index % 3}")
+                for index, spec in enumerate(jobs)
+            )
+        )
+        assert set(outcomes) == {Acceptance.ACCEPTED}
+        cell.store.slowness = 1.0
+        for spec in jobs:
+            await cell.wait_for_state(spec, JobState.SUCCEEDED)
