Let owners announce themselves, hand over and be replaced sooner

Change: the bound shrinks to one lease once the worker answers under the new fence; a fenced owner ends its term; owners announce themselves and the version of the desired state to all members; an owner that the store refuses invites another; the owner's row is renewed each 0.3 s and taken over after 1.1 s; jobs that surely were not stored are refused at once. Each with a test that failed first.

--- a/libs/cell/src/cactustiller/cell/commits.py
+++ b/libs/cell/src/cactustiller/cell/commits.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from cactustiller.model import Outcome
+from cactustiller.model import JobId, Outcome
 
 from .election import RENEW_SECONDS, OwnerRecord, decode_owner, encode_owner
 from .engine import OWNER_WITHOUT_STORE_SECONDS
@@ -19,7 +19,17 @@
 
 # Bound of one call; a slow store answers within it.
 COMMIT_CALL_SECONDS = 1.2
+# Bound while the store answers as usual, so that a lost answer holds up little.
+LEAST_CALL_SECONDS = 0.35
+SLOW_CALLS = 4.0
 RETRY_SECONDS = 0.12
+# Failures after which jobs are given up, where each promises that nothing was done.
+SURE_FAILURES = 2
+# Refusals and resets come at once, unlike lost answers.
+QUICK_FAILURE_SECONDS = 0.15
+QUICK_FAILURES = 2
+# Counts no failure as sure any more after one that may have taken effect.
+NEVER = float("-inf")
 # The store takes 100 entries and 1 MB a transaction; a row that must not exist yet
 # is two entries, and the owner's row is among them. Values grow by a third on the way.
 MOST_ENTRIES = 96
@@ -58,13 +68,31 @@
     store : RowStore
     claim : tuple of (OwnerRecord, int, int)
         Record, version and clock of the store at the claim.
+    on_lost : callable
+        Called when a call fails after one that succeeded.
+    on_given_up : callable
+        Called with the jobs that surely were not and will not be stored.
+    on_turned_away : callable
+        Called when the store refuses calls at once: it may serve other members.
+
+    Attributes
+    ----------
+    is_store_lost : bool
+        The latest call failed.
+    is_fenced : bool
+        Set from outside once a worker has seen a higher fence.
     """
 
-    def __init__(self, store, claim):
+    def __init__(self, store, claim, on_lost, on_given_up, on_turned_away):
         self._store = store
+        self._on_lost = on_lost
+        self._on_given_up = on_given_up
+        self._on_turned_away = on_turned_away
         self.record, self._version, self._now_ms = claim
         self._now_at = self.succeeded_at = asyncio.get_running_loop().time()
+        self._usual = 0.0
         self.is_store_lost = False
+        self.is_fenced = False
 
     @property
     def needs_renewal(self):
@@ -100,7 +128,10 @@
     async def _write_chunk(self, puts, is_released=False):
         loop = asyncio.get_running_loop()
         sequence = self.record.sequence + 1
+        sure_failures = quick_failures = 0
         while True:
+            if self.is_fenced:
+                raise OwnershipLostError("a worker has seen a higher fence")
             since = (loop.time() - self._now_at) * 1000
             record = OwnerRecord(
                 self.record.epoch,
@@ -115,9 +146,25 @@
                 {OWNER_ROW: self._version, **expected},
                 {**puts, OWNER_ROW: encode_owner(record)},
             )
-            answer = await self._store.transact(transaction, COMMIT_CALL_SECONDS)
+            seconds = min(
+                COMMIT_CALL_SECONDS, LEAST_CALL_SECONDS + SLOW_CALLS * self._usual
+            )
+            asked_at = loop.time()
+            answer = await self._store.transact(transaction, seconds)
+            if answer.is_ok():
+                self._usual = loop.time() - asked_at
+            else:
+                self._usual = max(self._usual, seconds / 2)
             if answer.is_err():
+                is_sure = answer.unwrap_err().outcome is Outcome.NOT_RUN
+                sure_failures = sure_failures + 1 if is_sure else NEVER
                 self._note_failure(answer.unwrap_err())
+                is_quick = loop.time() - asked_at < QUICK_FAILURE_SECONDS
+                quick_failures = quick_failures + 1 if is_quick else 0
+                if quick_failures == QUICK_FAILURES:
+                    self._on_turned_away()
+                if sure_failures >= SURE_FAILURES:
+                    self._give_up_jobs(puts)
                 await asyncio.sleep(RETRY_SECONDS)
             elif self._accept(answer.unwrap(), record, puts):
                 return
@@ -147,6 +194,15 @@
             log_event(Event.DEPENDENCY_BACK, dependency="store")
         return True
 
+    def _give_up_jobs(self, puts):
+        """Take out the jobs that no try can have stored."""
+        jobs = [key for key in puts if key.table == JOB_TABLE]
+        for key in jobs:
+            del puts[key]
+            puts.pop(make_progress_key(key.key), None)
+        if jobs:
+            self._on_given_up([JobId(key.key) for key in jobs])
+
     def _drop_stored(self, rows, puts):
         stored = [row.key for row in rows if puts.pop(row.key, None) is not None]
         if not stored:
@@ -158,6 +214,7 @@
         away = asyncio.get_running_loop().time() - self.succeeded_at
         if not self.is_store_lost:
             self.is_store_lost = True
+            self._on_lost()
             log_event(
                 Event.DEPENDENCY_LOST,
                 dependency="store",
--- a/libs/cell/src/cactustiller/cell/election.py
+++ b/libs/cell/src/cactustiller/cell/election.py
@@ -12,16 +12,20 @@
 from .ports import OWNER_ROW, Committed, Conflict, Transaction
 
 # An owner renews its row at least this often.
-RENEW_SECONDS = 0.5
-POLL_SECONDS = 0.4
+RENEW_SECONDS = 0.3
+POLL_SECONDS = 0.35
 # Age of the row at which a member takes over: three renewals and a slow answer.
-TAKEOVER_AFTER_SECONDS = 1.8
+TAKEOVER_AFTER_SECONDS = 1.1
+# The same for an owner whose process does not accept connections: two renewals.
+SUSPECT_AFTER_SECONDS = 0.65
 # The row must have stood still before a member's own eyes this long, so that an
 # owner can renew it after an outage of the store.
-STILL_SECONDS = 0.7
+STILL_SECONDS = 0.5
 # A renewal takes about two calls' time, and the owner waits for one before the next.
 SLOW_READS = 4.0
 CALL_SECONDS = 1.5
+# Bound of a read of a store of usual speed, which answers in 4 ms.
+LEAST_CALL_SECONDS = 0.35
 JITTER_SECONDS = 0.15
 
 
@@ -61,7 +65,9 @@
     return OwnerRecord(*orjson.loads(row.value))
 
 
-def should_claim(record, version, seen, page_now_ms, now, read_seconds=0.0):
+def should_claim(
+    record, version, seen, page_now_ms, now, read_seconds=0.0, is_suspect=False
+):
     """Return whether a member should take the cell over.
 
     Parameters
@@ -77,18 +83,22 @@
     now : float
     read_seconds : float
         How long the read took; an owner of a slow store renews its row less often.
+    is_suspect : bool
+        The owner's process refused a connection, so it needs no such patience.
     """
     if record.is_released:
         return True
     age = (page_now_ms - record.renewed_ms) / 1000
     stood_still = seen[0] == version and now - seen[1] >= STILL_SECONDS
-    return stood_still and age >= TAKEOVER_AFTER_SECONDS + SLOW_READS * read_seconds
+    patience = SUSPECT_AFTER_SECONDS if is_suspect else TAKEOVER_AFTER_SECONDS
+    return stood_still and age >= patience + SLOW_READS * read_seconds
 
 
 class Election:
     """Watches the owner's row and claims it.
 
-    `read_seconds` is how long the latest read of the row took.
+    `read_seconds` is how long the latest read of the row took, `lost_at` when reads
+    began to fail, None while they don't.
 
     Parameters
     ----------
@@ -103,6 +113,7 @@
     def __init__(self, store, member, address, on_owner):
         self.record = NO_OWNER
         self.read_seconds = 0.0
+        self.lost_at = None
         self._store = store
         self._member = member
         self._address = address
@@ -110,11 +121,35 @@
         self._random = random.Random(member)
         self._seen = (-1, 0.0)
         self._poke = asyncio.Event()
+        self._invited = None
+        self._suspect = None
 
     def look_soon(self):
         """Read the owner's row now, since it may be released."""
         self._poke.set()
 
+    def accept_invitation(self, epoch):
+        """Take the cell over from an owner that the store turns away.
+
+        Returns whether the store answers this member.
+        """
+        if self.lost_at is not None:
+            return False
+        self._invited = epoch
+        self._poke.set()
+        return True
+
+    def suspect_owner(self, address):
+        """Note that the process of the owner refuses connections."""
+        if address == self.record.address:
+            self._suspect = self.record.epoch
+            self._poke.set()
+
+    def take_announcement(self, epoch, member, address):
+        """Take an owner's word for its epoch, for when the store does not answer."""
+        if epoch > self.record.epoch:
+            self._note(OwnerRecord(epoch, member, address, 0, 0))
+
     async def wait_for_claim(self):
         """Return ``(OwnerRecord, version, now_ms)`` once this member owns the cell."""
         while True:
@@ -131,14 +166,19 @@
         loop = asyncio.get_running_loop()
         key = OWNER_ROW
         asked_at = loop.time()
+        seconds = min(CALL_SECONDS, LEAST_CALL_SECONDS + SLOW_READS * self.read_seconds)
         is_told = self._poke.is_set()
         self._poke.clear()
         answer = await self._store.read(
-            key.table, key.part, key.key, key.key + "\0", CALL_SECONDS
+            key.table, key.part, key.key, key.key + "\0", seconds
         )
         if answer.is_err():
             self._seen = (-1, 0.0)
+            # The next read waits longer, in case the store has turned slow.
+            self.read_seconds = max(self.read_seconds, seconds / 2)
+            self.lost_at = self.lost_at or loop.time()
             return None
+        self.lost_at = None
         page = answer.unwrap()
         row = page.rows[0] if page.rows else None
         record, version = decode_owner(row), row.version if row else 0
@@ -147,11 +187,18 @@
         if version != self._seen[0]:
             self._seen = (version, now)
         self.read_seconds = now - asked_at
-        if not should_claim(
-            record, version, self._seen, page.now_ms, now, self.read_seconds
+        is_invited = record.epoch == self._invited
+        if not is_invited and not should_claim(
+            record,
+            version,
+            self._seen,
+            page.now_ms,
+            now,
+            self.read_seconds,
+            record.epoch == self._suspect,
         ):
             return None
-        if not is_told:
+        if not is_told and not is_invited:
             await asyncio.sleep(self._random.uniform(0, JITTER_SECONDS))
         return await self._claim(record, version, page.now_ms)
 
@@ -191,6 +238,8 @@
         return None
 
     def _note(self, record):
+        if record.epoch < self.record.epoch:
+            return
         if record[:3] != self.record[:3]:
             log_event(
                 Event.OWNER_CHANGED,
--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -145,6 +145,24 @@
         if not progress:
             self._dirty.discard(spec.job)
 
+    def drop_job(self, job_id):
+        """Forget a job that was never stored; nothing of it has been sent."""
+        job = self.jobs.pop(job_id)
+        self._dirty.discard(job_id)
+        self._timed.discard(job_id)
+        for step in job.iterate_steps():
+            self._eligible.pop(step, None)
+            for task in step.tasks:
+                worker = self.workers.get(task.worker)
+                if task.holds_room and worker is not None:
+                    self._release(worker, task)
+                    task.phase = RunPhase.WAITING
+        self._last_placements = [
+            placement
+            for placement in self._last_placements
+            if placement.task.step.job is not job
+        ]
+
     def confirm_jobs(self, jobs):
         """Note that the rows of jobs are stored."""
         for job_id in jobs:
@@ -316,7 +334,10 @@
         for name, (task, run) in list(worker.runs.items()):
             if name not in listed or listed[name].run < run:
                 self._check_missing(worker, task, sent_at)
-        worker.is_synchronized = True
+        if not worker.is_synchronized:
+            # The fence is raised there, so a former owner grants nothing more.
+            worker.limit_lease(received_at, LEASE_SECONDS)
+            worker.is_synchronized = True
 
     def _apply_end(self, worker, end):
         self.counters[f"runs_ended_{end.end.value}"] += 1
@@ -554,7 +575,7 @@
             job = self.jobs.get(job_id)
             if job is not None:
                 batch.rows[job_id] = encode_progress(job)
-                batch.states[job_id] = job.state
+                batch.states[job_id] = (job, job.state)
         self._dirty = set()
         for worker in self.workers.values():
             if worker.seen_through > worker.acked_through:
@@ -564,7 +585,10 @@
 
     def confirm(self, batch):
         """Note that a batch is stored; return the starts that may be sent."""
-        self.shown.update(batch.states)
+        for job_id, (job, state) in batch.states.items():
+            # A job that was dropped meanwhile may have been handed in anew.
+            if self.jobs.get(job_id) is job:
+                self.shown[job_id] = state
         for worker_id, (born_ms, number) in batch.acknowledged.items():
             worker = self.workers.get(worker_id)
             if worker is not None and worker.born_ms == born_ms:
--- a/libs/cell/src/cactustiller/cell/events.py
+++ b/libs/cell/src/cactustiller/cell/events.py
@@ -21,6 +21,7 @@
     TAKEOVER = "takeover"
     TERM_FAILED = "term_failed"
     TAKEOVER_LOST = "takeover_lost"
+    HANDOVER_ASKED = "handover_asked"
     OWNERSHIP_LOST = "ownership_lost"
     OWNERSHIP_RELEASED = "ownership_released"
     FROZEN = "frozen"
--- a/libs/cell/src/cactustiller/cell/intake.py
+++ b/libs/cell/src/cactustiller/cell/intake.py
@@ -37,6 +37,8 @@
 SLOW_STORE_SECONDS = 0.05
 # The owner answers after its next transaction; two of a store that is slow.
 HAND_IN_SECONDS = 1.7
+LEAST_HAND_IN_SECONDS = 0.6
+STORE_CALLS = 6.0
 # Callers wait 3 s: the answer has to be on its way before.
 TOTAL_SECONDS = 2.8
 # An owner that did not answer is passed by until another had time to take over.
@@ -49,6 +51,7 @@
 RETRY_AFTER_SECONDS = 1
 
 
+LOST_CODES = (ErrorCode.TIMEOUT, ErrorCode.UNAVAILABLE)
 JOB_EVENTS = {
     Acceptance.ACCEPTED: Event.JOB_ACCEPTED,
     Acceptance.REFUSED: Event.JOB_REFUSED,
@@ -73,17 +76,17 @@
     find_owner : callable
         Returns the `Owner` of this member or None, the address of the owning member,
         empty if unknown, and its epoch.
-    read_store_seconds : callable
-        Returns how long the store took for its latest answer.
+    election : Election
+        Tells how the store answers this member.
     generator : random.Random
     """
 
-    def __init__(self, store, peers, find_owner, read_store_seconds, generator):
+    def __init__(self, store, peers, find_owner, election, generator):
         self._store = store
         self._peers = peers
         self._find_owner = find_owner
         self._inserter = Inserter(store, generator)
-        self._read_store_seconds = read_store_seconds
+        self._election = election
         self._suspects = {}
         self._tasks = set()
 
@@ -194,10 +197,16 @@
         elif not address or self._is_suspect(address):
             return Acceptance.REFUSED
         else:
-            answer = await self._peers.call(address, message, HAND_IN_SECONDS)
-            if answer.is_err() and answer.unwrap_err().code is ErrorCode.TIMEOUT:
+            seconds = min(
+                HAND_IN_SECONDS,
+                LEAST_HAND_IN_SECONDS + STORE_CALLS * self._election.read_seconds,
+            )
+            answer = await self._peers.call(address, message, seconds)
+            if answer.is_err() and answer.unwrap_err().code in LOST_CODES:
                 now = asyncio.get_running_loop().time()
                 self._suspects = {address: now + SUSPECT_SECONDS}
+                if answer.unwrap_err().code is ErrorCode.UNAVAILABLE:
+                    self._election.suspect_owner(address)
         if answer.is_ok():
             return Acceptance.ACCEPTED
         is_sure = answer.unwrap_err().outcome is Outcome.NOT_RUN
@@ -235,12 +244,14 @@
         return self._suspects.get(address, 0.0) > now
 
     async def _insert(self, key, value, deadline, may_have_run=False):
-        """Store a row without the owner, unless the store is slow.
+        """Store a row without the owner, unless the store is slow or away.
 
         One transaction for each member would take a slow store longer than callers
         wait, and hold up the owner's; then callers are told at once when to return.
         """
-        if self._read_store_seconds() > SLOW_STORE_SECONDS:
+        if self._election.lost_at is not None or (
+            self._election.read_seconds > SLOW_STORE_SECONDS
+        ):
             return Acceptance.UNKNOWN if may_have_run else Acceptance.REFUSED
         return await self._inserter.insert(key, value, deadline, may_have_run)
 
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -9,13 +9,17 @@
 
 from cactustiller.model import ErrorCode, Failure, MemberId
 from cactustiller.model.messages import (
+    AnnounceOwner,
     AnnounceOwnership,
     ApprovalGiven,
     AskApproval,
     CountPending,
+    DesiredText,
     Done,
     FindJobState,
+    GetDesired,
     HandInJob,
+    HandOver,
     Hello,
     WithdrawJob,
 )
@@ -24,7 +28,7 @@
 from .desired import DesiredState
 from .election import Election
 from .events import Event, log_event
-from .followers import Registry, Roster, encode_member_row
+from .followers import Follower, Registry, Roster, encode_member_row
 from .intake import Intake, serve_owner_call
 from .owner import Owner
 from .ports import (
@@ -40,6 +44,7 @@
 ROW_RETRY_SECONDS = 0.5
 ROW_CALL_SECONDS = 1.5
 TERM_PAUSE_SECONDS = 0.5
+DESIRED_CALL_SECONDS = 0.5
 # A member that has not heard from the store for this long sends new connections
 # elsewhere.
 READY_WITHIN_SECONDS = 2.5
@@ -75,6 +80,10 @@
     ----------
     worker_table, worker_part : str
         Where the platform lists workers.
+    desired_table, desired_part, desired_key : str
+        Where the operator writes the desired state.
+    decode_desired : callable
+        Value of that row to a `DesiredState`; raises ValueError.
     decode_worker : callable
         Key and value of an entry to a `WorkerInfo`, or None.
     make_peers : callable, optional
@@ -87,6 +96,10 @@
     worker_table: str
     worker_part: str
     decode_worker: object
+    desired_table: str
+    desired_part: str
+    desired_key: str
+    decode_desired: object
     make_peers: object = None
 
 
@@ -102,7 +115,14 @@
     def __init__(self, settings, outside):
         self.settings = settings
         self.desired_state = DesiredState()
-        self._desired_follower = None
+        self._desired_value = b""
+        self._desired_follower = Follower(
+            outside.store,
+            outside.desired_table,
+            outside.desired_part,
+            self._read_desired,
+        )
+        self._told_at = float("-inf")
         self.store = outside.store
         self.worker_calls = outside.worker_calls
         self.approvals = outside.approvals
@@ -125,13 +145,14 @@
             self.store,
             self.peers,
             self._find_owner,
-            lambda: self._election.read_seconds,
+            self._election,
             random.Random(settings.member),
         )
 
     async def start(self):
         """Listen to peers and take part in the election."""
         await self._server.start(self.settings.host, self.settings.peer_port)
+        self._desired_follower.start()
         self._tasks = [
             asyncio.create_task(self._publish()),
             asyncio.create_task(self._take_terms()),
@@ -159,10 +180,12 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._desired_follower.stop()
         await self._server.stop()
 
     async def stop(self):
         """Close every connection."""
+        await self._desired_follower.stop()
         await self._server.stop()
         await self.peers.close()
         log_event(Event.STOPPED)
@@ -173,13 +196,10 @@
         return (
             not self._stop.is_set()
             and self.desired_state.version > 0
-            and now - self._desired_follower.fresh_at <= READY_WITHIN_SECONDS
+            and now - max(self._desired_follower.fresh_at, self._told_at)
+            <= READY_WITHIN_SECONDS
         )
 
-    def watch_desired(self, follower):
-        """Take the `Follower` whose freshness tells that of the desired state."""
-        self._desired_follower = follower
-
     def apply_desired(self, desired):
         """Take a desired state that is not older than the one in force."""
         if desired.version > self.desired_state.version:
@@ -228,6 +248,32 @@
 
     # Inner steps
 
+    def _read_desired(self, rows):
+        value = rows.get(self._outside.desired_key)
+        if value is not None:
+            self._take_desired(value)
+
+    def _take_desired(self, value):
+        try:
+            desired = self._outside.decode_desired(value)
+        except ValueError as error:
+            log_event(Event.ENTRY_UNREADABLE, what="desired state", reason=str(error))
+            return
+        if desired.version > self.desired_state.version:
+            self._desired_value = value
+            self.apply_desired(desired)
+
+    async def _take_announcement(self, message):
+        self._told_at = asyncio.get_running_loop().time()
+        self._election.take_announcement(message.epoch, message.member, message.address)
+        if message.desired_version > self.desired_state.version:
+            answer = await self.peers.call(
+                message.address, GetDesired(), DESIRED_CALL_SECONDS
+            )
+            if answer.is_ok() and answer.unwrap().text:
+                self._take_desired(answer.unwrap().text.encode())
+        return Done()
+
     async def _take_terms(self):
         while not self._stop.is_set():
             claim = await self._election.wait_for_claim()
@@ -279,6 +325,13 @@
                 if owner is not None:
                     answer = await serve_owner_call(owner, message)
                     return Done() if answer.is_ok() else answer.unwrap_err()
+            case AnnounceOwner():
+                return await self._take_announcement(message)
+            case HandOver():
+                if self._election.accept_invitation(message.epoch):
+                    return Done()
+            case GetDesired():
+                return DesiredText(text=self._desired_value.decode())
             case AnnounceOwnership():
                 self._election.look_soon()
                 return Done()
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -5,12 +5,14 @@
 from result import Err, Ok
 
 from cactustiller.model import ErrorCode, Failure, JobId, Outcome
+from cactustiller.model.messages import AnnounceOwner, HandOver
 
 from .approvals import ApprovalDesk
 from .commits import BatchWriter, OwnershipLostError
 from .engine import LEASE_SECONDS, Engine
 from .events import Event, log_event
 from .ports import (
+    CANCEL_SUFFIX,
     CELL_PART,
     JOB_TABLE,
     PROGRESS_TABLE,
@@ -31,6 +33,10 @@
 FENCE_SECONDS = 0.5
 # Jobs reach the owner by offers at once; the feed brings those whose offer was lost.
 FEED_PAUSE_SECONDS = 0.4
+# Members that hear of an owner and of a desired state only from peers get it in time
+# for the bound of 2 s on configuration changes.
+ANNOUNCE_SECONDS = 0.7
+INVITE_SECONDS = 0.25
 READ_SECONDS = 1.5
 READ_RETRY_SECONDS = 0.1
 # Pause before a refused start is tried again, so that it does not spin.
@@ -59,7 +65,14 @@
         self.is_loaded = False
         self._ports = ports
         self._status_ms = status_ms
-        self._writer = BatchWriter(ports.store, claim)
+        self._writer = BatchWriter(
+            ports.store,
+            claim,
+            self._refuse_unwritten,
+            self._refuse_jobs,
+            lambda: self._run_aside(self._invite_successor()),
+        )
+        self._in_flight = frozenset()
         self._fence = claim[0].epoch
         self._wake = asyncio.Event()
         self._committed = asyncio.Event()
@@ -69,7 +82,6 @@
         self._loops = {}
         self._tasks = set()
         self._feed_version = 0
-        self._is_fenced = False
         self._registry = ports.make_registry(self._wake.set)
         self._roster = ports.make_roster()
         self._desk = ApprovalDesk(
@@ -88,6 +100,7 @@
         try:
             await self._load()
             feed = asyncio.create_task(self._follow_jobs())
+            self._run_aside(self._announce())
             await self._serve(stop)
             await self._writer.release()
             log_event(Event.OWNERSHIP_RELEASED, epoch=record.epoch)
@@ -112,6 +125,8 @@
         """Store a job with the next batch; return ``Ok(None)`` once it is stored."""
         if job in self.engine.shown:
             return Ok(None)
+        if self._writer.is_store_lost and job not in self._handed_in:
+            return self._fail(ErrorCode.UNAVAILABLE, "the store is away")
         if job not in self._handed_in:
             self._handed_in[job] = (row, asyncio.get_running_loop().create_future())
             self._add_job(job, row, is_stored=False)
@@ -235,16 +250,17 @@
 
     async def _play_round(self):
         engine = self.engine
-        if self._is_fenced:
-            raise OwnershipLostError("a worker has seen a higher fence")
         engine.apply_desired(self._ports.desired())
         engine.update_workers(self._registry.workers)
         self._start_loops()
         engine.expire_leases()
         engine.find_stalled()
         self._desk.ask(engine.plan())
+        if self._writer.is_fenced:
+            await self._writer.write([])
         batch = engine.collect()
         handed_in, withdrawn = dict(self._handed_in), dict(self._withdrawn)
+        self._in_flight = frozenset(handed_in)
         if handed_in or (batch is not None and batch.rows):
             rows = list(batch.rows.items()) if batch else []
             await self._writer.write(
@@ -252,6 +268,10 @@
             )
         elif self._writer.needs_renewal:
             await self._writer.write([])
+        self._in_flight = frozenset()
+        handed_in = {
+            job: self._handed_in[job] for job in handed_in if job in self._handed_in
+        }
         engine.confirm_jobs(handed_in)
         if batch is not None:
             for placement in engine.confirm(batch):
@@ -262,6 +282,19 @@
         for stop in engine.find_stops():
             self._run_aside(self._send_stop(stop))
 
+    def _refuse_unwritten(self):
+        """Refuse the jobs that no transaction on its way holds."""
+        self._refuse_jobs(
+            [job for job in self._handed_in if job not in self._in_flight]
+        )
+
+    def _refuse_jobs(self, jobs):
+        """Refuse jobs that surely are not stored, and forget them."""
+        for job in jobs:
+            _, future = self._handed_in.pop(job)
+            self.engine.drop_job(job)
+            future.set_result(self._fail(ErrorCode.UNAVAILABLE, "the store is away"))
+
     def _answer_callers(self, handed_in, withdrawn):
         for job, (_, future) in handed_in.items():
             del self._handed_in[job]
@@ -338,7 +371,7 @@
             self.engine.counters["starts"] += 1
             return
         if answer is StartAnswer.FENCED:
-            self._is_fenced = True
+            self._writer.is_fenced = True
         self.engine.counters[f"starts_{answer.value}"] += 1
         if answer is StartAnswer.UNANSWERED:
             log_event(Event.RUN_UNANSWERED, **fields, seconds=round(now - sent_at, 3))
@@ -438,7 +471,7 @@
                 runs=len(worker.runs),
             )
         if failure.code is ErrorCode.FENCED:
-            self._is_fenced = True
+            self._writer.is_fenced = True
         self._wake.set()
 
     def _note_reachable(self, worker):
@@ -448,6 +481,35 @@
                 Event.WORKER_BACK, worker=worker.info.worker, runs=len(worker.runs)
             )
 
+    async def _invite_successor(self):
+        """Ask members, the youngest first, to take over if the store serves them."""
+        epoch = self._writer.record.epoch
+        for address in self._roster.find_addresses():
+            message = HandOver(epoch=epoch)
+            answer = await self._ports.peers.call(address, message, INVITE_SECONDS)
+            if answer.is_ok():
+                log_event(Event.HANDOVER_ASKED, epoch=epoch, successor=address)
+                return
+
+    async def _announce(self):
+        """Tell the members who owns the cell; some may not reach the store."""
+        record = self._writer.record
+        while True:
+            message = AnnounceOwner(
+                epoch=record.epoch,
+                member=record.member,
+                address=record.address,
+                desired_version=self.engine.desired.version,
+            )
+            addresses = self._roster.find_addresses()
+            await asyncio.gather(
+                *(
+                    self._ports.peers.call(address, message, ANNOUNCE_SECONDS)
+                    for address in addresses
+                )
+            )
+            await asyncio.sleep(ANNOUNCE_SECONDS if addresses else READ_RETRY_SECONDS)
+
     async def _follow_jobs(self):
         """Take the jobs whose offer was lost."""
         while True:
@@ -466,7 +528,8 @@
             fresh = [
                 row
                 for row in rows
-                if row.key.key.endswith("!") or row.key.key not in self.engine.jobs
+                if row.key.key.endswith(CANCEL_SUFFIX)
+                or row.key.key not in self.engine.jobs
             ]
             if fresh:
                 self._take_job_rows(fresh, {})
--- a/libs/cell/src/cactustiller/cell/workers.py
+++ b/libs/cell/src/cactustiller/cell/workers.py
@@ -125,10 +125,17 @@
         """
         if self.clock_offset is None or not self.is_reachable:
             return None
-        bound = now + lease_seconds * (1 + CLOCK_DRIFT) + LEASE_MARGIN_SECONDS
+        bound = self._bound_lease(now, lease_seconds)
         self.lease_ends_at = max(self.lease_ends_at, bound)
         return int((now + self.clock_offset + lease_seconds) * 1000)
 
+    def limit_lease(self, now, lease_seconds):
+        """Note that no lease granted so far reaches further than one from now."""
+        self.lease_ends_at = self._bound_lease(now, lease_seconds)
+
+    def _bound_lease(self, now, lease_seconds):
+        return now + lease_seconds * (1 + CLOCK_DRIFT) + LEASE_MARGIN_SECONDS
+
     def forget_life(self):
         """Reset what belonged to the worker's former life."""
         self.acked_through = self.seen_through = 0
--- a/libs/model/src/cactustiller/model/messages.capnp
+++ b/libs/model/src/cactustiller/model/messages.capnp
@@ -47,6 +47,10 @@
     askApproval @40 :AskApproval;
     approvalGiven @41 :ApprovalGiven;
     withdrawJob @42 :WithdrawJob;
+    announceOwner @43 :AnnounceOwner;
+    getDesired @44 :Void;
+    desiredText @45 :DesiredText;
+    handOver @46 :HandOver;
   }
 }
 
@@ -275,3 +279,6 @@
 struct PendingCounted { count @0 :UInt32; }
 struct AskApproval { step @0 :Text; workers @1 :List(Text); }
 struct ApprovalGiven { tickets @0 :List(Label); validMs @1 :UInt32; }
+struct AnnounceOwner { epoch @0 :UInt64; member @1 :Text; address @2 :Text; desiredVersion @3 :UInt64; }
+struct DesiredText { text @0 :Text; }
+struct HandOver { epoch @0 :UInt64; }
--- a/libs/model/src/cactustiller/model/messages.py
+++ b/libs/model/src/cactustiller/model/messages.py
@@ -5,6 +5,7 @@
 from .errors import Failure
 from .ids import (
     Attempt,
+    Epoch,
     ExecutorId,
     JobId,
     KeyId,
@@ -396,6 +397,31 @@
     job: JobId
 
 
+class AnnounceOwner(Record):
+    """Tells a member who owns the cell and which desired state is in force there."""
+
+    epoch: Epoch
+    member: MemberId
+    address: str
+    desired_version: int = 0
+
+
+class HandOver(Record):
+    """Invites a member to take the cell over from the owner of an epoch."""
+
+    epoch: Epoch
+
+
+class GetDesired(Record):
+    """Asks a member for the desired state in force there."""
+
+
+class DesiredText(Record):
+    """Desired state as its row holds it; empty where there is none."""
+
+    text: str = ""
+
+
 class FindJobState(Record):
     """Asks a cell's owner for the state of a job."""
 
@@ -476,4 +502,8 @@
     AskApproval,
     ApprovalGiven,
     WithdrawJob,
+    AnnounceOwner,
+    GetDesired,
+    DesiredText,
+    HandOver,
 )
--- a/standins/fleet/cell.py
+++ b/standins/fleet/cell.py
@@ -5,7 +5,6 @@
 
 from cactustiller.cell import (
     DesiredState,
-    Follower,
     JobSpec,
     Member,
     MemberSettings,
@@ -27,6 +26,7 @@
 SERVICE = "recon"
 WORKER_TABLE = "workers"
 CONFIG_TABLE = "settings"
+CONFIG_KEY = "config"
 CAPACITY = Amounts(32_000, 65_536, 0)
 PEER_PORT = 7000
 
@@ -83,8 +83,9 @@
         self._approves = approves
         queues = queues or [make_queue()]
         team = Team(TeamId("team"), 1000.0, limit)
-        self.desired = DesiredState(
-            1, {queue.name: queue for queue in queues}, {team.name: team}
+        self.versions = {}
+        self.set_desired(
+            DesiredState(1, {queue.name: queue for queue in queues}, {team.name: team})
         )
         self.workers = {}
         for index in range(workers):
@@ -102,7 +103,6 @@
         self.stores = {}
         self.worker_clients = {}
         self._numbers = itertools.count()
-        self._terms = {}
         self._count = members
 
     async def __aenter__(self):
@@ -134,6 +134,13 @@
         """Write a worker's entry."""
         self.store.put(self._make_worker_key(worker.info.worker), b"%d" % id(worker))
 
+    def set_desired(self, desired):
+        """Write a desired state as the operator does."""
+        self.desired = desired
+        value = b"%d" % desired.version
+        self.versions[value] = desired
+        self.store.put(RowKey(CONFIG_TABLE, "", CONFIG_KEY), value)
+
     def remove_entry(self, worker_id):
         """Remove a worker's entry."""
         self.store.remove(self._make_worker_key(worker_id))
@@ -150,22 +157,20 @@
             worker_table=WORKER_TABLE,
             worker_part="",
             decode_worker=self._decode_worker,
+            desired_table=CONFIG_TABLE,
+            desired_part="",
+            desired_key=CONFIG_KEY,
+            decode_desired=lambda value: self.versions[value],
             make_peers=self.network.make_peers,
         )
         member = Member(MemberSettings(MemberId(name), "z", name, PEER_PORT), outside)
-        follower = Follower(store, CONFIG_TABLE, "", lambda rows: None)
-        member.watch_desired(follower)
-        follower.start()
-        member.apply_desired(self.desired)
         await member.start()
         self.members[name] = member
-        self._terms[name] = follower
         return name
 
     async def kill(self, name):
         """End a member without a word to the others."""
         member = self.members.pop(name)
-        await self._terms.pop(name).stop()
         await member.abort()
 
     def find_owner(self):
--- a/tests/cell/test_failures.py
+++ b/tests/cell/test_failures.py
@@ -1,12 +1,13 @@
 """Members, workers and the store fail while jobs run."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
 from cactustiller.cell import Acceptance
 from cactustiller.model import JobState
-from standins.fleet import FleetCell, make_job
+from standins.fleet import FleetCell, make_job, make_queue
 from standins.fleet.store import Trouble
 from standins.fleet.workers import WorkerTrouble
 
@@ -258,3 +259,88 @@
         cell.store.slowness = 1.0
         for spec in jobs:
             await cell.wait_for_state(spec, JobState.SUCCEEDED)
+
+
+async def test_a_worker_lost_after_a_takeover_is_given_up_after_one_lease():
+    async with FleetCell(workers=2) as cell:
+        spec = make_job(count=2, cpu=20_000)
+        await cell.submit(spec, seconds=9.0)
+        await cell.wait_for_state(spec, JobState.RUNNING)
+        before = cell.find_owner()
+        await cell.kill(before)
+        await cell.wait_for_owner(besides=before)
+        await asyncio.sleep(0.5)
+        loop = asyncio.get_running_loop()
+        lost_at = loop.time()
+        cell.workers["w0"].trouble = WorkerTrouble.CUT_OFF
+        await cell.wait_for_state(spec, JobState.SUCCEEDED)
+        # The lease, one run on the other worker, and time to notice.
+        assert loop.time() - lost_at < LEASE_SECONDS + 9.0 + 1.5
+
+
+async def test_a_member_that_is_cut_off_soon_refuses_at_once():
+    async with FleetCell() as cell:
+        owner = cell.find_owner()
+        name = next(name for name in cell.members if name != owner)
+        cell.stores[name].trouble = Trouble.SILENT
+        cell.network.cut.add(name)
+        # Two time-outs of the usual calls tell that it is cut off.
+        await asyncio.sleep(1.5)
+        await cell.submit(make_job(1), member=name)
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        outcome = await cell.submit(make_job(2), member=name)
+        assert outcome is Acceptance.REFUSED
+        assert loop.time() - asked_at < 0.1
+
+
+async def test_an_owner_without_store_ends_its_term_once_it_is_fenced():
+    async with FleetCell() as cell:
+        before = cell.find_owner()
+        cell.stores[before].trouble = Trouble.SILENT
+        cell.network.cut.add(before)
+        await cell.wait_for_owner(besides=before)
+        await asyncio.sleep(3.0)
+        assert not cell.members[before].is_owner
+
+
+async def test_a_member_that_the_store_refuses_serves_through_the_owner():
+    async with FleetCell() as cell:
+        before = cell.find_owner()
+        name = next(name for name in cell.members if name != before)
+        cell.stores[name].trouble = Trouble.REFUSING
+        # The owner changes and a desired state comes while the store refuses it.
+        await cell.kill(before)
+        await cell.wait_for_owner(besides=before)
+        queue = make_queue("added")
+        cell.set_desired(replace(cell.desired, version=5, queues={queue.name: queue}))
+        await asyncio.sleep(2.0)
+        assert cell.members[name].desired_state.version == 5
+        assert cell.members[name].is_ready()
+        spec = make_job(queue=queue)
+        assert await cell.submit(spec, member=name) is Acceptance.ACCEPTED
+        await cell.wait_for_state(spec, JobState.SUCCEEDED, member=name)
+
+
+async def test_an_owner_that_the_store_refuses_hands_over_within_a_second():
+    async with FleetCell() as cell:
+        await asyncio.sleep(3.0)
+        before = cell.find_owner()
+        loop = asyncio.get_running_loop()
+        refused_at = loop.time()
+        cell.stores[before].trouble = Trouble.REFUSING
+        await cell.wait_for_owner(besides=before)
+        assert loop.time() - refused_at < 1.0
+
+
+async def test_an_owner_keeps_its_cell_while_the_store_refuses_everyone():
+    async with FleetCell() as cell:
+        await asyncio.sleep(3.0)
+        before = cell.find_owner()
+        for store in cell.stores.values():
+            store.trouble = Trouble.REFUSING
+        await asyncio.sleep(3.0)
+        for store in cell.stores.values():
+            store.trouble = Trouble.NONE
+        await asyncio.sleep(2.0)
+        assert cell.find_owner() == before
