Split the owner and the engine into modules of one job each

Change: loading, orders, announcing and hand-ins have modules of their own; rooms, attempts and rounds are layers of the engine. No change of behaviour meant.

--- a/libs/cell/src/cactustiller/cell/__init__.py
+++ b/libs/cell/src/cactustiller/cell/__init__.py
@@ -2,9 +2,9 @@
 
 from .admission import Admitted, Refusal, admit_call
 from .desired import DesiredState, Pool, Queue, Team
-from .engine import ListedEnd, ListedRun, Listing
 from .followers import Follower
 from .insertion import Acceptance
+from .listings import ListedEnd, ListedRun, Listing
 from .member import Member, MemberSettings, Outside
 from .ports import (
     Approval,
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/announcing.py
@@ -0,0 +1,76 @@
+"""What an owner tells the other members."""
+
+import asyncio
+
+from cactustiller.model.messages import AnnounceOwner, AnnounceOwnership, HandOver
+
+from .events import Event, log_event
+
+# Members that hear of an owner and of a desired state only from peers get it in time
+# for the bound of 2 s on configuration changes.
+ANNOUNCE_SECONDS = 0.7
+# Until the first members are known.
+FIRST_SECONDS = 0.1
+CALL_SECONDS = 0.25
+MOST_SUCCESSORS = 3
+
+
+class Announcer:
+    """Tells members of the owner, and one of them that it may take over.
+
+    Parameters
+    ----------
+    peers : PeerClient
+    roster : Roster
+        The youngest member is asked first: members are restarted in turn, so it
+        stays the longest.
+    record : OwnerRecord
+    """
+
+    def __init__(self, peers, roster, record):
+        self._peers = peers
+        self._roster = roster
+        self._record = record
+
+    async def announce(self, find_version):
+        """Tell all members who owns the cell, again and again.
+
+        Some may not reach the store, so the version of the desired state goes along.
+        """
+        while True:
+            message = AnnounceOwner(
+                epoch=self._record.epoch,
+                member=self._record.member,
+                address=self._record.address,
+                desired_version=find_version(),
+            )
+            addresses = self._roster.find_addresses()
+            await asyncio.gather(
+                *(
+                    self._peers.call(address, message, ANNOUNCE_SECONDS)
+                    for address in addresses
+                )
+            )
+            await asyncio.sleep(ANNOUNCE_SECONDS if addresses else FIRST_SECONDS)
+
+    async def notify_successor(self):
+        """Tell a member that the cell is released."""
+        message = AnnounceOwnership(version=self._record.epoch)
+        await self._call_first(message, MOST_SUCCESSORS)
+
+    async def invite_successor(self):
+        """Ask a member to take over, if the store serves it."""
+        message = HandOver(epoch=self._record.epoch)
+        successor = await self._call_first(message, None)
+        if successor:
+            log_event(
+                Event.HANDOVER_ASKED, epoch=self._record.epoch, successor=successor
+            )
+
+    async def _call_first(self, message, most):
+        """Call members in turn until one agrees; return its address."""
+        for address in self._roster.find_addresses()[:most]:
+            answer = await self._peers.call(address, message, CALL_SECONDS)
+            if answer.is_ok():
+                return address
+        return ""
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/attempts.py
@@ -0,0 +1,301 @@
+"""Runs of tasks: their starts, ends and stops, as workers answer and list them."""
+
+from collections import Counter
+from typing import NamedTuple
+
+from cactustiller.model import JobState, WorkerId
+
+from .desired import DesiredState
+from .events import Event, log_event
+from .health import is_stalled, note_failure, note_stall, note_success
+from .rooms import LEASE_SECONDS, Rooms
+from .runs import End, RunPhase
+from .workers import Worker
+
+STOP_RETRY_SECONDS = 0.5
+# A run that is still there this long after its stop was answered is stopped again.
+STOP_PATIENCE_SECONDS = 2.0
+
+
+class Stop(NamedTuple):
+    """Run that is to be stopped on a worker."""
+
+    worker: Worker
+    task: str
+    run: int
+
+
+class Attempts(Rooms):
+    """Follows the latest run of each task.
+
+    Parameters
+    ----------
+    clock : callable
+        Seconds of the loop.
+    wall_clock_ms : callable
+        Unix milliseconds.
+    """
+
+    def __init__(self, clock, wall_clock_ms):
+        super().__init__(clock)
+        self.shown = {}
+        self.desired = DesiredState()
+        self.counters = Counter()
+        self._wall_clock_ms = wall_clock_ms
+        self._dirty = set()
+        self._eligible = {}
+        self._stops_sent = {}
+
+    def apply_listing(self, worker, listing, sent_at, received_at):
+        """Take what a worker says of its runs.
+
+        Parameters
+        ----------
+        worker : Worker
+        listing : Listing
+        sent_at, received_at : float
+            When the call was sent and its answer came.
+        """
+        if worker.born_ms and listing.born_ms > worker.born_ms:
+            self._end_life(worker, listing.born_ms)
+        elif listing.born_ms and listing.born_ms < worker.born_ms:
+            return
+        worker.born_ms = listing.born_ms
+        worker.read_clock(listing.clock_ms, received_at)
+        for end in listing.ended:
+            if end.number > worker.seen_through:
+                worker.seen_through = end.number
+                self._apply_end(worker, end)
+        listed = {run.task: run for run in listing.active}
+        for run in listing.active:
+            self._apply_active(worker, run, received_at)
+        for name, (task, run) in list(worker.runs.items()):
+            if name not in listed or listed[name].run < run:
+                self._check_missing(worker, task, sent_at)
+        if not worker.is_synchronized:
+            # The fence is raised there, so a former owner grants nothing more.
+            worker.limit_lease(received_at, LEASE_SECONDS)
+            worker.is_synchronized = True
+
+    def _apply_end(self, worker, end):
+        self.counters[f"runs_ended_{end.end.value}"] += 1
+        held = worker.runs.get(end.task)
+        if held is None or held[1] != end.run:
+            worker.strays.pop((end.task, end.run), None)
+            return
+        task = held[0]
+        self._release(worker, task)
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        if task.run != end.run or task.phase is RunPhase.SUCCEEDED:
+            return
+        log_event(
+            Event.RUN_ENDED,
+            job=task.step.job.spec.job,
+            task=task.name,
+            run=end.run,
+            worker=worker.info.worker,
+            end=end.end.value,
+        )
+        if end.end is End.DONE and not task.step.spec.is_service:
+            note_success(worker)
+            self._succeed(task)
+        elif end.end is End.FAILED:
+            note_failure(worker, task, self.workers.values(), self._clock())
+            self._fail(task)
+        else:
+            self._requeue(task)
+
+    def _succeed(self, task):
+        step = task.step
+        # One member that ended so speaks for its gang.
+        done = step.tasks if step.spec.is_gang else [task]
+        for member in done:
+            if member.phase is RunPhase.WAITING:
+                step.waiting -= 1
+            if member.phase is not RunPhase.SUCCEEDED:
+                member.phase = RunPhase.SUCCEEDED
+                step.succeeded += 1
+        job = step.job
+        job.close_finished()
+        if job.is_complete():
+            self._finish(job, JobState.SUCCEEDED)
+        else:
+            self._refresh(job)
+
+    def _fail(self, task):
+        step = task.step
+        if not step.spec.is_gang:
+            task.failures += 1
+        elif task.run > step.failed_run:
+            step.failed_run = task.run
+            for member in step.tasks:
+                member.failures += 1
+        limit = self.find_rules(step.job).max_attempts
+        if task.failures >= limit and not step.spec.is_service:
+            self._requeue(task)
+            self._finish(step.job, JobState.FAILED)
+        else:
+            self._requeue(task)
+
+    def _requeue(self, task):
+        """Let a task wait again whose run has surely ended."""
+        step = task.step
+        if task.phase is RunPhase.SUCCEEDED:
+            return
+        if task.phase is not RunPhase.WAITING:
+            task.phase = RunPhase.WAITING
+            step.waiting += 1
+        task.worker = WorkerId("")
+        task.is_sent = task.is_stopping = task.is_unanswered = False
+        if step.spec.is_gang:
+            # A gang that lost a member starts again as a whole.
+            for member in step.tasks:
+                member.is_stopping = member.holds_room
+        self._refresh(step.job)
+
+    def _apply_active(self, worker, listed, now):
+        held = worker.runs.get(listed.task)
+        if held is None or held[1] != listed.run:
+            worker.strays.setdefault((listed.task, listed.run), 0.0)
+            return
+        task = held[0]
+        if listed.checkpoint:
+            task.checkpoint = listed.checkpoint
+        if task.phase is RunPhase.ASSIGNED:
+            task.phase = RunPhase.RUNNING
+            task.started_at = task.started_at or now
+            self._mark_started(task.step.job)
+        if listed.progress > task.progress:
+            task.progress, task.progressed_at = listed.progress, now
+
+    def _check_missing(self, worker, task, sent_at):
+        """Settle a run that the worker does not list."""
+        if not worker.is_synchronized:
+            # The list came under this owner's fence: no earlier start is carried out.
+            self._settle(worker, task, "not listed after takeover")
+        elif task.started_at and task.started_at < sent_at:
+            self._settle(worker, task, "no longer listed")
+        elif task.stopped_at and task.stopped_at < sent_at:
+            self._settle(worker, task, "stopped before it started")
+        elif task.is_sent and not task.started_at and task.is_unanswered:
+            task.is_stopping = True
+
+    def _settle(self, worker, task, reason):
+        log_event(
+            Event.RUN_SETTLED,
+            job=task.step.job.spec.job,
+            task=task.name,
+            run=task.run,
+            worker=worker.info.worker,
+            reason=reason,
+        )
+        self._release(worker, task)
+        self._requeue(task)
+
+    def confirm_start(self, task, run, now):
+        """Note that a worker accepted a start."""
+        if task.run == run and task.phase is RunPhase.ASSIGNED:
+            task.phase = RunPhase.RUNNING
+            task.started_at = task.progressed_at = now
+            self._mark_started(task.step.job)
+
+    def reject_start(self, worker, task, run, retry_at):
+        """Note that a worker refused a start: the run is not there."""
+        held = worker.runs.get(task.name)
+        if held is None or held[1] != run:
+            return
+        self._release(worker, task)
+        if task.run == run:
+            task.step.retry_at = max(task.step.retry_at, retry_at)
+            self._requeue(task)
+
+    def confirm_stop(self, stop, now):
+        """Note that a worker took a stop; a run that was not there never will be.
+
+        A run that was there holds its room until its end is listed.
+        """
+        held = stop.worker.runs.get(stop.task)
+        if held is not None and held[1] == stop.run:
+            # Listings asked for before this one stay of no use, so the first counts.
+            held[0].stopped_at = held[0].stopped_at or now
+        stop.worker.strays.pop((stop.task, stop.run), None)
+
+    def find_stops(self):
+        """Return the stops that are due, each again after a pause."""
+        now = self._clock()
+        stops = []
+        for worker in self.workers.values():
+            for task, run in worker.runs.values():
+                is_answered = (
+                    task.stopped_at and now - task.stopped_at < STOP_PATIENCE_SECONDS
+                )
+                if task.is_stopping and not is_answered:
+                    stops.append(Stop(worker, task.name, run))
+            stops += [Stop(worker, name, run) for name, run in worker.strays]
+        due = [
+            stop
+            for stop in stops
+            if now - self._stops_sent.get((stop.task, stop.run), -1.0)
+            >= STOP_RETRY_SECONDS
+        ]
+        self._stops_sent = {
+            key: sent
+            for key, sent in self._stops_sent.items()
+            if now - sent < 2 * STOP_RETRY_SECONDS
+        }
+        for stop in due:
+            self._stops_sent[stop.task, stop.run] = now
+        return due
+
+    def find_stalled(self):
+        """Stop runs that stand still, so that they run elsewhere."""
+        now = self._clock()
+        for worker in self.workers.values():
+            if not worker.is_reachable:
+                continue
+            for task, run in worker.runs.values():
+                if task.run == run and is_stalled(task, worker, now):
+                    task.is_stopping = True
+                    note_stall(worker, task, self.workers.values(), now)
+
+    def _mark_started(self, job):
+        if not job.has_started:
+            job.has_started = True
+            if job.state is JobState.WAITING:
+                job.state = JobState.RUNNING
+                self.shown[job.spec.job] = JobState.RUNNING
+            self._dirty.add(job.spec.job)
+
+    def _refresh(self, job):
+        """Bring the set of steps that may start up to date."""
+        self._dirty.add(job.spec.job)
+        if job.state.is_final:
+            return
+        for step in job.find_eligible():
+            if step not in self._eligible:
+                step.eligible_at = self._clock()
+                self._eligible[step] = True
+
+    def _finish(self, job, state):
+        job.state = state
+        job.ended_ms = int(self._wall_clock_ms())
+        self._dirty.add(job.spec.job)
+        log_event(Event.JOB_ENDED, job=job.spec.job, state=state.value)
+        for step in job.iterate_steps():
+            self._eligible.pop(step, None)
+            for task in step.tasks:
+                if task.holds_room:
+                    task.is_stopping = True
+        if state is JobState.SUCCEEDED:
+            job.occurrences.clear()
+
+    def find_rules(self, job):
+        """Return the rules in force for a job's queue."""
+        queue = self.desired.queues.get(job.spec.queue)
+        return queue.rules if queue else job.spec.rules
+
+    def apply_desired(self, desired):
+        """Take a newer desired state."""
+        if desired.version > self.desired.version:
+            self.desired = desired
--- a/libs/cell/src/cactustiller/cell/commits.py
+++ b/libs/cell/src/cactustiller/cell/commits.py
@@ -5,7 +5,6 @@
 from cactustiller.model import JobId, Outcome
 
 from .election import RENEW_SECONDS, OwnerRecord, decode_owner, encode_owner
-from .engine import OWNER_WITHOUT_STORE_SECONDS
 from .events import Event, log_event
 from .ports import (
     JOB_TABLE,
@@ -16,6 +15,7 @@
     make_job_key,
     make_progress_key,
 )
+from .rooms import OWNER_WITHOUT_STORE_SECONDS
 
 # Bound of one call; a slow store answers within it.
 COMMIT_CALL_SECONDS = 1.2
--- a/libs/cell/src/cactustiller/cell/followers.py
+++ b/libs/cell/src/cactustiller/cell/followers.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from cactustiller.model import ErrorCode
-from cactustiller.model.messages import AnnounceOwnership
 
 from .events import Event, log_event
 from .ports import MEMBER_TABLE
@@ -16,8 +15,6 @@
 FEED_PAUSE_SECONDS = 0.02
 # A feed may stay silent while rows change, so the table is read again this often.
 REREAD_SECONDS = 2.0
-NOTIFY_SECONDS = 0.2
-MOST_SUCCESSORS = 3
 PAST_ALL_KEYS = "\x7f"
 
 
@@ -181,17 +178,6 @@
         """Return the peer addresses of the other members."""
         return self._addresses
 
-    async def notify_successor(self, peers, epoch):
-        """Tell the youngest member that the cell is released.
-
-        Members are restarted in turn, so the youngest stays the longest.
-        """
-        for address in self._addresses[:MOST_SUCCESSORS]:
-            message = AnnounceOwnership(version=epoch)
-            answer = await peers.call(address, message, NOTIFY_SECONDS)
-            if answer.is_ok():
-                return
-
     def _take_rows(self, rows):
         members = [decode_member_row(value) for value in rows.values()]
         members.sort(key=lambda member: -member[1])
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/handins.py
@@ -0,0 +1,93 @@
+"""Jobs and cancellings that wait for the transaction that holds them."""
+
+import asyncio
+
+from result import Err, Ok
+
+from cactustiller.model import ErrorCode, Failure, Outcome
+
+
+class HandIns:
+    """Callers of one owner who wait for the store.
+
+    Parameters
+    ----------
+    engine : Engine
+        Forgets the jobs that are refused.
+    member : MemberId
+        Named in failures.
+
+    Attributes
+    ----------
+    jobs : dict of JobId to (bytes, Future)
+        Rows to be stored.
+    """
+
+    def __init__(self, engine, member):
+        self.jobs = {}
+        self._engine = engine
+        self._member = member
+        self._cancels = {}
+        self._jobs_in_flight = frozenset()
+        self._cancels_in_flight = frozenset()
+
+    async def wait_for_job(self, job, row):
+        """Return ``Ok(None)`` once a job is stored."""
+        if job not in self.jobs:
+            self.jobs[job] = (row, asyncio.get_running_loop().create_future())
+        return await asyncio.shield(self.jobs[job][1])
+
+    async def wait_for_cancel(self, job):
+        """Return ``Ok(None)`` once a cancelling is stored."""
+        future = self._cancels.setdefault(
+            job, asyncio.get_running_loop().create_future()
+        )
+        return await asyncio.shield(future)
+
+    def take_off(self):
+        """Return the rows for the next transaction."""
+        self._jobs_in_flight = frozenset(self.jobs)
+        self._cancels_in_flight = frozenset(self._cancels)
+        return [(job, row) for job, (row, _) in self.jobs.items()]
+
+    def land(self):
+        """Answer the callers whose transaction took effect."""
+        stored = [job for job in self._jobs_in_flight if job in self.jobs]
+        self._engine.confirm_jobs(stored)
+        for job in stored:
+            self.jobs.pop(job)[1].set_result(Ok(None))
+        for job in self._cancels_in_flight:
+            self._cancels.pop(job).set_result(Ok(None))
+        self._jobs_in_flight = self._cancels_in_flight = frozenset()
+
+    def refuse_unwritten(self):
+        """Refuse the jobs that no transaction on its way holds."""
+        self.refuse([job for job in self.jobs if job not in self._jobs_in_flight])
+
+    def refuse(self, jobs):
+        """Refuse jobs that surely are not stored, and forget them."""
+        for job in jobs:
+            _, future = self.jobs.pop(job)
+            self._engine.drop_job(job)
+            future.set_result(self.fail("the store is away"))
+
+    def end_term(self):
+        """Answer all callers; what is on its way may still be stored."""
+        self.refuse_unwritten()
+        failure = self.fail("the term ended", ErrorCode.NOT_OWNER, Outcome.UNKNOWN)
+        for future in [*(f for _, f in self.jobs.values()), *self._cancels.values()]:
+            future.set_result(failure)
+        self.jobs.clear()
+        self._cancels.clear()
+
+    def fail(self, reason, code=ErrorCode.UNAVAILABLE, outcome=Outcome.NOT_RUN):
+        """Return the failure of a hand-in."""
+        return Err(
+            Failure(
+                code=code,
+                step="store job",
+                peer=self._member,
+                reason=reason,
+                outcome=outcome,
+            )
+        )
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/loading.py
@@ -0,0 +1,121 @@
+"""Jobs and their progress in the store, read at takeover and followed since."""
+
+import asyncio
+
+from cactustiller.model import ErrorCode, JobId
+
+from .events import Event, log_event
+from .ports import (
+    CANCEL_SUFFIX,
+    CELL_PART,
+    JOB_TABLE,
+    PROGRESS_TABLE,
+    split_job_key,
+)
+from .specs import decode_job
+
+# Jobs reach the owner directly; the feed brings those that members stored themselves.
+FEED_PAUSE_SECONDS = 0.4
+READ_SECONDS = 1.5
+READ_RETRY_SECONDS = 0.1
+PAST_ALL_KEYS = "\x7f"
+
+
+class JobLoader:
+    """Fills an engine with the jobs of the store.
+
+    Parameters
+    ----------
+    engine : Engine
+    store : RowStore
+    writer : BatchWriter
+        Renews the owner's row during the first read.
+    """
+
+    def __init__(self, engine, store, writer):
+        self._engine = engine
+        self._store = store
+        self._writer = writer
+        self._cancelled = set()
+        self._feed_version = 0
+
+    async def load(self):
+        """Read all jobs and their progress."""
+        progress, _ = await self._read_table(PROGRESS_TABLE, CELL_PART)
+        jobs, self._feed_version = await self._read_table(JOB_TABLE, CELL_PART)
+        rows = {row.key.key: row.value for row in progress}
+        self._take_job_rows(jobs, rows)
+
+    async def follow(self, wake):
+        """Take the jobs whose offer was lost."""
+        while True:
+            await asyncio.sleep(FEED_PAUSE_SECONDS)
+            answer = await self._store.follow(JOB_TABLE, self._feed_version, 0.0)
+            if answer.is_ok():
+                page = answer.unwrap()
+                self._feed_version = max(self._feed_version, page.version)
+                rows = page.rows
+            elif answer.unwrap_err().code is ErrorCode.HISTORY_LOST:
+                rows, self._feed_version = await self._read_table(
+                    JOB_TABLE, CELL_PART, renews=False
+                )
+            else:
+                continue
+            fresh = [
+                row
+                for row in rows
+                if row.key.key.endswith(CANCEL_SUFFIX)
+                or row.key.key not in self._engine.jobs
+            ]
+            if fresh:
+                self._take_job_rows(fresh, {})
+                wake()
+
+    def _take_job_rows(self, rows, progress):
+        for row in rows:
+            job, is_cancel = split_job_key(row.key.key)
+            if is_cancel and row.value is not None:
+                self._cancelled.add(job)
+        for row in rows:
+            job, is_cancel = split_job_key(row.key.key)
+            if not is_cancel and row.value is not None:
+                self.add_job(job, row.value, progress.get(job))
+        for job in self._cancelled:
+            self._engine.cancel_job(job)
+
+    def add_job(self, job, row, progress=None, is_stored=True):
+        """Add a job from the text of its row."""
+        try:
+            spec = decode_job(JobId(job), row)
+            self._engine.add_job(spec, progress, is_stored)
+        except ValueError as error:
+            log_event(Event.ENTRY_UNREADABLE, what="job", job=job, reason=str(error))
+            return
+        if job in self._cancelled:
+            self._engine.cancel_job(job)
+
+    async def _read_table(self, table, part, renews=True):
+        """Return all rows and the version that the first page shows.
+
+        The owner's row is renewed in between where nothing else does so.
+        """
+        rows = []
+        version = None
+        first = ""
+        while True:
+            answer = await self._store.read(
+                table, part, first, PAST_ALL_KEYS, READ_SECONDS
+            )
+            if answer.is_err():
+                await asyncio.sleep(READ_RETRY_SECONDS)
+                if renews:
+                    await self._writer.write([])
+                continue
+            page = answer.unwrap()
+            rows += page.rows
+            version = page.version if version is None else version
+            if not page.has_more:
+                return rows, version
+            first = page.rows[-1].key.key + "\0"
+            if renews and self._writer.needs_renewal:
+                await self._writer.write([])
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/orders.py
@@ -0,0 +1,220 @@
+"""Orders to workers and what they list: starts, stops and leases."""
+
+import asyncio
+
+from cactustiller.model import ErrorCode
+
+from .events import Event, log_event
+from .ports import StartAnswer, StartOrder
+from .rooms import LEASE_SECONDS
+
+# Renews each lease several times over.
+HOLD_WAIT_MS = 1000
+HOLD_RETRY_SECONDS = 0.25
+# Pause before a refused start is tried again, so that it does not spin.
+REFUSED_PAUSE_SECONDS = 0.1
+UNHEALTHY_PAUSE_SECONDS = 1.5
+REFUSALS_WITHOUT_PAUSE = (StartAnswer.NO_TICKET, StartAnswer.OLD_RUN)
+
+
+class Orders:
+    """Carries an engine's decisions to the workers, and their lists back.
+
+    Parameters
+    ----------
+    engine : Engine
+    calls : WorkerCalls
+    writer : BatchWriter
+        Told when a worker has seen a higher fence.
+    wake : callable
+        Called after each change.
+    """
+
+    def __init__(self, engine, calls, writer, wake):
+        self._engine = engine
+        self._calls = calls
+        self._writer = writer
+        self._fence = writer.record.epoch
+        self._wake = wake
+        self._committed = asyncio.Event()
+        self._loops = {}
+        self._tasks = set()
+
+    def send_starts(self, placements):
+        """Send starts without waiting for their answers."""
+        for placement in placements:
+            self._run_aside(self._send_start(placement))
+
+    def send_stops(self, stops):
+        """Send stops without waiting for their answers."""
+        for stop in stops:
+            self._run_aside(self._send_stop(stop))
+
+    def note_committed(self):
+        """Let the workers whose ends are stored hear of it."""
+        self._committed.set()
+        self._committed = asyncio.Event()
+
+    async def close(self):
+        """End every call."""
+        tasks = [*self._loops.values(), *self._tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def follow_workers(self):
+        """Hold each worker that is not held yet."""
+        for worker_id, worker in self._engine.workers.items():
+            if worker_id not in self._loops and worker.info.address:
+                task = asyncio.create_task(self._hold_worker(worker))
+                self._loops[worker_id] = task
+                task.add_done_callback(self._note_done)
+                task.add_done_callback(
+                    lambda _, worker_id=worker_id: self._loops.pop(worker_id, None)
+                )
+
+    async def _hold_worker(self, worker):
+        """Renew a worker's lease and take what it lists, until it is removed."""
+        loop = asyncio.get_running_loop()
+        key = worker.info.worker
+        while self._engine.workers.get(key) is worker:
+            is_caught_up = worker.acked_through == worker.seen_through
+            waits = worker.is_synchronized and worker.is_reachable and is_caught_up
+            sent_at = loop.time()
+            answer = await self._calls.hold(
+                worker.info,
+                self._fence,
+                worker.acked_through,
+                worker.make_deadline_ms(sent_at, LEASE_SECONDS),
+                HOLD_WAIT_MS if waits else 0,
+            )
+            if answer.is_err():
+                self._note_unreachable(worker, answer.unwrap_err())
+                await asyncio.sleep(HOLD_RETRY_SECONDS)
+                continue
+            self._note_reachable(worker)
+            self._engine.apply_listing(worker, answer.unwrap(), sent_at, loop.time())
+            self._wake()
+            if worker.seen_through != worker.acked_through:
+                await self._wait_for_commit()
+
+    async def _wait_for_commit(self):
+        try:
+            async with asyncio.timeout(HOLD_WAIT_MS / 1000):
+                await self._committed.wait()
+        except TimeoutError:
+            return
+
+    def _note_unreachable(self, worker, failure):
+        if worker.is_reachable:
+            worker.is_reachable = False
+            log_event(
+                Event.WORKER_LOST,
+                worker=worker.info.worker,
+                peer=failure.peer,
+                reason=failure.reason,
+                runs=len(worker.runs),
+            )
+        if failure.code is ErrorCode.FENCED:
+            self._writer.is_fenced = True
+        self._wake()
+
+    def _note_reachable(self, worker):
+        if not worker.is_reachable:
+            worker.is_reachable = True
+            log_event(
+                Event.WORKER_BACK, worker=worker.info.worker, runs=len(worker.runs)
+            )
+
+    def _run_aside(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_done)
+
+    def _note_done(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event(Event.TERM_FAILED, reason=repr(task.exception()))
+
+    async def _send_start(self, placement):
+        task, worker, ticket = placement
+        loop = asyncio.get_running_loop()
+        run, step = task.run, task.step
+        sent_at = loop.time()
+        deadline_ms = worker.make_deadline_ms(sent_at, LEASE_SECONDS)
+        if deadline_ms is None:
+            # The worker was lost after it was chosen.
+            self._engine.reject_start(worker, task, run, sent_at)
+            return
+        order = StartOrder(
+            task=task.name,
+            run=run,
+            payload=step.job.spec.payload,
+            deadline_ms=deadline_ms,
+            fence=self._fence,
+            checkpoint=task.checkpoint,
+            ticket=ticket,
+        )
+        answer = await self._calls.start(worker.info, order)
+        now = loop.time()
+        fields = {
+            "job": step.job.spec.job,
+            "task": task.name,
+            "run": run,
+            "worker": worker.info.worker,
+        }
+        if answer is StartAnswer.STARTED:
+            log_event(
+                Event.RUN_STARTED,
+                **fields,
+                waited=round(sent_at - step.eligible_at, 3),
+                ticket_age=round(step.approved_until - sent_at, 3),
+            )
+            self._engine.confirm_start(task, run, now)
+            self._engine.counters["starts"] += 1
+            return
+        if answer is StartAnswer.FENCED:
+            self._writer.is_fenced = True
+        self._engine.counters[f"starts_{answer.value}"] += 1
+        if answer is StartAnswer.UNANSWERED:
+            log_event(Event.RUN_UNANSWERED, **fields, seconds=round(now - sent_at, 3))
+            task.is_unanswered = task.run == run
+        else:
+            log_event(Event.RUN_REFUSED, **fields, answer=answer.value)
+            self._take_refusal(placement, run, answer, now)
+        self._wake()
+
+    def _take_refusal(self, placement, run, answer, now):
+        task, worker, _ = placement
+        if answer is StartAnswer.NO_TICKET:
+            task.step.approved_until = 0.0
+        if answer is StartAnswer.UNHEALTHY:
+            worker.avoided_until = now + UNHEALTHY_PAUSE_SECONDS
+        pause = 0.0 if answer in REFUSALS_WITHOUT_PAUSE else REFUSED_PAUSE_SECONDS
+        self._engine.reject_start(worker, task, run, now + pause)
+
+    async def _send_stop(self, stop):
+        answer = await self._calls.stop(
+            stop.worker.info, stop.task, stop.run, self._fence
+        )
+        if answer.is_ok():
+            now = asyncio.get_running_loop().time()
+            self._engine.confirm_stop(stop, now)
+            log_event(
+                Event.RUN_STOPPED,
+                task=stop.task,
+                run=stop.run,
+                worker=stop.worker.info.worker,
+            )
+            await self._look(stop.worker)
+
+    async def _look(self, worker):
+        """Take a worker's list at once, beside the call that waits for ends."""
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        answer = await self._calls.hold(
+            worker.info, self._fence, worker.acked_through, None, 0
+        )
+        if answer.is_ok():
+            self._engine.apply_listing(worker, answer.unwrap(), sent_at, loop.time())
+            self._wake()
--- a/libs/cell/src/cactustiller/cell/ports.py
+++ b/libs/cell/src/cactustiller/cell/ports.py
@@ -7,7 +7,7 @@
 
 from cactustiller.model import Failure, JobId, WorkerId
 
-from .engine import Listing
+from .listings import Listing
 from .workers import WorkerInfo
 
 
