Notice lost and stalled workers sooner; keep a step from where it failed

Ruled out: approval (25 ms), the store (10 ms) and the start (25 ms from acceptance).

Change: calls that wait for ends come back after 0.5 s and count as lost 0.5 s later; a stall is judged by what the worker last listed; workers where a step failed go last; urgent gangs may use reserved room; a deposed owner ends its term at once.

--- a/libs/cell/src/cactustiller/cell/attempts.py
+++ b/libs/cell/src/cactustiller/cell/attempts.py
@@ -62,6 +62,7 @@
             return
         worker.born_ms = listing.born_ms
         worker.read_clock(listing.clock_ms, received_at)
+        worker.listed_at = max(worker.listed_at, sent_at)
         for end in listing.ended:
             if end.number > worker.seen_through:
                 worker.seen_through = end.number
@@ -101,6 +102,7 @@
             note_success(worker)
             self._succeed(task)
         elif end.end is End.FAILED:
+            task.step.failed_on.add(worker.info.worker)
             note_failure(worker, task, self.workers.values(), self._clock())
             self._fail(task)
         else:
@@ -255,8 +257,9 @@
             if not worker.is_reachable:
                 continue
             for task, run in worker.runs.values():
-                if task.run == run and is_stalled(task, worker, now):
+                if task.run == run and is_stalled(task, worker):
                     task.is_stopping = True
+                    task.step.failed_on.add(worker.info.worker)
                     note_stall(worker, task, self.workers.values(), now)
 
     def _mark_started(self, job):
--- a/libs/cell/src/cactustiller/cell/commits.py
+++ b/libs/cell/src/cactustiller/cell/commits.py
@@ -79,8 +79,6 @@
     ----------
     is_store_lost : bool
         The latest call failed.
-    is_fenced : bool
-        Set from outside once a worker has seen a higher fence.
     """
 
     def __init__(self, store, claim, on_lost, on_given_up, on_turned_away):
@@ -92,7 +90,6 @@
         self._now_at = self.succeeded_at = asyncio.get_running_loop().time()
         self._usual = 0.0
         self.is_store_lost = False
-        self.is_fenced = False
 
     @property
     def needs_renewal(self):
@@ -130,8 +127,6 @@
         sequence = self.record.sequence + 1
         sure_failures = quick_failures = 0
         while True:
-            if self.is_fenced:
-                raise OwnershipLostError("a worker has seen a higher fence")
             since = (loop.time() - self._now_at) * 1000
             record = OwnerRecord(
                 self.record.epoch,
--- a/libs/cell/src/cactustiller/cell/election.py
+++ b/libs/cell/src/cactustiller/cell/election.py
@@ -20,7 +20,7 @@
 SUSPECT_AFTER_SECONDS = 0.65
 # The row must have stood still before a member's own eyes this long, so that an
 # owner can renew it after an outage of the store.
-STILL_SECONDS = 0.5
+STILL_SECONDS = 0.4
 # A renewal takes about two calls' time, and the owner waits for one before the next.
 SLOW_READS = 4.0
 CALL_SECONDS = 1.5
@@ -121,6 +121,7 @@
         self._random = random.Random(member)
         self._seen = (-1, 0.0)
         self._poke = asyncio.Event()
+        self._pause = POLL_SECONDS
         self._invited = None
         self._suspect = None
 
@@ -157,7 +158,7 @@
             if claim is not None:
                 return claim
             try:
-                async with asyncio.timeout(POLL_SECONDS):
+                async with asyncio.timeout(self._pause):
                     await self._poke.wait()
             except TimeoutError:
                 continue
@@ -187,6 +188,9 @@
         if version != self._seen[0]:
             self._seen = (version, now)
         self.read_seconds = now - asked_at
+        # A row that may be taken over soon is looked at as soon as it may.
+        left = self._seen[1] + STILL_SECONDS - now
+        self._pause = left if 0 < left < POLL_SECONDS else POLL_SECONDS
         is_invited = record.epoch == self._invited
         if not is_invited and not should_claim(
             record,
--- a/libs/cell/src/cactustiller/cell/health.py
+++ b/libs/cell/src/cactustiller/cell/health.py
@@ -7,9 +7,10 @@
 FAILURES_NEEDED = 3
 FIRST_PAUSE_SECONDS = 2.0
 LONGEST_PAUSE_SECONDS = 8.0
-# A run whose percentage has not risen for this long stands still; a percent of the
-# longest tasks takes 0.2 s on a worker of usual speed.
-STALL_SECONDS = 2.5
+# A run whose percentage has not risen for this long stands still: restoring a
+# checkpoint takes 0.6 s, and a percent of a long task on a slow worker about 1 s.
+STALL_SECONDS = 1.2
+STALL_PART_OF_ESTIMATE = 0.05
 STALL_PAUSE_SECONDS = 4.0
 # No more than this part of the workers is avoided at once.
 MOST_AVOIDED = 0.34
@@ -57,15 +58,17 @@
     return True
 
 
-def is_stalled(task, worker, now):
+def is_stalled(task, worker):
     """Return whether a run has made no progress although its worker answers."""
+    estimate = task.step.spec.estimate_ms / 1000
+    patience = STALL_SECONDS + STALL_PART_OF_ESTIMATE * estimate
     return (
         task.phase is RunPhase.RUNNING
         and not task.is_stopping
         and not task.step.spec.is_service
         and not task.step.spec.fills
         and bool(task.progressed_at)
-        and now - task.progressed_at > STALL_SECONDS
+        and worker.listed_at - task.progressed_at > patience
     )
 
 
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -265,6 +265,8 @@
 
     async def _take_announcement(self, message):
         self._told_at = asyncio.get_running_loop().time()
+        if self._owner is not None and message.epoch > self._owner.epoch:
+            self._owner.depose(f"{message.member} owns the cell")
         self._election.take_announcement(message.epoch, message.member, message.address)
         if message.desired_version > self.desired_state.version:
             answer = await self.peers.call(
--- a/libs/cell/src/cactustiller/cell/orders.py
+++ b/libs/cell/src/cactustiller/cell/orders.py
@@ -8,12 +8,16 @@
 from .ports import StartAnswer, StartOrder
 from .rooms import LEASE_SECONDS
 
-# Renews each lease several times over.
-HOLD_WAIT_MS = 1000
+# A worker without ends to tell is heard of this often; a lost one is noticed then.
+HOLD_WAIT_MS = 500
 HOLD_RETRY_SECONDS = 0.25
+# Leases are renewed in the meantime while the store does not take the ends.
+COMMIT_WAIT_SECONDS = 1.0
 # Pause before a refused start is tried again, so that it does not spin.
 REFUSED_PAUSE_SECONDS = 0.1
 UNHEALTHY_PAUSE_SECONDS = 1.5
+# A worker that leaves a start unanswered gets no more until it has been heard of.
+UNANSWERED_PAUSE_SECONDS = 0.7
 REFUSALS_WITHOUT_PAUSE = (StartAnswer.NO_TICKET, StartAnswer.OLD_RUN)
 
 
@@ -24,18 +28,19 @@
     ----------
     engine : Engine
     calls : WorkerCalls
-    writer : BatchWriter
-        Told when a worker has seen a higher fence.
+    fence : Epoch
     wake : callable
         Called after each change.
+    on_fenced : callable
+        Called when a worker has seen a higher fence.
     """
 
-    def __init__(self, engine, calls, writer, wake):
+    def __init__(self, engine, calls, fence, wake, on_fenced):
         self._engine = engine
         self._calls = calls
-        self._writer = writer
-        self._fence = writer.record.epoch
+        self._fence = fence
         self._wake = wake
+        self._on_fenced = on_fenced
         self._committed = asyncio.Event()
         self._loops = {}
         self._tasks = set()
@@ -100,7 +105,7 @@
 
     async def _wait_for_commit(self):
         try:
-            async with asyncio.timeout(HOLD_WAIT_MS / 1000):
+            async with asyncio.timeout(COMMIT_WAIT_SECONDS):
                 await self._committed.wait()
         except TimeoutError:
             return
@@ -116,7 +121,7 @@
                 runs=len(worker.runs),
             )
         if failure.code is ErrorCode.FENCED:
-            self._writer.is_fenced = True
+            self._on_fenced()
         self._wake()
 
     def _note_reachable(self, worker):
@@ -174,11 +179,14 @@
             self._engine.counters["starts"] += 1
             return
         if answer is StartAnswer.FENCED:
-            self._writer.is_fenced = True
+            self._on_fenced()
         self._engine.counters[f"starts_{answer.value}"] += 1
         if answer is StartAnswer.UNANSWERED:
             log_event(Event.RUN_UNANSWERED, **fields, seconds=round(now - sent_at, 3))
             task.is_unanswered = task.run == run
+            worker.avoided_until = max(
+                worker.avoided_until, now + UNANSWERED_PAUSE_SECONDS
+            )
         else:
             log_event(Event.RUN_REFUSED, **fields, answer=answer.value)
             self._take_refusal(placement, run, answer, now)
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -38,6 +38,7 @@
         loop = asyncio.get_running_loop()
         self.engine = Engine(loop.time)
         self.is_loaded = False
+        self.epoch = claim[0].epoch
         self._ports = ports
         self._status_ms = status_ms
         self._handins = HandIns(self.engine, claim[0].member)
@@ -49,13 +50,19 @@
             self._invite_successor,
         )
         self._wake = asyncio.Event()
+        self._serving = None
+        self._deposed_by = ""
         self._tasks = set()
         self._registry = ports.make_registry(self._wake.set)
         self._roster = ports.make_roster()
         self._announcer = Announcer(ports.peers, self._roster, claim[0])
         self._loader = JobLoader(self.engine, ports.store, self._writer)
         self._orders = Orders(
-            self.engine, ports.worker_calls, self._writer, self._wake.set
+            self.engine,
+            ports.worker_calls,
+            claim[0].epoch,
+            self._wake.set,
+            lambda: self.depose("a worker has seen a higher fence"),
         )
         self._desk = ApprovalDesk(
             self.engine,
@@ -75,14 +82,21 @@
             self._run_aside(
                 self._announcer.announce(lambda: self.engine.desired.version)
             )
-            await self._serve(stop)
+            self._serving = asyncio.create_task(self._serve(stop))
+            await self._serving
             await self._writer.release()
             log_event(Event.OWNERSHIP_RELEASED, epoch=record.epoch)
             await self._announcer.notify_successor()
         except OwnershipLostError as error:
             log_event(Event.OWNERSHIP_LOST, epoch=record.epoch, reason=str(error))
+        except asyncio.CancelledError:
+            if not self._deposed_by:
+                raise
+            log_event(Event.OWNERSHIP_LOST, epoch=record.epoch, reason=self._deposed_by)
         finally:
             self.is_loaded = False
+            if self._serving is not None:
+                self._serving.cancel()
             self._handins.end_term()
             for task in list(self._tasks):
                 task.cancel()
@@ -119,6 +133,12 @@
         self._wake.set()
         return await self._handins.wait_for_cancel(job)
 
+    def depose(self, reason):
+        """End the term at once, since another member owns the cell."""
+        self._deposed_by = reason
+        if self._serving is not None:
+            self._serving.cancel()
+
     def wake(self):
         """Ask for a round soon."""
         self._wake.set()
@@ -173,8 +193,6 @@
         engine.expire_leases()
         engine.find_stalled()
         self._desk.ask(engine.plan())
-        if self._writer.is_fenced:
-            await self._writer.write([])
         batch = engine.collect()
         jobs = self._handins.take_off()
         rows = list(batch.rows.items()) if batch else []
--- a/libs/cell/src/cactustiller/cell/placement.py
+++ b/libs/cell/src/cactustiller/cell/placement.py
@@ -63,7 +63,7 @@
         if candidates is None:
             current.wants_approval.append(step)
         elif step.spec.is_gang:
-            _place_gang(current, step, rules, candidates, kept)
+            _place_gang(current, key, step, rules, candidates, kept)
         else:
             _place_tasks(current, key, step, rules, candidates)
 
@@ -119,16 +119,18 @@
             is_far = bool(step.spec.data_rack) and step.spec.data_rack != (
                 worker.info.rack
             )
-            fits.append((is_far, worker.free_cpu, worker.info.worker, room, worker))
+            is_failed = worker.info.worker in step.failed_on
+            order = (is_failed, is_far, worker.free_cpu, worker.info.worker)
+            fits.append((order, room, worker))
     if not fits:
         return
     if rules.needs_approval and not has_valid_tickets(step, current.now):
         current.wants_approval.append(step)
         return
     # Best fit keeps large blocks free for gangs.
-    fits.sort(key=lambda fit: fit[:3])
+    fits.sort(key=lambda fit: fit[0])
     position = 0
-    for _, _, _, room, worker in fits:
+    for _, room, worker in fits:
         for _ in range(room):
             if position >= min(wanted, len(waiting)):
                 return
@@ -136,14 +138,15 @@
             position += 1
 
 
-def _place_gang(current, step, rules, candidates, kept):
+def _place_gang(current, key, step, rules, candidates, kept):
     spec = step.spec
     if step.waiting < spec.count:
         return
     if current.room_of_team(step.job.spec.team, spec.amounts, spec.count) < spec.count:
         return
     open_workers = [worker for worker in candidates if worker.reserved_for is None]
-    chosen = _choose_for_gang(step, open_workers)
+    may_use_reserved = key.band == URGENT
+    chosen = _choose_for_gang(step, candidates if may_use_reserved else open_workers)
     if chosen is None:
         _reserve(current, step, open_workers, kept)
         return
@@ -166,14 +169,16 @@
         most = _limit_by_worker(step, counts, worker, step.spec.count)
         room = worker.count_fits(step.spec.counted, most)
         if room:
-            rooms.append((-room, worker.free_cpu, worker.info.worker, worker))
+            is_failed = worker.info.worker in step.failed_on
+            order = (is_failed, -room, worker.free_cpu, worker.info.worker)
+            rooms.append((order, room, worker))
     if step.spec.is_tightly_coupled:
         rooms = _keep_one_rack(rooms, step.spec.count)
-    rooms.sort(key=lambda entry: entry[:3])
+    rooms.sort(key=lambda entry: entry[0])
     missing = step.spec.count
     chosen = []
-    for negative_room, _, _, worker in rooms:
-        count = min(missing, -negative_room)
+    for _, room, worker in rooms:
+        count = min(missing, room)
         chosen.append((worker, count))
         missing -= count
         if not missing:
@@ -184,11 +189,11 @@
 def _keep_one_rack(rooms, count):
     """Return the rooms of one rack where that is enough, else all."""
     by_rack = Counter()
-    for entry in rooms:
-        by_rack[entry[3].info.rack] -= entry[0]
+    for _, room, worker in rooms:
+        by_rack[worker.info.rack] += room
     for rack, room in by_rack.most_common(1):
         if room >= count:
-            return [entry for entry in rooms if entry[3].info.rack == rack]
+            return [entry for entry in rooms if entry[2].info.rack == rack]
     return rooms
 
 
--- a/libs/cell/src/cactustiller/cell/runs.py
+++ b/libs/cell/src/cactustiller/cell/runs.py
@@ -89,6 +89,8 @@
         Time until which the tickets are valid.
     is_asking : bool
         A call for approval is on its way.
+    failed_on : set of WorkerId
+        Workers where a run failed or stood still; others go first.
     asked : set of WorkerId
         Workers named in calls so far; the answer for a worker never changes.
     """
@@ -107,6 +109,7 @@
     asked: set = field(default_factory=set)
     eligible_at: float = 0.0
     retry_at: float = 0.0
+    failed_on: set = field(default_factory=set)
 
     @property
     def name(self):
--- a/libs/cell/src/cactustiller/cell/workers.py
+++ b/libs/cell/src/cactustiller/cell/workers.py
@@ -51,6 +51,8 @@
         Last end acknowledged to the worker, and last end processed.
     lease_ends_at : float
         Time by which every lease granted so far has surely lapsed.
+    listed_at : float
+        When the call was sent whose answer listed the runs last.
     avoided_until : float
         Time until which nothing new is placed there.
     """
@@ -69,6 +71,7 @@
     seen_through: int = 0
     clock_offset: float | None = None
     lease_ends_at: float = 0.0
+    listed_at: float = 0.0
     avoided_until: float = 0.0
     failures: int = 0
     failed_jobs: set = field(default_factory=set)
