Count runs of jobs that are over after a takeover; test the adapter

The new owner reads of such a job only that it is over, so it stopped the runs that its workers listed but did not count their room. The test that cancels, kills the owner and hands in the next job fails without the change.

Ruled out: starts of the former owner that came late (fenced), cold worker lists.

Change: whatever a worker lists and nobody asks for takes room, and counts for its team, until it is gone.

--- a/libs/cell/src/cactustiller/cell/attempts.py
+++ b/libs/cell/src/cactustiller/cell/attempts.py
@@ -68,6 +68,7 @@
                 worker.seen_through = end.number
                 self._apply_end(worker, end)
         listed = {run.task: run for run in listing.active}
+        self._count_strays(worker, listing.active)
         for run in listing.active:
             self._apply_active(worker, run, received_at)
         for name, (task, run) in list(worker.runs.items()):
@@ -82,7 +83,6 @@
         self.counters[f"runs_ended_{end.end.value}"] += 1
         held = worker.runs.get(end.task)
         if held is None or held[1] != end.run:
-            worker.strays.pop((end.task, end.run), None)
             return
         task = held[0]
         self._release(worker, task)
@@ -159,7 +159,6 @@
     def _apply_active(self, worker, listed, now):
         held = worker.runs.get(listed.task)
         if held is None or held[1] != listed.run:
-            worker.strays.setdefault((listed.task, listed.run), 0.0)
             return
         task = held[0]
         if listed.checkpoint:
@@ -221,7 +220,6 @@
         if held is not None and held[1] == stop.run:
             # Listings asked for before this one stay of no use, so the first counts.
             held[0].stopped_at = held[0].stopped_at or now
-        stop.worker.strays.pop((stop.task, stop.run), None)
 
     def find_stops(self):
         """Return the stops that are due, each again after a pause."""
--- a/libs/cell/src/cactustiller/cell/rooms.py
+++ b/libs/cell/src/cactustiller/cell/rooms.py
@@ -54,7 +54,7 @@
             if worker_id in infos:
                 continue
             worker.is_listed = False
-            if not worker.runs and not worker.is_reachable:
+            if not (worker.runs or worker.strays or worker.is_reachable):
                 del self.workers[worker_id]
 
     def _replace_info(self, worker, info):
@@ -90,7 +90,7 @@
         """Give up the runs of workers whose leases have surely lapsed."""
         now = self._clock()
         for worker in self.workers.values():
-            if worker.is_reachable or not worker.runs:
+            if worker.is_reachable or not (worker.runs or worker.strays):
                 continue
             if now > worker.lease_ends_at:
                 log_event(
@@ -102,6 +102,8 @@
                 self._lose_runs(worker)
 
     def _lose_runs(self, worker):
+        for key in list(worker.strays):
+            self._drop_stray(worker, key)
         for task, run in list(worker.runs.values()):
             self._release(worker, task)
             if task.run == run and task.phase is not RunPhase.SUCCEEDED:
@@ -145,6 +147,40 @@
                 most = min(most, (allowed - taken) // needed)
         return max(0, most)
 
+    def _count_strays(self, worker, active):
+        """Count the runs on a worker that nobody asks for, until they are gone.
+
+        They are left from jobs that are over, or were started late.
+        """
+        listed = set()
+        for run in active:
+            held = worker.runs.get(run.task)
+            if held is None or held[1] != run.run:
+                listed.add((run.task, run.run))
+        for key in worker.strays.keys() - listed:
+            self._drop_stray(worker, key)
+        for key in listed - worker.strays.keys():
+            team, counted, amounts = self._find_amounts(worker, key[0])
+            worker.strays[key] = (team, counted, amounts)
+            worker.take(counted)
+            self._take_for_team(team, amounts)
+
+    def _drop_stray(self, worker, key):
+        team, counted, amounts = worker.strays.pop(key)
+        worker.give_back(counted)
+        self._take_for_team(team, amounts, -1)
+
+    def _find_amounts(self, worker, name):
+        """Return the team of a task, the room that it takes and its amounts."""
+        job, _, rest = name.partition(".")
+        known = self.jobs.get(job)
+        try:
+            step = known.spec.steps[int(rest.split(".")[1])]
+            return known.spec.team, step.counted, step.amounts
+        except (AttributeError, IndexError, ValueError):
+            # A run of no known job may need all that the worker has.
+            return "", worker.info.capacity, Amounts()
+
     def _requeue(self, task):
         """Let a task wait again whose run has surely ended."""
         raise NotImplementedError
--- a/libs/cell/src/cactustiller/cell/workers.py
+++ b/libs/cell/src/cactustiller/cell/workers.py
@@ -45,8 +45,8 @@
     ----------
     runs : dict of str to TaskRun
         Runs that may be there, by task name.
-    strays : dict of (str, int) to float
-        Runs there that nobody asks for, with the time of the last stop sent.
+    strays : dict of (str, int) to tuple
+        Runs there that nobody asks for, with the room that they take.
     acked_through, seen_through : int
         Last end acknowledged to the worker, and last end processed.
     lease_ends_at : float
@@ -143,5 +143,4 @@
         """Reset what belonged to the worker's former life."""
         self.acked_through = self.seen_through = 0
         self.clock_offset = None
-        self.strays.clear()
         self.is_synchronized = False
--- /dev/null
+++ b/tests/cell/builders.py
@@ -0,0 +1,32 @@
+"""Builders of workers, steps and rounds."""
+
+from cactustiller.cell.placement import Round
+from cactustiller.cell.runs import JobRun
+from cactustiller.cell.workers import Worker, WorkerInfo
+from cactustiller.model import Amounts, WorkerId
+from standins.fleet import make_job
+
+SERVICE = "recon"
+
+
+def make_worker(name="w0", cpu=32_000, memory=65_536, **changes):
+    """Return a usable worker."""
+    info = WorkerInfo(
+        WorkerId(name), f"{name}:1", SERVICE, "z", Amounts(cpu, memory, 0), ("a", "r0")
+    )
+    return Worker(info, is_reachable=True, is_synchronized=True, **changes)
+
+
+def make_step(number=1, **changes):
+    """Return the only step of a new job."""
+    return JobRun(make_job(number, **changes)).open_occurrence(0)[0]
+
+
+def make_round(workers, team_room=10_000, now=100.0):
+    """Return a round in which teams have room for `team_room` tasks."""
+    return Round(
+        now,
+        workers,
+        lambda team, amounts, most: min(most, team_room),
+        lambda team, amounts: None,
+    )
--- /dev/null
+++ b/tests/cell/test_election.py
@@ -0,0 +1,32 @@
+import pytest
+
+from cactustiller.cell.election import OwnerRecord, should_claim
+
+RECORD = OwnerRecord(3, "m1", "m1:1", 9, renewed_ms=10_000)
+SEEN = (5, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("now_ms", "seen", "read_seconds", "is_suspect", "claims"),
+    [
+        (10_500, SEEN, 0.0, False, False),
+        (11_200, SEEN, 0.0, False, True),
+        # The row changed a moment ago, whatever its own time says.
+        (11_200, (5, 9.9), 0.0, False, False),
+        (11_200, (4, 0.0), 0.0, False, False),
+        # A slow store: renewals take longer as well.
+        (11_200, SEEN, 0.3, False, False),
+        (12_500, SEEN, 0.3, False, True),
+        (10_700, SEEN, 0.0, True, True),
+    ],
+)
+def test_a_member_takes_over_when_renewals_stop(
+    now_ms, seen, read_seconds, is_suspect, claims
+):
+    assert (
+        should_claim(RECORD, 5, seen, now_ms, 10.0, read_seconds, is_suspect) is claims
+    )
+
+
+def test_a_released_cell_is_claimed_at_once():
+    assert should_claim(RECORD._replace(is_released=True), 5, (-1, 0), 10_001, 0.0)
--- a/tests/cell/test_failures.py
+++ b/tests/cell/test_failures.py
@@ -344,3 +344,21 @@
             store.trouble = Trouble.NONE
         await asyncio.sleep(2.0)
         assert cell.find_owner() == before
+
+
+async def test_runs_of_a_job_that_is_over_keep_their_room_after_a_takeover():
+    # The new owner reads only that the job is cancelled; its runs are still there.
+    async with FleetCell(workers=1) as cell:
+        over = make_job(1, count=3, cpu=10_000)
+        await cell.submit(over, seconds=30.0)
+        await cell.wait_for_state(over, JobState.RUNNING)
+        await asyncio.sleep(0.5)
+        before = cell.find_owner()
+        member = next(name for name in cell.members if name != before)
+        next_job = make_job(2, count=3, cpu=10_000)
+        cell.worker_clients[before].is_cut_off = True
+        assert await cell.members[before].intake.cancel(over.job) is Acceptance.ACCEPTED
+        await cell.kill(before)
+        await cell.submit(next_job, member=member)
+        await cell.wait_for_owner(besides=before)
+        await cell.wait_for_state(next_job, JobState.SUCCEEDED, member=member)
--- /dev/null
+++ b/tests/cell/test_rows.py
@@ -0,0 +1,85 @@
+"""Rows that a cell writes are read back as they were."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cactustiller.cell.runs import (
+    JobRun,
+    RunPhase,
+    decode_progress,
+    decode_state,
+    encode_progress,
+)
+from cactustiller.cell.specs import (
+    JobSpec,
+    QueueRules,
+    StepSpec,
+    decode_job,
+    encode_job,
+)
+from cactustiller.model import Amounts, JobState
+from standins.fleet import make_job
+
+numbers = st.integers(0, 10**6)
+steps = st.builds(
+    StepSpec,
+    count=st.integers(1, 5),
+    amounts=st.builds(Amounts, numbers, numbers, numbers),
+    estimate_ms=numbers,
+    after=st.lists(st.integers(0, 3)).map(tuple),
+    is_gang=st.booleans(),
+    required_label=st.text(max_size=5),
+    max_per_worker=numbers,
+    fills=st.booleans(),
+)
+jobs = st.builds(
+    JobSpec,
+    job=st.just("0" * 16),
+    queue=st.text(max_size=5),
+    team=st.text(max_size=5),
+    payload=st.text(max_size=50),
+    steps=st.lists(steps, min_size=1, max_size=3).map(tuple),
+    rules=st.builds(QueueRules, service=st.text(max_size=5), priority=numbers),
+    accepted_ms=numbers,
+    repeat_count=st.integers(0, 3),
+)
+
+
+@given(jobs)
+def test_a_job_is_read_back(spec):
+    assert decode_job(spec.job, encode_job(spec)) == spec
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b"{}", b"[1,2,3,4,5,6,7]", b"\xff"])
+def test_a_row_of_another_writer_is_refused(data):
+    with pytest.raises(ValueError, match="row of job"):
+        decode_job("0" * 16, data)
+
+
+def test_progress_is_read_back():
+    job = JobRun(make_job(count=4))
+    step = job.open_occurrence(0)[0]
+    done, running, lost, _ = step.tasks
+    done.phase, done.run = RunPhase.SUCCEEDED, 1
+    running.phase, running.run, running.worker = RunPhase.RUNNING, 2, "w1"
+    running.checkpoint, running.failures = "cp", 1
+    lost.run, lost.failures = 3, 2
+    step.waiting, step.succeeded, job.has_started = 2, 1, True
+    again = decode_progress(job.spec, encode_progress(job))
+    tasks = again.occurrences[0][0].tasks
+    assert [task.phase for task in tasks] == [
+        RunPhase.SUCCEEDED,
+        RunPhase.ASSIGNED,
+        RunPhase.WAITING,
+        RunPhase.WAITING,
+    ]
+    assert (tasks[1].run, tasks[1].worker, tasks[1].checkpoint) == (2, "w1", "cp")
+    assert (tasks[2].run, tasks[2].failures) == (3, 2)
+    assert (again.occurrences[0][0].waiting, again.has_started) == (2, True)
+
+
+def test_a_finished_job_keeps_only_its_state():
+    job = JobRun(make_job(), state=JobState.FAILED, ended_ms=7)
+    assert decode_state(encode_progress(job)) is JobState.FAILED
+    assert decode_progress(job.spec, encode_progress(job)).ended_ms == 7
--- /dev/null
+++ b/tests/fleet/test_calls.py
@@ -0,0 +1,151 @@
+"""Calls over HTTP and what their answers mean."""
+
+import asyncio
+import json
+
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import RawTestServer
+
+from cactustiller.cell import (
+    Committed,
+    Conflict,
+    RowKey,
+    StartAnswer,
+    StartOrder,
+    Transaction,
+    WorkerInfo,
+)
+from cactustiller.fleet.store import HttpRowStore
+from cactustiller.fleet.workers import HttpWorkerCalls
+from cactustiller.model import Amounts, ErrorCode, Outcome
+
+KEY = RowKey("t", "p", "k")
+ORDER = StartOrder("j.0.0.0", 1, "text", 9000, 3, ticket="ticket")
+
+
+class Peer:
+    """Server with one scripted answer, which keeps what it was asked."""
+
+    def __init__(self, status=200, content=None, silent=False):
+        self.requests = []
+        self._status = status
+        self._content = content or {}
+        self._silent = silent
+
+    async def __aenter__(self):
+        self._server = RawTestServer(self._answer)
+        await self._server.start_server()
+        return self
+
+    async def __aexit__(self, *exception):
+        await self._server.close()
+
+    @property
+    def address(self):
+        return f"{self._server.host}:{self._server.port}"
+
+    async def _answer(self, request):
+        body = await request.read()
+        content = json.loads(body) if body else dict(request.query)
+        self.requests.append((request.method, request.path, content, request.headers))
+        if self._silent:
+            await asyncio.sleep(5)
+        return web.json_response(self._content, status=self._status)
+
+
+async def call_store(peer, seconds=2.0):
+    store = HttpRowStore(peer.address)
+    try:
+        return await store.transact(Transaction({KEY: 0}, {KEY: b"v"}), seconds)
+    finally:
+        await store.close()
+
+
+async def test_a_transaction_is_encoded_and_its_answer_decoded():
+    async with Peer(content={"Ver": 7, "NowMs": 9}) as peer:
+        answer = await call_store(peer)
+    assert answer.unwrap() == Committed(7, 9)
+    method, path, body, _ = peer.requests[0]
+    assert (method, path) == ("POST", "/rows-tx")
+    assert body["ExpectedRevision"] == [
+        {"Table": "t", "part": "p", "Key": "k", "Ver": 0}
+    ]
+    assert body["Puts"][0]["Value"] == "dg=="
+
+
+async def test_a_conflict_names_the_rows_that_are_there():
+    row = {"Table": "t", "part": "p", "Key": "k", "Value": "dg==", "Ver": 4}
+    async with Peer(412, {"rows": [row]}) as peer:
+        answer = await call_store(peer)
+    assert isinstance(answer.unwrap(), Conflict)
+    assert answer.unwrap().rows[0][1:] == (b"v", 4)
+
+
+@pytest.mark.parametrize("status", [429, 503])
+async def test_a_refusal_promises_that_nothing_was_done(status):
+    async with Peer(status) as peer:
+        answer = await call_store(peer)
+    assert answer.unwrap_err().outcome is Outcome.NOT_RUN
+
+
+async def test_no_answer_promises_nothing():
+    async with Peer(silent=True) as peer:
+        answer = await call_store(peer, seconds=0.1)
+    assert answer.unwrap_err().outcome is Outcome.UNKNOWN
+
+
+async def test_a_refused_connection_promises_that_nothing_was_done():
+    async with Peer() as peer:
+        address = peer.address
+    store = HttpRowStore(address)
+    answer = await store.transact(Transaction({}, {}), 1.0)
+    assert answer.unwrap_err().outcome is Outcome.NOT_RUN
+    await store.close()
+
+
+async def test_a_lost_history_is_told_apart():
+    async with Peer(410) as peer:
+        store = HttpRowStore(peer.address)
+        answer = await store.follow("t", 5, 0.0)
+        await store.close()
+    assert answer.unwrap_err().code is ErrorCode.HISTORY_LOST
+    assert peer.requests[0][2] == {"Table": "t", "After": "5", "WaitMs": "0"}
+
+
+@pytest.mark.parametrize(
+    ("status", "content", "expected"),
+    [
+        (200, {}, StartAnswer.STARTED),
+        (409, {"Reason": "fence"}, StartAnswer.FENCED),
+        (409, {"Reason": "old"}, StartAnswer.OLD_RUN),
+        (409, {"Reason": "late"}, StartAnswer.TOO_LATE),
+        (409, {"Reason": "room"}, StartAnswer.NO_ROOM),
+        (409, {"Reason": "ticket"}, StartAnswer.NO_TICKET),
+        (421, {}, StartAnswer.OTHER_LIFE),
+        (400, {}, StartAnswer.INVALID),
+        (503, {}, StartAnswer.UNHEALTHY),
+        (500, {}, StartAnswer.UNANSWERED),
+    ],
+)
+async def test_answers_to_a_start(status, content, expected):
+    async with Peer(status, content) as peer:
+        calls = HttpWorkerCalls()
+        worker = WorkerInfo("i-1", peer.address, "recon", "z", Amounts())
+        assert await calls.start(worker, ORDER) is expected
+        await calls.close()
+    _, path, body, headers = peer.requests[0]
+    assert path == "/run-start"
+    assert (body["RunId"], body["FenceToken"], body["Ticket"]) == (1, 3, "ticket")
+    assert "Checkpoint" not in body
+    assert headers["X-Expect-Instance"] == "i-1"
+
+
+async def test_a_fenced_hold_is_told_apart():
+    async with Peer(409, {"Reason": "fence"}) as peer:
+        calls = HttpWorkerCalls()
+        worker = WorkerInfo("i-1", peer.address, "recon", "z", Amounts())
+        answer = await calls.hold(worker, 3, 7, 9000, 0)
+        await calls.close()
+    assert answer.unwrap_err().code is ErrorCode.FENCED
+    assert peer.requests[0][2]["AckedThrough"] == 7
