Tell a job's story from the members' logs

Cause: on-call engineers have only log files of all members. Change: cactustiller trace JOB FILES merges the lines about a job with what changed for the whole cell and for its workers meanwhile, and marks gaps.

--- a/libs/cli/src/cactustiller/cli/commands/__init__.py
+++ b/libs/cli/src/cactustiller/cli/commands/__init__.py
@@ -1,6 +1,6 @@
 """Commands by name, one module a family."""
 
-from . import instances, jobs, key, load, queue, requests, settings, stats, team
+from . import instances, jobs, key, load, queue, requests, settings, stats, team, trace
 
 GROUPS = {
     "team": team.app,
@@ -19,6 +19,7 @@
     "drain": instances.drain,
     "load": load.run_load,
     "stats": stats.show_stats,
+    "trace": trace.trace,
 }
 
 
