--- a/libs/cell/src/cactustiller/cell/announcing.py
+++ b/libs/cell/src/cactustiller/cell/announcing.py
@@ -31,6 +31,16 @@
         self._peers = peers
         self._roster = roster
         self._record = record
+        self._heard_at = {}
+
+    def find_silent(self, seconds):
+        """Return the addresses that have not answered for so long."""
+        now = asyncio.get_running_loop().time()
+        return [
+            address
+            for address in self._roster.find_addresses()
+            if now - self._heard_at.get(address, now) > seconds
+        ]
 
     async def announce(self, find_version):
         """Tell all members who owns the cell, again and again.
@@ -45,12 +55,17 @@
                 desired_version=find_version(),
             )
             addresses = self._roster.find_addresses()
-            await asyncio.gather(
+            answers = await asyncio.gather(
                 *(
                     self._peers.call(address, message, ANNOUNCE_SECONDS)
                     for address in addresses
                 )
             )
+            now = asyncio.get_running_loop().time()
+            for address, answer in zip(addresses, answers, strict=True):
+                if answer.is_ok():
+                    self._heard_at[address] = now
+                self._heard_at.setdefault(address, now)
             await asyncio.sleep(ANNOUNCE_SECONDS if addresses else FIRST_SECONDS)
 
     async def notify_successor(self):
--- a/libs/cell/src/cactustiller/cell/attempts.py
+++ b/libs/cell/src/cactustiller/cell/attempts.py
@@ -7,7 +7,13 @@
 
 from .desired import DesiredState
 from .events import Event, log_event
-from .health import is_stalled, note_failure, note_stall, note_success
+from .health import (
+    is_stalled,
+    note_failure,
+    note_stall,
+    note_success,
+    will_be_cut,
+)
 from .rooms import LEASE_SECONDS, Rooms
 from .runs import End, RunPhase
 from .workers import Worker
@@ -46,6 +52,26 @@
         self._eligible = {}
         self._stops_sent = {}
 
+    def find_leaving(self):
+        """Stop runs that would be cut when their draining worker leaves."""
+        now = self._clock()
+        for worker in self.workers.values():
+            if not worker.info.is_draining or not worker.is_reachable:
+                continue
+            leaves_at = worker.draining_since + worker.info.remaining_ms / 1000
+            for task, run in worker.runs.values():
+                if task.run == run and will_be_cut(task, leaves_at, now):
+                    task.is_stopping = True
+                    log_event(
+                        Event.RUN_EVACUATED,
+                        job=task.step.job.spec.job,
+                        task=task.name,
+                        run=run,
+                        worker=worker.info.worker,
+                        progress=task.progress,
+                        left_seconds=round(leaves_at - now, 3),
+                    )
+
     def apply_listing(self, worker, listing, sent_at, received_at):
         """Take what a worker says of its runs.
 
--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -1,6 +1,5 @@
 """State of a cell at its owner and the decisions on it; no I/O."""
 
-import time
 from dataclasses import dataclass, field
 
 from cactustiller.model import JobState
@@ -47,7 +46,7 @@
         Unix milliseconds.
     """
 
-    def __init__(self, clock, wall_clock_ms=lambda: time.time() * 1000):
+    def __init__(self, clock, wall_clock_ms):
         super().__init__(clock, wall_clock_ms)
         self._shares = ShareMeter()
         self._timed = set()
@@ -112,14 +111,15 @@
             return
         self._finish(job, JobState.CANCELLED)
 
-    def forget_jobs(self, retention_ms):
-        """Drop jobs that ended long ago and return their ids."""
+    def forget_jobs(self, retention_ms, most):
+        """Drop at most `most` jobs that ended long ago and return their ids."""
         limit = self._wall_clock_ms() - retention_ms - RETENTION_MARGIN_SECONDS * 1000
         old = [
             job_id
             for job_id, job in self.jobs.items()
             if job.ended_ms and job.ended_ms < limit and not self._holds_room(job)
         ]
+        old = old[:most]
         for job_id in old:
             del self.jobs[job_id]
             self.shown.pop(job_id, None)
--- a/libs/cell/src/cactustiller/cell/followers.py
+++ b/libs/cell/src/cactustiller/cell/followers.py
@@ -168,6 +168,7 @@
 
     def __init__(self, store, own_address):
         self._addresses = []
+        self._names = {}
         self._own_address = own_address
         # Members come and go seldom: the regular read is enough.
         self._follower = Follower(store, MEMBER_TABLE, MEMBER_TABLE, self._take_rows)
@@ -178,7 +179,12 @@
         """Return the peer addresses of the other members."""
         return self._addresses
 
+    def find_name(self, address):
+        """Return the key of a member's row, or None."""
+        return self._names.get(address)
+
     def _take_rows(self, rows):
+        self._names = {decode_member_row(v)[0]: k for k, v in rows.items()}
         members = [decode_member_row(value) for value in rows.values()]
         members.sort(key=lambda member: -member[1])
         self._addresses = [
--- a/libs/cell/src/cactustiller/cell/health.py
+++ b/libs/cell/src/cactustiller/cell/health.py
@@ -11,6 +11,10 @@
 # checkpoint takes 0.6 s, and a percent of a long task on a slow worker about 1 s.
 STALL_SECONDS = 1.2
 STALL_PART_OF_ESTIMATE = 0.05
+# Progress from which a run's speed can be told.
+LEAST_PROGRESS = 5
+# Workers stay a little longer than they announce.
+LEAVE_MARGIN_SECONDS = 0.5
 STALL_PAUSE_SECONDS = 4.0
 # No more than this part of the workers is avoided at once.
 MOST_AVOIDED = 0.34
@@ -72,6 +76,23 @@
     )
 
 
+def will_be_cut(task, leaves_at, now):
+    """Return whether a run goes on beyond its worker's time.
+
+    The time that is left to the run is judged by its progress so far; one that has
+    hardly begun by its estimate.
+    """
+    if task.phase is not RunPhase.RUNNING or task.is_stopping:
+        return False
+    if task.progress >= LEAST_PROGRESS:
+        elapsed = task.progressed_at - task.started_at
+        ends_at = task.started_at + elapsed * 100 / task.progress
+    else:
+        ends_at = task.started_at + task.step.spec.estimate_ms / 1000
+    is_endless = task.step.spec.is_service
+    return is_endless or max(ends_at, now) > leaves_at + LEAVE_MARGIN_SECONDS
+
+
 def note_stall(worker, task, workers, now):
     """Note that a run stood still: nothing else is to be held up there."""
     log_event(
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -88,6 +88,8 @@
         Key and value of an entry to a `WorkerInfo`, or None.
     make_peers : callable, optional
         Identity and handler to a client and a server of peers; by default over TCP.
+    wall_clock_ms : callable, optional
+        Unix milliseconds.
     """
 
     store: RowStore
@@ -101,6 +103,7 @@
     desired_key: str
     decode_desired: object
     make_peers: object = None
+    wall_clock_ms: object = lambda: time.time() * 1000
 
 
 class Member:
@@ -126,6 +129,7 @@
         self.store = outside.store
         self.worker_calls = outside.worker_calls
         self.approvals = outside.approvals
+        self.wall_clock_ms = outside.wall_clock_ms
         self._outside = outside
         self._owner = None
         self._stop = asyncio.Event()
--- a/libs/cell/src/cactustiller/cell/orders.py
+++ b/libs/cell/src/cactustiller/cell/orders.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from cactustiller.model import ErrorCode
+from cactustiller.model import ErrorCode, Outcome
 
 from .events import Event, log_event
 from .ports import StartAnswer, StartOrder
@@ -120,11 +120,16 @@
                 reason=failure.reason,
                 runs=len(worker.runs),
             )
+        # Refused, not merely unanswered: nothing was sent, and at once.
+        worker.is_refusing = (
+            failure.code is ErrorCode.UNAVAILABLE and failure.outcome is Outcome.NOT_RUN
+        )
         if failure.code is ErrorCode.FENCED:
             self._on_fenced()
         self._wake()
 
     def _note_reachable(self, worker):
+        worker.is_refusing = False
         if not worker.is_reachable:
             worker.is_reachable = True
             log_event(
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -12,6 +12,7 @@
 from .engine import Engine
 from .events import Event, log_event
 from .handins import HandIns
+from .housekeeping import keep_house
 from .loading import JobLoader
 from .orders import Orders
 
@@ -36,7 +37,7 @@
 
     def __init__(self, ports, claim, status_ms):
         loop = asyncio.get_running_loop()
-        self.engine = Engine(loop.time)
+        self.engine = Engine(loop.time, ports.wall_clock_ms)
         self.is_loaded = False
         self.epoch = claim[0].epoch
         self._ports = ports
@@ -82,6 +83,15 @@
             self._run_aside(
                 self._announcer.announce(lambda: self.engine.desired.version)
             )
+            self._run_aside(
+                keep_house(
+                    self.engine,
+                    self._ports.store,
+                    self._roster,
+                    self._announcer,
+                    self._status_ms,
+                )
+            )
             self._serving = asyncio.create_task(self._serve(stop))
             await self._serving
             await self._writer.release()
@@ -192,6 +202,7 @@
         self._orders.follow_workers()
         engine.expire_leases()
         engine.find_stalled()
+        engine.find_leaving()
         self._desk.ask(engine.plan())
         batch = engine.collect()
         jobs = self._handins.take_off()
--- a/libs/cell/src/cactustiller/cell/rooms.py
+++ b/libs/cell/src/cactustiller/cell/rooms.py
@@ -45,7 +45,8 @@
         for worker_id, info in infos.items():
             worker = self.workers.get(worker_id)
             if worker is None:
-                worker = self.workers[worker_id] = Worker(info)
+                worker = Worker(info, draining_since=self._clock())
+                self.workers[worker_id] = worker
                 self._adopt_holdings(worker)
             else:
                 self._replace_info(worker, info)
@@ -62,6 +63,8 @@
         for index, name in enumerate(("free_cpu", "free_memory", "free_accelerators")):
             change = info.capacity[index] - before.capacity[index]
             setattr(worker, name, getattr(worker, name) + change)
+        if info.is_draining and not before.is_draining:
+            worker.draining_since = self._clock()
         worker.info = info
         if info.born_ms and worker.born_ms and info.born_ms > worker.born_ms:
             self._end_life(worker, info.born_ms)
@@ -92,7 +95,12 @@
         for worker in self.workers.values():
             if worker.is_reachable or not (worker.runs or worker.strays):
                 continue
-            if now > worker.lease_ends_at:
+            # A worker that announced its leave, is off the list and has no listener
+            # has left, and what ran there ended with it.
+            has_left = (
+                worker.info.is_draining and not worker.is_listed and worker.is_refusing
+            )
+            if has_left or now > worker.lease_ends_at:
                 log_event(
                     Event.LEASE_LAPSED,
                     worker=worker.info.worker,
--- a/libs/cell/src/cactustiller/cell/workers.py
+++ b/libs/cell/src/cactustiller/cell/workers.py
@@ -53,6 +53,10 @@
         Time by which every lease granted so far has surely lapsed.
     listed_at : float
         When the call was sent whose answer listed the runs last.
+    draining_since : float
+        When its entry first said how long it stays.
+    is_refusing : bool
+        Nothing listens at its address any more.
     avoided_until : float
         Time until which nothing new is placed there.
     """
@@ -72,6 +76,8 @@
     clock_offset: float | None = None
     lease_ends_at: float = 0.0
     listed_at: float = 0.0
+    draining_since: float = 0.0
+    is_refusing: bool = False
     avoided_until: float = 0.0
     failures: int = 0
     failed_jobs: set = field(default_factory=set)
--- a/standins/fleet/cell.py
+++ b/standins/fleet/cell.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from dataclasses import replace
 
 from cactustiller.cell import (
     DesiredState,
@@ -141,6 +142,12 @@
         self.versions[value] = desired
         self.store.put(RowKey(CONFIG_TABLE, "", CONFIG_KEY), value)
 
+    def drain_worker(self, worker_id, remaining_ms):
+        """Let a worker announce its leave."""
+        worker = self.workers[worker_id]
+        worker.info = replace(worker.info, is_draining=True, remaining_ms=remaining_ms)
+        self.list_worker(worker)
+
     def remove_entry(self, worker_id):
         """Remove a worker's entry."""
         self.store.remove(self._make_worker_key(worker_id))
@@ -162,6 +169,7 @@
             desired_key=CONFIG_KEY,
             decode_desired=lambda value: self.versions[value],
             make_peers=self.network.make_peers,
+            wall_clock_ms=lambda: asyncio.get_running_loop().time() * 1000,
         )
         member = Member(MemberSettings(MemberId(name), "z", name, PEER_PORT), outside)
         await member.start()
@@ -189,6 +197,8 @@
 
     async def submit(self, spec, seconds=1.0, member=None):
         """Hand in a job whose tasks take `seconds`; return the `Acceptance`."""
+        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        spec = replace(spec, accepted_ms=now_ms)
         self.seconds[spec.job] = seconds
         self.jobs[spec.job] = spec
         name = member or next(iter(self.members))
--- a/tests/cell/test_failures.py
+++ b/tests/cell/test_failures.py
@@ -362,3 +362,38 @@
         await cell.submit(next_job, member=member)
         await cell.wait_for_owner(besides=before)
         await cell.wait_for_state(next_job, JobState.SUCCEEDED, member=member)
+
+
+async def test_a_run_that_would_be_cut_leaves_a_draining_worker_in_time():
+    async with FleetCell(workers=2) as cell:
+        spec = make_job(count=2, cpu=20_000, estimate_ms=5000)
+        await cell.submit(spec, seconds=5.0)
+        await cell.wait_for_state(spec, JobState.RUNNING)
+        await asyncio.sleep(0.5)
+        cell.drain_worker("w0", remaining_ms=1000)
+        await asyncio.sleep(1.0)
+        assert not cell.workers["w0"].runs
+        await cell.wait_for_state(spec, JobState.SUCCEEDED)
+
+
+async def test_a_run_that_ends_in_time_stays_on_a_draining_worker():
+    async with FleetCell(workers=2) as cell:
+        spec = make_job(count=2, cpu=20_000, estimate_ms=2000)
+        await cell.submit(spec, seconds=2.0)
+        await cell.wait_for_state(spec, JobState.RUNNING)
+        cell.drain_worker("w0", remaining_ms=2500)
+        await cell.wait_for_state(spec, JobState.SUCCEEDED)
+        assert len(cell.audit.starts) == 2
+
+
+async def test_finished_jobs_and_members_that_are_gone_are_removed():
+    async with FleetCell() as cell:
+        spec = make_job()
+        await cell.submit(spec)
+        await cell.wait_for_state(spec, JobState.SUCCEEDED)
+        gone = next(name for name in cell.members if name != cell.find_owner())
+        await cell.kill(gone)
+        await asyncio.sleep(180.0)
+        keys = {(key.table, key.key) for key in cell.store.rows}
+        assert not any(table in ("jobs", "progress") for table, _ in keys)
+        assert ("members", gone) not in keys
