Let checkpointed runs give way to gangs that press

Room was kept for three gangs at once whatever the size of the cell, and the kept workers stood half idle until the last batch run had ended.

Change: room is kept on up to 0.4 of the workers; a gang with under 2.5 s of slack preempts what saves at a stop, only where it fits then.

--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -149,7 +149,13 @@
         self._open_due(now_ms)
         usable = [worker for worker in self.workers.values() if worker.takes_work(now)]
         ordered = self._order_steps(self._eligible, now_ms)
-        current = Round(now, usable, self._find_team_room, self._take_for_team)
+        current = Round(
+            now,
+            usable,
+            self._find_team_room,
+            self._take_for_team,
+            wall_now=now_ms / 1000,
+        )
         place_steps(current, ordered)
         for placement in current.placements:
             self._assign(placement)
--- a/libs/cell/src/cactustiller/cell/placement.py
+++ b/libs/cell/src/cactustiller/cell/placement.py
@@ -5,12 +5,14 @@
 from typing import NamedTuple
 
 from .ordering import IN_TIME, LATE_URGENT, URGENT
-from .preemption import preempt_for
+from .preemption import preempt_for, preempt_for_gang
 from .runs import RunPhase, StepRun, TaskRun
 from .workers import Worker
 
-# Gangs for which room is kept free at once; more would idle the cell.
-MOST_RESERVATIONS = 3
+# Part of the workers that is kept free for gangs at once; more would idle the cell.
+MOST_RESERVED = 0.4
+# A gang with less slack does not wait for batch runs to end by themselves.
+PRESSING_SECONDS = 2.5
 # Tickets are used only while they outlast the start's way to the worker.
 TICKET_MARGIN_SECONDS = 0.25
 URGENT_BANDS = (URGENT, LATE_URGENT)
@@ -34,6 +36,8 @@
 
     Attributes
     ----------
+    now, wall_now : float
+        Seconds of the loop, and of the time of day.
     room_of_team : callable
         ``(team, amounts, most)`` to the number of tasks under the team's limit.
     wants_approval : list of StepRun
@@ -49,7 +53,8 @@
     placements: list[Placement] = field(default_factory=list)
     wants_approval: list[StepRun] = field(default_factory=list)
     preempted: list = field(default_factory=list)
-    reservations: int = 0
+    wall_now: float = 0.0
+    reserved: int = 0
     most_cpu: int = 0
     most_memory: int = 0
 
@@ -178,7 +183,12 @@
     may_use_reserved = key.band in URGENT_BANDS
     chosen = _choose_for_gang(step, candidates if may_use_reserved else open_workers)
     if chosen is None:
-        _reserve(current, step, open_workers, kept)
+        if _is_pressing(current, key):
+            for worker in preempt_for_gang(current, step, open_workers):
+                worker.reserved_for = step
+                current.reserved += 1
+        if not any(worker.reserved_for is step for worker in open_workers):
+            _reserve(current, step, open_workers, kept)
         return
     if rules.needs_approval and not has_valid_tickets(step, current.now):
         current.wants_approval.append(step)
@@ -191,6 +201,14 @@
             _assign(current, next(tasks), worker)
 
 
+def _is_pressing(current, key):
+    """Return whether a gang has to start soon to be in time."""
+    if key.band == URGENT:
+        return True
+    slack = key.latest_start - current.wall_now
+    return key.band == IN_TIME and slack < PRESSING_SECONDS
+
+
 def _choose_for_gang(step, workers):
     """Return pairs of worker and count that hold the gang now, or None."""
     counts = Counter()
@@ -233,7 +251,7 @@
     Takes the workers that are free soonest; those kept for it in the last round go
     first, so that they drain.
     """
-    if current.reservations >= MOST_RESERVATIONS:
+    if current.reserved >= MOST_RESERVED * len(current.workers):
         return
     amounts = step.spec.counted
     choices = []
@@ -253,7 +271,7 @@
             break
     if missing > 0:
         return
-    current.reservations += 1
+    current.reserved += len(taken)
     for _, worker in taken:
         worker.reserved_for = step
     is_near = max(free_at for free_at, _ in taken) <= current.now + ASK_AHEAD_SECONDS
--- a/libs/cell/src/cactustiller/cell/preemption.py
+++ b/libs/cell/src/cactustiller/cell/preemption.py
@@ -2,6 +2,8 @@
 
 # Runs stopped in a round; what they free is counted before more are stopped.
 MOST_VICTIMS = 6
+# For a gang that could not be in time otherwise.
+MOST_GANG_VICTIMS = 48
 # A run that has just started would lose as much as it gives.
 LEAST_SECONDS = 0.4
 
@@ -48,6 +50,68 @@
         wanted -= 1
 
 
+def preempt_for_gang(current, step, workers):
+    """Choose runs to stop so that a whole gang finds room; return its workers.
+
+    Parameters
+    ----------
+    current : Round
+        Collects the choice.
+    step : StepRun
+    workers : list of Worker
+        Workers that may run it and are not kept for another gang.
+
+    Returns
+    -------
+    list of Worker
+        Empty where the gang would not fit even so.
+    """
+    need = step.spec.counted
+    chosen = {id(task) for task, _ in current.preempted}
+    options = []
+    for worker in workers:
+        cpu, memory = worker.free_cpu, worker.free_memory
+        victims = []
+        for task, run in worker.runs.values():
+            if task.is_stopping or id(task) in chosen:
+                cpu += task.step.spec.counted[0]
+                memory += task.step.spec.counted[1]
+            elif task.run == run and _may_stop(task, current.now):
+                victims.append(task)
+        own = _count_fits(cpu, memory, need)
+        most = _count_fits(
+            cpu + sum(task.step.spec.counted[0] for task in victims),
+            memory + sum(task.step.spec.counted[1] for task in victims),
+            need,
+        )
+        if most:
+            options.append(
+                (-own, -most, worker.info.worker, worker, victims, cpu, memory)
+            )
+    options.sort(key=lambda option: option[:3])
+    missing = step.spec.count
+    stops, kept = [], []
+    for _, negative_most, _, worker, victims, cpu, memory in options:
+        count = min(missing, -negative_most)
+        taken = _choose_victims(
+            victims, count * need[0] - cpu, count * need[1] - memory
+        )
+        stops += [(task, worker) for task in taken or ()]
+        kept.append(worker)
+        missing -= count
+        if not missing:
+            break
+    if missing or len(stops) > MOST_GANG_VICTIMS:
+        return []
+    current.preempted += stops
+    return kept
+
+
+def _count_fits(cpu, memory, need):
+    fits = [amount // n for amount, n in ((cpu, need[0]), (memory, need[1])) if n]
+    return max(0, min(fits, default=0))
+
+
 def _may_stop(task, now):
     spec = task.step.spec
     return (
--- a/tests/cell/test_preemption.py
+++ b/tests/cell/test_preemption.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cactustiller.cell.ordering import URGENT, OrderKey
+from cactustiller.cell.ordering import IN_TIME, URGENT, OrderKey
 from cactustiller.cell.placement import place_steps
 from cactustiller.cell.runs import RunPhase
 from cactustiller.model import JobState
@@ -84,3 +84,38 @@
         await cell.wait_for_state(spec, JobState.SUCCEEDED)
         assert loop.time() - asked_at < 2.0
         await cell.wait_for_state(load, JobState.SUCCEEDED, seconds=60.0)
+
+
+IN_TIME_KEY = OrderKey(IN_TIME, 0, 0.0, 0.0)
+
+
+def place_gang(workers, slack, **changes):
+    """Return the runs that give way to a gang with so much slack."""
+    gang = make_step(1, count=6, cpu=9000, is_gang=True, **changes)
+    current = make_round(workers)
+    current.wall_now = -slack
+    place_steps(current, [(IN_TIME_KEY, gang, gang.job.spec.rules)])
+    return [task for task, _ in current.preempted]
+
+
+def test_a_gang_with_slack_waits_for_runs_to_end():
+    workers = [make_worker("w0"), make_worker("w1")]
+    for number, worker in enumerate(workers, start=8):
+        fill(worker, number=number)
+    assert place_gang(workers, slack=6.0) == []
+    assert all(worker.reserved_for is not None for worker in workers)
+
+
+def test_runs_give_way_to_a_gang_without_slack():
+    workers = [make_worker("w0"), make_worker("w1")]
+    for number, worker in enumerate(workers, start=8):
+        fill(worker, number=number)
+    # Three tasks of nine cores a worker: 27 of 32 cores, so 14 runs of two each.
+    assert len(place_gang(workers, slack=1.0)) == 28
+
+
+def test_nothing_gives_way_where_the_gang_would_not_fit_even_so():
+    workers = [make_worker("w0"), make_worker("w1")]
+    fill(workers[0], number=8)
+    fill(workers[1], number=9, has_checkpoints=False)
+    assert place_gang(workers, slack=1.0) == []
