--- a/libs/cell/src/cactustiller/cell/health.py
+++ b/libs/cell/src/cactustiller/cell/health.py
@@ -10,6 +10,7 @@
 # A run whose percentage has not risen for this long stands still: restoring a
 # checkpoint takes 0.6 s, and a percent of a long task on a slow worker about 1 s.
 STALL_SECONDS = 1.2
+ALL_DONE = 100
 STALL_PART_OF_ESTIMATE = 0.05
 # Progress from which a run's speed can be told.
 LEAST_PROGRESS = 5
@@ -63,7 +64,10 @@
 
 
 def is_stalled(task, worker):
-    """Return whether a run has made no progress although its worker answers."""
+    """Return whether a run has made no progress although its worker answers.
+
+    A member of a gang that has done its own work waits for the others.
+    """
     estimate = task.step.spec.estimate_ms / 1000
     patience = STALL_SECONDS + STALL_PART_OF_ESTIMATE * estimate
     return (
@@ -71,6 +75,7 @@
         and not task.is_stopping
         and not task.step.spec.is_service
         and not task.step.spec.fills
+        and task.progress < ALL_DONE
         and bool(task.progressed_at)
         and worker.listed_at - task.progressed_at > patience
     )
--- /dev/null
+++ b/tests/cell/test_health.py
@@ -0,0 +1,79 @@
+"""When a run counts as stalled and when a worker is avoided."""
+
+import pytest
+
+from cactustiller.cell.health import (
+    FAILURES_NEEDED,
+    is_stalled,
+    note_failure,
+    note_success,
+    will_be_cut,
+)
+from cactustiller.cell.runs import RunPhase
+
+from .builders import make_step, make_worker
+
+
+def make_running(progress=40, progressed_at=10.0, **changes):
+    task = make_step(count=2, estimate_ms=1000, **changes).tasks[0]
+    task.phase, task.run, task.started_at = RunPhase.RUNNING, 1, 9.0
+    task.progress, task.progressed_at = progress, progressed_at
+    return task
+
+
+@pytest.mark.parametrize(
+    ("listed_at", "stalled"), [(10.5, False), (11.2, False), (11.3, True)]
+)
+def test_a_run_stalls_by_what_its_worker_listed_last(listed_at, stalled):
+    assert is_stalled(make_running(), make_worker(listed_at=listed_at)) is stalled
+
+
+def test_a_gang_member_that_waits_for_the_others_is_not_stalled():
+    # On the grown site 61 gangs were stopped that had all but ended.
+    task = make_running(progress=100, is_gang=True)
+    assert not is_stalled(task, make_worker(listed_at=20.0))
+
+
+def test_a_service_never_stalls():
+    assert not is_stalled(make_running(is_service=True), make_worker(listed_at=90.0))
+
+
+def test_a_worker_is_avoided_after_failures_of_several_jobs():
+    worker, others = make_worker("w0"), [make_worker(f"w{i}") for i in range(1, 6)]
+    everyone = [worker, *others]
+    for number in range(FAILURES_NEEDED):
+        task = make_step(number + 1).tasks[0]
+        avoided = note_failure(worker, task, everyone, now=5.0)
+    assert avoided
+    assert not worker.takes_work(5.1)
+    assert worker.takes_work(30.0)
+
+
+def test_a_job_that_fails_everywhere_does_not_cost_its_workers():
+    worker = make_worker("w0")
+    task = make_step().tasks[0]
+    for _ in range(10):
+        assert not note_failure(worker, task, [worker], now=5.0)
+
+
+def test_a_success_clears_a_worker():
+    worker = make_worker("w0")
+    for number in range(FAILURES_NEEDED - 1):
+        note_failure(worker, make_step(number + 1).tasks[0], [worker], 5.0)
+    note_success(worker)
+    assert not note_failure(worker, make_step(9).tasks[0], [worker], 5.0)
+
+
+def test_no_more_than_a_third_of_the_workers_is_avoided():
+    workers = [make_worker(f"w{index}") for index in range(6)]
+    for worker in workers:
+        for number in range(FAILURES_NEEDED):
+            note_failure(worker, make_step(number + 1).tasks[0], workers, 5.0)
+    assert sum(not worker.takes_work(5.1) for worker in workers) == 2
+
+
+@pytest.mark.parametrize(("leaves_at", "cut"), [(11.0, True), (12.5, False)])
+def test_a_run_that_its_progress_takes_beyond_the_leave_is_cut(leaves_at, cut):
+    # 40 % in one second: it ends at 11.5, and workers stay half a second longer.
+    task = make_running(progress=40, progressed_at=10.0)
+    assert will_be_cut(task, leaves_at - 0.1, now=10.2) is cut
