--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SECONDS ?= 60
 MINUTES ?= 5
 
-.PHONY: setup test lint format demo cell chaos soak model bench-idle \
+.PHONY: setup test lint format demo demo-platform cell chaos soak soak-platform model bench-idle \
 	bench-control bench-decisions bench-dissemination bench-gateway bench-policy bench-recovery check-slots
 
 setup: $(VENV)/.ready
@@ -45,6 +45,12 @@
 soak: setup
 	SOAK_SEED=$(SEED) SOAK_MINUTES=$(MINUTES) $(PYTHON) -m pytest -s --timeout=0 tests/scheduler/test_recovery_machine.py
 
+soak-platform: setup
+	$(PYTHON) -m demo.fleet_soak --seed $(SEED) --seconds $(SECONDS)
+
+demo-platform: setup
+	$(PYTHON) -m demo.fleet_demo
+
 bench-recovery: setup
 	$(PYTHON) -m benchmarks.recovery
 
--- /dev/null
+++ b/standins/fleet/http.py
@@ -0,0 +1,196 @@
+"""The platform's interfaces over HTTP, in front of the in-process stand-in."""
+
+import asyncio
+import base64
+
+import orjson
+from aiohttp import web
+
+from cactustiller.cell import (
+    Committed,
+    End,
+    Row,
+    RowKey,
+    StartAnswer,
+    StartOrder,
+    Transaction,
+)
+from cactustiller.model import ErrorCode
+
+from .workers import WorkerTrouble
+
+REASONS = {
+    StartAnswer.FENCED: "fence",
+    StartAnswer.OLD_RUN: "old",
+    StartAnswer.TOO_LATE: "late",
+}
+ENDS = {
+    End.DONE: "done",
+    End.FAILED: "failed",
+    End.STOPPED: "stopped",
+    End.LAPSED: "lapsed",
+}
+
+
+# Longer than any caller waits.
+SILENT_SECONDS = 20.0
+
+
+async def serve(handle, host="127.0.0.1"):
+    """Serve a handler on a free port; return its runner and address."""
+    runner = web.ServerRunner(web.Server(handle, access_log=None), shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, host, 0)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    return runner, f"{host}:{port}"
+
+
+def make_store_handler(client):
+    """Return the handler of the metadata store, with the troubles of a client."""
+
+    async def handle(request):
+        if request.path == "/rows-tx":
+            return await _transact(client, orjson.loads(await request.read()))
+        query = request.query
+        if request.path == "/rows-get":
+            answer = await client.read(
+                query["Table"], query["part"], query["From"], query["To"], 5.0
+            )
+        else:
+            answer = await client.follow(
+                query["Table"], int(query["After"]), int(query["WaitMs"]) / 1000
+            )
+        if answer.is_err():
+            return _fail(answer.unwrap_err())
+        page = answer.unwrap()
+        content = {
+            "rows": [_encode_row(row) for row in page.rows],
+            "Ver": page.version,
+            "NowMs": page.now_ms,
+            "HasMore": page.has_more,
+        }
+        return web.json_response(content)
+
+    return handle
+
+
+async def _transact(client, body):
+    transaction = Transaction(
+        {_decode_key(row): row["Ver"] for row in body["ExpectedRevision"]},
+        {_decode_key(row): base64.b64decode(row["Value"]) for row in body["Puts"]},
+        tuple(_decode_key(row) for row in body["Remove"]),
+    )
+    answer = await client.transact(transaction, 5.0)
+    if answer.is_err():
+        return _fail(answer.unwrap_err())
+    reply = answer.unwrap()
+    if isinstance(reply, Committed):
+        return web.json_response({"Ver": reply.version, "NowMs": reply.now_ms})
+    rows = [_encode_row(row) for row in reply.rows]
+    return web.json_response({"rows": rows}, status=412)
+
+
+def _fail(failure):
+    """Return the answer to a call that failed; its caller may have left."""
+    statuses = {ErrorCode.HISTORY_LOST: 410, ErrorCode.OVERLOADED: 503}
+    return web.json_response({}, status=statuses.get(failure.code, 500))
+
+
+def make_worker_handler(worker):
+    """Return the handler of one executor."""
+
+    async def handle(request):
+        body = orjson.loads(await request.read())
+        if worker.trouble is WorkerTrouble.CUT_OFF:
+            await asyncio.sleep(SILENT_SECONDS)
+        if worker.trouble is WorkerTrouble.ORDERS_LATE and request.path != "/hold":
+            # Carried out late, and the answer comes too late for the caller.
+            await asyncio.sleep(worker.late_seconds)
+        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        answer = {"ClockMs": now_ms, "born": worker.info.born_ms}
+        if request.path == "/run-start":
+            outcome = worker.take_start(
+                StartOrder(
+                    body["Task"],
+                    body["RunId"],
+                    body["Spec"],
+                    body["DeadlineMs"],
+                    body["FenceToken"],
+                )
+            )
+            if outcome is not StartAnswer.STARTED:
+                return web.json_response(
+                    answer | {"Reason": REASONS[outcome]}, status=409
+                )
+        elif request.path == "/run-stop":
+            worker.take_stop(body["Task"], body["RunId"], body["FenceToken"])
+        else:
+            return await _hold(worker, body, answer)
+        return web.json_response(answer)
+
+    return handle
+
+
+async def _hold(worker, body, answer):
+    listing = worker.take_hold(
+        body["FenceToken"], body["AckedThrough"], body.get("DeadlineMs")
+    )
+    if listing is None:
+        return web.json_response(answer | {"Reason": "fence"}, status=409)
+    if not listing.ended and body.get("WaitMs"):
+        try:
+            async with asyncio.timeout(body["WaitMs"] / 1000):
+                await worker.changed.wait()
+        except TimeoutError:
+            pass
+        listing = worker.list_runs()
+    answer |= {
+        "ClockMs": listing.clock_ms,
+        "ActiveRuns": [list(run) for run in listing.active],
+        "EndedRuns": [
+            [end.number, end.task, end.run, ENDS[end.end], end.checkpoint]
+            for end in listing.ended
+        ],
+    }
+    return web.json_response(answer)
+
+
+def make_approval_handler(valid_ms=2000):
+    """Return the handler of the recommendation service; approves every worker."""
+
+    async def handle(request):
+        body = orjson.loads(await request.read())
+        approved = [[worker, f"t-{worker}"] for worker in body["Workers"]]
+        return web.json_response({"ApprovedWorkers": approved, "ValidMs": valid_ms})
+
+    return handle
+
+
+def encode_entry(info):
+    """Return the text of an executor's entry."""
+    cpu, memory, accelerators = info.capacity
+    return orjson.dumps(
+        {
+            "Service": info.service,
+            "Address": info.address,
+            "Zone": info.zone,
+            "State": "draining" if info.is_draining else "ready",
+            "Capacity": {"Cpu": cpu, "MemMb": memory, "Gpu": accelerators},
+            "Labels": list(info.labels),
+            "SeqNum": 1,
+            "born": info.born_ms,
+        }
+    )
+
+
+def _decode_key(row):
+    return RowKey(row["Table"], row["part"], row["Key"])
+
+
+def _encode_row(row: Row):
+    fields = {"Table": row.key.table, "part": row.key.part, "Key": row.key.key}
+    if row.value is None:
+        return fields | {"Deleted": True, "Ver": row.version}
+    value = base64.b64encode(row.value).decode()
+    return fields | {"Value": value, "Ver": row.version}
--- /dev/null
+++ b/standins/fleet/processes.py
@@ -0,0 +1,228 @@
+"""The real daemons as processes, on a stand-in of the platform in this process."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import aiohttp
+import orjson
+
+from cactustiller.cell import RowKey, WorkerInfo
+from cactustiller.model import Amounts, WorkerId
+
+from .audit import Audit
+from .http import (
+    encode_entry,
+    make_approval_handler,
+    make_store_handler,
+    make_worker_handler,
+    serve,
+)
+from .store import Store, StoreClient
+from .workers import FleetWorker
+
+HOST = "queue.example"
+PREFIX = "/jobs/"
+KEY = "key-of-the-team"
+SERVICE = "recon"
+CAPACITY = Amounts(32_000, 65_536, 0)
+CALL_SECONDS = 5.0
+CONFIG = {
+    "Version": 1,
+    "Routes": [
+        {
+            "Name": "r-1",
+            "Host": HOST,
+            "PathPrefix": PREFIX,
+            "Service": SERVICE,
+            "Priority": 0,
+            "MaxAttempts": 3,
+            "SlackFactor": 2.0,
+            "TargetLatencyMs": 1000,
+            "Recommendation": {"DecideMs": 5, "PeriodMs": 0.1, "ValidMs": 2000},
+        }
+    ],
+    "Services": [{"Name": SERVICE}],
+    "Tenants": [{"Name": "team", "ApiKeys": [KEY], "Weight": 1000}],
+}
+NODE = """
+NodeName = "{name}"
+Role = "entry"
+Ip = "127.0.0.1"
+Zone = "z"
+InternalPorts = [{peer}, {peer}]
+Recommendation = "{approvals}"
+[ListenAddrs]
+Frontend = "127.0.0.1:{frontend}"
+Ready = "127.0.0.1:{ready}"
+[Bounds]
+GraceS = 6
+status_s = 120
+[platform]
+Address = "{store}"
+"""
+
+
+class ProcessCell:
+    """Daemons of one cell, each a process of its own.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings and log files.
+    members, workers : int
+    task_seconds : float
+        Work of each task.
+    """
+
+    def __init__(self, folder, members=3, workers=4, task_seconds=0.5):
+        self.folder = Path(folder)
+        self.audit = Audit()
+        self.store = Store()
+        self.store_client = StoreClient(self.store)
+        self.members = {}
+        self.frontends = {}
+        self._task_seconds = task_seconds
+        self._counts = (members, workers)
+        self._runners = []
+        self.workers = []
+        self._session = None
+
+    async def __aenter__(self):
+        members, workers = self._counts
+        self._session = aiohttp.ClientSession()
+        store = await self._serve(make_store_handler(self.store_client))
+        approvals = await self._serve(make_approval_handler())
+        self.store.put(RowKey("op", "", "config"), orjson.dumps(CONFIG))
+        for index in range(workers):
+            await self._add_worker(WorkerId(f"i-{index}"))
+        for index in range(members):
+            self._write_settings(f"m{index}", store, approvals)
+            await self.start_member(f"m{index}")
+        return self
+
+    async def __aexit__(self, *exception):
+        for name in list(self.members):
+            await self.end_member(name, signal.SIGKILL)
+        for worker in self.workers:
+            await worker.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+        await self._session.close()
+
+    async def start_member(self, name):
+        """Start a daemon."""
+        environment = os.environ | {
+            "CACTUSTILLER_NODE_FILE": str(self.folder / f"{name}.toml")
+        }
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.members[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "cactustiller.fleet.daemon",
+                "--metrics-port=0",
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def end_member(self, name, number=signal.SIGTERM):
+        """Send a signal to a daemon and wait for its end; return its exit code."""
+        process = self.members.pop(name)
+        process.send_signal(number)
+        return await process.wait()
+
+    def find_owner(self):
+        """Return the name of the daemon in the owner's row, or None."""
+        row = self.store.rows.get(RowKey("owner", "cell", "owner"))
+        return orjson.loads(row.value)[1].partition("@")[0] if row else None
+
+    async def wait_for_owner(self, seconds=15.0):
+        """Wait until an owner answers, and return its name."""
+        async with asyncio.timeout(seconds):
+            while True:
+                owner = self.find_owner()
+                if owner in self.members:
+                    status, _ = await self.call("GET", "", owner)
+                    if status == 200:
+                        return owner
+                await asyncio.sleep(0.05)
+
+    async def call(self, method, rest, name, content=None):
+        """Call a daemon as callers do; return status and body, or None for both."""
+        try:
+            async with self._session.request(
+                method,
+                f"http://{self.frontends[name]}{PREFIX}{rest}",
+                data=None if content is None else orjson.dumps(content),
+                headers={"Host": HOST, "X-Credential": KEY},
+                timeout=aiohttp.ClientTimeout(total=CALL_SECONDS),
+            ) as response:
+                return response.status, orjson.loads(await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None, None
+
+    async def submit(self, job, count=2, names=None, seconds=15.0):
+        """Hand a job in, again and again, until a daemon accepts it."""
+        body = {"Spec": "text", "Steps": [{"Count": count, "Cpu": 1000, "MemMb": 10}]}
+        async with asyncio.timeout(seconds):
+            while True:
+                for name in names or list(self.members):
+                    status, _ = await self.call("POST", job, name, body)
+                    if status == 200:
+                        return
+                await asyncio.sleep(0.1)
+
+    async def wait_for_state(self, job, state, seconds=20.0):
+        """Wait until some daemon shows a job in a state."""
+        async with asyncio.timeout(seconds):
+            while True:
+                for name in list(self.members):
+                    status, content = await self.call("GET", job, name)
+                    if status == 200 and content["State"] == state:
+                        return
+                await asyncio.sleep(0.1)
+
+    async def _serve(self, handle):
+        runner, address = await serve(handle)
+        self._runners.append(runner)
+        return address
+
+    async def _add_worker(self, name):
+        info = WorkerInfo(name, "", SERVICE, "z", CAPACITY, ("a", "r0"), born_ms=1)
+        worker = FleetWorker(
+            info, self.audit, lambda task: ((1000, 10, 0), self._task_seconds)
+        )
+        address = await self._serve(make_worker_handler(worker))
+        worker.info = replace(info, address=address)
+        worker.start()
+        self.workers.append(worker)
+        self.store.put(RowKey("servers", "", name), encode_entry(worker.info))
+
+    def _write_settings(self, name, store, approvals):
+        frontend, ready, peer = _find_free_ports(3)
+        self.frontends[name] = f"127.0.0.1:{frontend}"
+        text = NODE.format(
+            name=name,
+            peer=peer,
+            frontend=frontend,
+            ready=ready,
+            store=store,
+            approvals=approvals,
+        )
+        (self.folder / f"{name}.toml").write_text(text)
+
+
+def _find_free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind(("127.0.0.1", 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
