--- a/libs/cell/src/cactustiller/cell/placement.py
+++ b/libs/cell/src/cactustiller/cell/placement.py
@@ -16,6 +16,8 @@
 # Tickets are used only while they outlast the start's way to the worker.
 TICKET_MARGIN_SECONDS = 0.25
 URGENT_BANDS = (URGENT, LATE_URGENT)
+# A stop takes effect within 0.2 to 0.4 s, so looking again sooner finds nothing new.
+PREEMPT_PAUSE_SECONDS = 0.15
 # Bands of work for which room is made or kept.
 ACTIVE_BANDS = (URGENT, LATE_URGENT, IN_TIME)
 # A blocked gang asks again before its room is expected to be free.
@@ -156,7 +158,7 @@
             order = (is_failed, is_far, worker.free_cpu, worker.info.worker)
             fits.append((order, room, worker))
     if not fits:
-        if key.band == URGENT:
+        if key.band == URGENT and _may_preempt(current, step):
             preempt_for(current, step, candidates)
         return
     if rules.needs_approval and not has_valid_tickets(step, current.now):
@@ -183,7 +185,7 @@
     may_use_reserved = key.band in URGENT_BANDS
     chosen = _choose_for_gang(step, candidates if may_use_reserved else open_workers)
     if chosen is None:
-        if _is_pressing(current, key):
+        if _is_pressing(current, key) and _may_preempt(current, step):
             for worker in preempt_for_gang(current, step, open_workers):
                 worker.reserved_for = step
                 current.reserved += 1
@@ -201,6 +203,14 @@
             _assign(current, next(tasks), worker)
 
 
+def _may_preempt(current, step):
+    """Return whether room may be made for a step now, which costs time to find."""
+    if step.preempts_at > current.now:
+        return False
+    step.preempts_at = current.now + PREEMPT_PAUSE_SECONDS
+    return True
+
+
 def _is_pressing(current, key):
     """Return whether a gang has to start soon to be in time."""
     if key.band == URGENT:
--- a/libs/cell/src/cactustiller/cell/runs.py
+++ b/libs/cell/src/cactustiller/cell/runs.py
@@ -91,6 +91,8 @@
         A call for approval is on its way.
     failed_on : set of WorkerId
         Workers where a run failed or stood still; others go first.
+    preempts_at : float
+        Earliest time at which others are preempted for it again.
     asked : set of WorkerId
         Workers named in calls so far; the answer for a worker never changes.
     """
@@ -110,6 +112,7 @@
     eligible_at: float = 0.0
     retry_at: float = 0.0
     failed_on: set = field(default_factory=set)
+    preempts_at: float = 0.0
 
     @property
     def name(self):
--- a/tests/cell/test_preemption.py
+++ b/tests/cell/test_preemption.py
@@ -119,3 +119,17 @@
     fill(workers[0], number=8)
     fill(workers[1], number=9, has_checkpoints=False)
     assert place_gang(workers, slack=1.0) == []
+
+
+def test_room_is_not_looked_for_again_at_once():
+    # Long queues on a full cell would take the owner's time in each round.
+    workers = [make_worker("w0"), make_worker("w1")]
+    for number, worker in enumerate(workers, start=8):
+        fill(worker, number=number, has_checkpoints=False)
+    step = make_step(1, count=2, cpu=3000)
+    find_preempted(workers[0], step)
+    fill_later = make_worker("w2")
+    fill(fill_later, number=7)
+    assert find_preempted(fill_later, step) == []
+    step.preempts_at = 0.0
+    assert find_preempted(fill_later, step) != []
