--- a/libs/cell/src/cactustiller/cell/followers.py
+++ b/libs/cell/src/cactustiller/cell/followers.py
@@ -6,6 +6,7 @@
 
 from .events import Event, log_event
 from .ports import MEMBER_TABLE
+from .tables import read_table
 
 READ_SECONDS = 1.5
 # A feed that hears nothing answers after this long; a lost one is noticed then.
@@ -15,7 +16,6 @@
 FEED_PAUSE_SECONDS = 0.02
 # A feed may stay silent while rows change, so the table is read again this often.
 REREAD_SECONDS = 2.0
-PAST_ALL_KEYS = "\x7f"
 
 
 class Follower:
@@ -78,13 +78,10 @@
             await asyncio.sleep(FEED_PAUSE_SECONDS)
 
     async def _read(self):
-        answer = await self._store.read(
-            self._table, self._part, "", PAST_ALL_KEYS, READ_SECONDS
-        )
+        answer = await read_table(self._store, self._table, self._part, READ_SECONDS)
         if answer.is_ok():
-            page = answer.unwrap()
-            rows = {row.key.key: row.value for row in page.rows}
-            self._version = page.version
+            found, self._version = answer.unwrap()
+            rows = {row.key.key: row.value for row in found}
             self._read_at = asyncio.get_running_loop().time()
             if rows != self._rows or not self._first.is_set():
                 self._rows = rows
--- a/libs/cell/src/cactustiller/cell/loading.py
+++ b/libs/cell/src/cactustiller/cell/loading.py
@@ -13,6 +13,7 @@
     split_job_key,
 )
 from .specs import decode_job
+from .tables import read_table
 
 # Jobs reach the owner directly; the feed brings those that members stored themselves.
 FEED_PAUSE_SECONDS = 0.4
@@ -21,7 +22,6 @@
 READ_RETRY_SECONDS = 0.1
 # Rows that are decoded before other tasks have their turn; some 20 ms of work.
 CHUNK_ROWS = 200
-PAST_ALL_KEYS = "\x7f"
 
 
 class JobLoader:
@@ -100,20 +100,7 @@
             self._engine.cancel_job(job)
 
     async def _read_table(self, table, part):
-        """Return all rows and the version that the first page shows."""
-        rows = []
-        version = None
-        first = ""
-        while True:
-            answer = await self._store.read(
-                table, part, first, PAST_ALL_KEYS, READ_SECONDS
-            )
-            if answer.is_err():
-                await asyncio.sleep(READ_RETRY_SECONDS)
-                continue
-            page = answer.unwrap()
-            rows += page.rows
-            version = page.version if version is None else version
-            if not page.has_more:
-                return rows, version
-            first = page.rows[-1].key.key + "\0"
+        answer = await read_table(
+            self._store, table, part, READ_SECONDS, READ_RETRY_SECONDS
+        )
+        return answer.unwrap()
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 
 from cactustiller.cell import Committed, Conflict, Page, Row
+from cactustiller.cell.tables import PAST_ALL_KEYS
 from cactustiller.model import ErrorCode, Failure, Outcome
 
 READ_SECONDS = 0.004
@@ -14,7 +15,6 @@
 PAGE_ROWS = 500
 MOST_ENTRIES = 100
 JOB_TABLE = "jobs"
-PAST_ALL_KEYS = "\x7f"
 
 
 class Trouble(Enum):
