Serve counters and latency histograms; bound log lines job by job

Cause: the metrics address showed ten counters without times, and log volume was bounded only by what a full pipe takes, so that what is dropped was a matter of luck. Ruled out: percentiles computed here (they can't be summed over members); counting in each place beside the log line (two lists that drift apart). Change: metrics.py (hdrhistogram, exposition by prometheus-client), metering.py around store, workers and approvals, gauges of the owner's cell, lateness of the loop with an event for a machine that stood still. Every log event is a counter. Beyond 250 lines a second of one kind whole jobs are left out, one in 16 is kept, and a line tells how many; lost dependencies and lost work are never left out. A start's run number is taken when it is decided, not when the call is made.

--- a/libs/cell/src/cactustiller/cell/attempts.py
+++ b/libs/cell/src/cactustiller/cell/attempts.py
@@ -1,6 +1,5 @@
 """Runs of tasks: their starts, ends and stops, as workers answer and list them."""
 
-from collections import Counter
 from typing import NamedTuple
 
 from cactustiller.model import JobState, WorkerId
@@ -40,13 +39,18 @@
         Seconds of the loop.
     wall_clock_ms : callable
         Unix milliseconds.
+
+    Attributes
+    ----------
+    on_run_ended : callable
+        Called with the task and the `End` of each run, before the task is settled.
     """
 
     def __init__(self, clock, wall_clock_ms):
         super().__init__(clock)
         self.shown = {}
         self.desired = DesiredState()
-        self.counters = Counter()
+        self.on_run_ended = _ignore
         self._wall_clock_ms = wall_clock_ms
         self._dirty = set()
         self._eligible = {}
@@ -106,7 +110,6 @@
             worker.is_synchronized = True
 
     def _apply_end(self, worker, end):
-        self.counters[f"runs_ended_{end.end.value}"] += 1
         held = worker.runs.get(end.task)
         if held is None or held[1] != end.run:
             return
@@ -124,6 +127,7 @@
             worker=worker.info.worker,
             end=end.end.value,
         )
+        self.on_run_ended(task, end.end)
         if end.end is End.DONE and not task.step.spec.is_service:
             note_success(worker)
             self._succeed(task)
@@ -326,3 +330,7 @@
         """Take a newer desired state."""
         if desired.version > self.desired.version:
             self.desired = desired
+
+
+def _ignore(task, end):
+    """Take no note of a run's end."""
--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -164,6 +164,10 @@
         self._last_placements += current.placements
         return current.wants_approval
 
+    def find_waiting(self):
+        """Return the steps with tasks that may start."""
+        return list(self._eligible)
+
     def find_unapproved(self):
         """Return the steps whose approval was never asked, in order."""
         unasked = [
@@ -197,7 +201,6 @@
 
     def _preempt(self, task, worker):
         task.is_stopping = True
-        self.counters["preemptions"] += 1
         log_event(
             Event.RUN_PREEMPTED,
             job=task.step.job.spec.job,
--- a/libs/cell/src/cactustiller/cell/events.py
+++ b/libs/cell/src/cactustiller/cell/events.py
@@ -1,9 +1,12 @@
 """Log lines of a cell: one list of event names."""
 
+from collections import Counter
 from enum import StrEnum
 
 import structlog
 
+from .thinning import Thinner
+
 log = structlog.get_logger("cell")
 
 
@@ -48,8 +51,41 @@
     ENTRY_UNREADABLE = "entry_unreadable"
     CALL_REFUSED = "call_refused"
     CALL_FAILED = "call_failed"
+    LINES_LEFT_OUT = "lines_left_out"
+
+
+# Lines of these may be left out when there are too many; whatever tells of a lost
+# dependency, of lost work or of a changed belief is always written.
+THINNED = frozenset(
+    {
+        Event.JOB_ACCEPTED,
+        Event.JOB_REFUSED,
+        Event.JOB_CANCELLED,
+        Event.JOB_ENDED,
+        Event.APPROVAL,
+        Event.RUN_STARTED,
+        Event.RUN_ENDED,
+        Event.RUN_STOPPED,
+        Event.CALL_REFUSED,
+        Event.CALL_FAILED,
+        Event.ENTRY_UNREADABLE,
+    }
+)
+# Events of this process, keyed as the metrics label them.
+EVENT_COUNTS = Counter()
+
+_thinner = Thinner()
 
 
 def log_event(event, **fields):
-    """Write one line."""
+    """Write one line, unless there are too many of its kind.
+
+    Lines are left out job by job, so that the story of a job that is kept is whole.
+    """
+    EVENT_COUNTS[event.value,] += 1
+    left_out = _thinner.take_left_out()
+    if left_out:
+        log.info(Event.LINES_LEFT_OUT.value, counts=left_out)
+    if event in THINNED and not _thinner.allows(event.value, fields.get("job", "")):
+        return
     log.info(event.value, **fields)
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/gauges.py
@@ -0,0 +1,60 @@
+"""What an owner's engine holds at a moment, as gauges."""
+
+from collections import Counter
+
+from .metrics import Gauge
+
+MILLIS = 1000
+
+
+def read_cell_gauges(engine, now):
+    """Yield ``(Gauge, labels, value)`` for the jobs and workers of a cell.
+
+    Parameters
+    ----------
+    engine : Engine
+    now : float
+        Seconds of the loop.
+    """
+    yield Gauge.JOBS, (), len(engine.jobs)
+    for labels, count in _count_waiting(engine).items():
+        yield Gauge.WAITING, labels, count
+    states = Counter(_name_state(worker, now) for worker in engine.workers.values())
+    for state, count in states.items():
+        yield Gauge.WORKERS, (state,), count
+    for state, cores in _sum_room(engine, now).items():
+        yield Gauge.ROOM, (state,), cores
+
+
+def _count_waiting(engine):
+    waiting = Counter()
+    for step in engine.find_waiting():
+        spec = step.job.spec
+        priority = str(engine.find_rules(step.job).priority)
+        waiting[priority, str(spec.team)] += step.waiting
+    return waiting
+
+
+def _name_state(worker, now):
+    if worker.info.is_draining:
+        return "draining"
+    if not worker.is_listed:
+        return "unlisted"
+    if not worker.is_reachable:
+        return "unreachable"
+    return "usable" if worker.takes_work(now) else "avoided"
+
+
+def _sum_room(engine, now):
+    """Return cores by state; only those of usable workers may be free."""
+    room = dict.fromkeys(("all", "used", "reserved", "free"), 0.0)
+    for worker in engine.workers.values():
+        capacity = worker.info.capacity[0] / MILLIS
+        free = max(0, worker.free_cpu) / MILLIS
+        room["all"] += capacity
+        room["used"] += capacity - free
+        if worker.reserved_for is not None:
+            room["reserved"] += free
+        elif worker.takes_work(now):
+            room["free"] += free
+    return room
--- a/libs/cell/src/cactustiller/cell/logs.py
+++ b/libs/cell/src/cactustiller/cell/logs.py
@@ -6,8 +6,11 @@
 import orjson
 import structlog
 
+from .events import EVENT_COUNTS
+
 # Bytes kept while the reader of standard output lags behind; more is dropped.
 MOST_PENDING_BYTES = 262_144
+LINES_DROPPED = "lines_dropped"
 
 
 class BoundedWriter:
@@ -23,10 +26,14 @@
         """Write one line, or keep it for later."""
         if len(self._pending) + len(line) > MOST_PENDING_BYTES:
             self.dropped += 1
+            EVENT_COUNTS[LINES_DROPPED,] += 1
             return
         self._pending += line
         if self.dropped:
-            self._pending += b'{"event":"lines_dropped","count":%d}\n' % self.dropped
+            self._pending += b'{"event":"%b","count":%d}\n' % (
+                LINES_DROPPED.encode(),
+                self.dropped,
+            )
             self.dropped = 0
         try:
             written = os.write(self._descriptor, self._pending)
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -28,7 +28,11 @@
 from .election import Election
 from .events import Event, log_event
 from .followers import Follower, Registry, Roster, encode_member_row
+from .gauges import read_cell_gauges
 from .intake import Intake, serve_owner_call
+from .loopwatch import watch_loop
+from .metering import MeteredApprovals, MeteredStore, MeteredWorkerCalls
+from .metrics import Count, Gauge, Latency, Metrics
 from .owner import Owner
 from .ports import MEMBER_TABLE, RowKey, Transaction
 
@@ -55,21 +59,23 @@
         self.settings = settings
         self.desired_state = DesiredState()
         self._desired_value = b""
+        self.metrics = Metrics(self._read_gauges)
+        self.store = MeteredStore(outside.store, self.metrics)
+        self.worker_calls = MeteredWorkerCalls(outside.worker_calls, self.metrics)
+        self.approvals = MeteredApprovals(outside.approvals, self.metrics)
+        self.wall_clock_ms = outside.wall_clock_ms
         self._desired_follower = Follower(
-            outside.store,
+            self.store,
             outside.desired_table,
             outside.desired_part,
             self._read_desired,
         )
         self._told_at = float("-inf")
-        self.store = outside.store
-        self.worker_calls = outside.worker_calls
-        self.approvals = outside.approvals
-        self.wall_clock_ms = outside.wall_clock_ms
         self._outside = outside
         self._owner = None
         self._stop = asyncio.Event()
         self._tasks = []
+        self._watch = None
         identity = Hello(
             member=settings.member,
             role=ROLE,
@@ -97,6 +103,7 @@
             asyncio.create_task(self._publish()),
             asyncio.create_task(self._take_terms()),
         ]
+        self._watch = asyncio.create_task(watch_loop(self.metrics, self.wall_clock_ms))
         log_event(Event.STARTED, what="member", address=self.settings.peer_address)
 
     async def release(self):
@@ -117,14 +124,16 @@
 
     async def abort(self):
         """End at once, as a killed process does."""
-        for task in self._tasks:
+        tasks = [*self._tasks, self._watch]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self._desired_follower.stop()
         await self._server.stop()
 
     async def stop(self):
         """Close every connection."""
+        self._watch.cancel()
         await self._desired_follower.stop()
         await self._server.stop()
         await self.peers.close()
@@ -154,16 +163,10 @@
             if self._owner is not None:
                 self._owner.wake()
 
-    def read_metrics(self):
-        """Return counters and gauges by name."""
-        owner = self._owner
-        values = {"desired_version": self.desired_state.version}
-        values["is_owner"] = int(owner is not None)
-        if owner is not None:
-            values |= {f"cell_{k}": v for k, v in owner.engine.counters.items()}
-            values["cell_jobs"] = len(owner.engine.jobs)
-            values["cell_workers"] = len(owner.engine.workers)
-        return values
+    def note_answer(self, call, status, seconds):
+        """Count an answer to a caller, who waited so many seconds."""
+        self.metrics.count(Count.ANSWERS, call, str(status))
+        self.metrics.record(Latency.ANSWER, seconds, call)
 
     # Ports of an owner
 
@@ -243,6 +246,18 @@
             return None, "", record.epoch
         return None, record.address, record.epoch
 
+    def _read_gauges(self):
+        """Yield the gauges of this member, and of the cell where it owns it."""
+        now = asyncio.get_running_loop().time()
+        yield Gauge.IS_OWNER, (), int(self.is_owner)
+        yield Gauge.EPOCH, (), self._election.record.epoch
+        yield Gauge.DESIRED_VERSION, (), self.desired_state.version
+        age = now - max(self._desired_follower.fresh_at, self._told_at)
+        yield Gauge.DESIRED_AGE, (), age
+        if self.is_owner:
+            yield from read_cell_gauges(self._owner.engine, now)
+            yield Gauge.PENDING_HAND_INS, (), self._owner.pending_hand_ins
+
     async def _publish(self):
         """Write this member's row, so that owners find it."""
         key = RowKey(MEMBER_TABLE, MEMBER_TABLE, self.settings.member)
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/metering.py
@@ -0,0 +1,140 @@
+"""Systems that a member talks to, with their calls counted and timed."""
+
+import asyncio
+
+from cactustiller.model import Outcome
+
+from .metrics import Count, Latency
+from .ports import JOB_TABLE, OWNER_TABLE, PROGRESS_TABLE, Conflict, StartAnswer
+
+DONE = "done"
+CONFLICT = "conflict"
+NOT_RUN = "notRun"
+UNKNOWN = "unknown"
+
+
+class MeteredStore:
+    """Row store whose calls are counted by purpose.
+
+    Parameters
+    ----------
+    store : RowStore
+    metrics : Metrics
+    """
+
+    def __init__(self, store, metrics):
+        self._store = store
+        self._metrics = metrics
+
+    async def transact(self, transaction, seconds):
+        """Perform one transaction."""
+        purpose = _name_purpose(transaction)
+        size = sum(map(len, transaction.puts.values()))
+        return await self._measure(
+            purpose, size, self._store.transact(transaction, seconds)
+        )
+
+    async def read(self, table, part, first, last, seconds):
+        """Return rows with keys from `first` to before `last`."""
+        call = self._store.read(table, part, first, last, seconds)
+        return await self._measure(f"read {table}", 0, call)
+
+    async def follow(self, table, after, wait_seconds):
+        """Return the rows changed after a version."""
+        call = self._store.follow(table, after, wait_seconds)
+        return await self._measure(f"follow {table}", 0, call)
+
+    async def _measure(self, purpose, size, call):
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        answer = await call
+        self._metrics.record(Latency.STORE_CALL, loop.time() - started_at, purpose)
+        self._metrics.count(Count.STORE_CALLS, purpose, _name_outcome(answer))
+        if answer.is_ok():
+            rows = getattr(answer.unwrap(), "rows", ())
+            size += sum(len(row.value) for row in rows if row.value is not None)
+        self._metrics.count(Count.STORE_BYTES, purpose, amount=size)
+        return answer
+
+
+class MeteredWorkerCalls:
+    """Calls to workers, counted by kind and outcome.
+
+    Parameters
+    ----------
+    calls : WorkerCalls
+    metrics : Metrics
+    """
+
+    def __init__(self, calls, metrics):
+        self._calls = calls
+        self._metrics = metrics
+
+    async def start(self, worker, order):
+        """Start a run."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        answer = await self._calls.start(worker, order)
+        self._note("start", loop.time() - started_at, answer.value)
+        return answer
+
+    async def stop(self, worker, task, run, fence):
+        """Stop a run."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        answer = await self._calls.stop(worker, task, run, fence)
+        self._note("stop", loop.time() - started_at, _name_outcome(answer))
+        return answer
+
+    async def hold(self, worker, fence, acked_through, deadline_ms, wait_ms):
+        """Renew the lease of all runs and wait for an end.
+
+        Its time is that of the wait, so only the outcome is counted.
+        """
+        answer = await self._calls.hold(
+            worker, fence, acked_through, deadline_ms, wait_ms
+        )
+        self._metrics.count(Count.WORKER_CALLS, "hold", _name_outcome(answer))
+        return answer
+
+    def _note(self, call, seconds, outcome):
+        self._metrics.count(Count.WORKER_CALLS, call, outcome)
+        if outcome != StartAnswer.UNANSWERED.value:
+            self._metrics.record(Latency.WORKER_CALL, seconds, call)
+
+
+class MeteredApprovals:
+    """Approval service whose calls are counted.
+
+    Parameters
+    ----------
+    approvals : ApprovalService
+    metrics : Metrics
+    """
+
+    def __init__(self, approvals, metrics):
+        self._approvals = approvals
+        self._metrics = metrics
+
+    async def ask(self, step, workers):
+        """Return the approval for the workers named."""
+        answer = await self._approvals.ask(step, workers)
+        self._metrics.count(Count.APPROVAL_CALLS, _name_outcome(answer))
+        return answer
+
+
+def _name_outcome(answer):
+    if answer.is_ok():
+        return CONFLICT if isinstance(answer.unwrap(), Conflict) else DONE
+    is_sure = answer.unwrap_err().outcome is Outcome.NOT_RUN
+    return NOT_RUN if is_sure else UNKNOWN
+
+
+def _name_purpose(transaction):
+    """Return what a transaction is for, by the tables that it changes."""
+    tables = {key.table for key in (*transaction.puts, *transaction.removes)}
+    if OWNER_TABLE in tables:
+        return "batch" if tables & {JOB_TABLE, PROGRESS_TABLE} else "renew"
+    if transaction.removes:
+        return "remove"
+    return f"write {' '.join(sorted(tables))}"
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/metrics.py
@@ -0,0 +1,170 @@
+"""Counters, gauges and latency histograms of a member, as exposition text."""
+
+from collections import Counter
+from enum import Enum
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
+
+from .events import EVENT_COUNTS
+
+NAMESPACE = "cactustiller"
+# Latencies are kept in microseconds, up to an hour, with two significant digits.
+MICROSECONDS = 1e6
+HIGHEST = 3_600_000_000
+DIGITS = 2
+# Upper bounds of the exposed buckets in seconds: callers want 0.25 s to 3 s, calls
+# take milliseconds, waits of large jobs half a minute.
+BOUNDS = (0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
+# Sets of labels of one family beyond this share one; a cell has up to 340 teams.
+MOST_SERIES = 400
+OTHER = "other"
+
+
+class Family(NamedTuple):
+    """Name, meaning and labels of a metric."""
+
+    name: str
+    text: str
+    labels: tuple[str, ...] = ()
+
+
+class Count(Enum):
+    """Counters."""
+
+    ANSWERS = Family("answers", "Answers to callers.", ("call", "status"))
+    STORE_CALLS = Family("store_calls", "Calls to the store.", ("purpose", "outcome"))
+    STORE_BYTES = Family("store_bytes", "Bytes of row values.", ("purpose",))
+    WORKER_CALLS = Family("worker_calls", "Calls to workers.", ("call", "outcome"))
+    APPROVAL_CALLS = Family("approval_calls", "Approvals asked.", ("outcome",))
+    RUNS_ENDED = Family("runs_ended", "Runs by their end.", ("end",))
+    WASTED = Family(
+        "wasted_core_seconds", "Work of runs that did not succeed.", ("end",)
+    )
+
+
+class Latency(Enum):
+    """Histograms of seconds."""
+
+    ANSWER = Family("answer_seconds", "Time to answer a caller.", ("call",))
+    STORE_CALL = Family("store_call_seconds", "Time of a store call.", ("purpose",))
+    WORKER_CALL = Family("worker_call_seconds", "Time of a worker call.", ("call",))
+    START_WAIT = Family(
+        "start_wait_seconds", "From a step's turn to a start of it.", ("priority",)
+    )
+    LOOP_DELAY = Family("loop_delay_seconds", "Lateness of the loop's timers.")
+
+
+class Gauge(Enum):
+    """Values read when the metrics are asked for."""
+
+    IS_OWNER = Family("is_owner", "1 at the owner of the cell.")
+    EPOCH = Family("epoch", "Highest epoch known.")
+    DESIRED_VERSION = Family("desired_version", "Version in force.")
+    DESIRED_AGE = Family("desired_age_seconds", "Since the store confirmed it.")
+    WORKERS = Family("workers", "Workers by what the owner believes.", ("state",))
+    JOBS = Family("jobs", "Jobs in the owner's memory.")
+    WAITING = Family(
+        "waiting_tasks", "Tasks whose turn has come.", ("priority", "team")
+    )
+    ROOM = Family("room_cores", "Cores of listed workers.", ("state",))
+    PENDING_HAND_INS = Family("pending_hand_ins", "Jobs that wait for the store.")
+
+
+class Metrics:
+    """Counts and times of one member.
+
+    Parameters
+    ----------
+    read_gauges : callable
+        Yields ``(Gauge, labels, value)``.
+    """
+
+    def __init__(self, read_gauges):
+        self._read_gauges = read_gauges
+        self._counts = {family: Counter() for family in Count}
+        self._histograms = {family: {} for family in Latency}
+        self._registry = CollectorRegistry()
+        self._registry.register(self)
+        ProcessCollector(NAMESPACE, registry=self._registry)
+
+    def count(self, family, *labels, amount=1):
+        """Add to a counter."""
+        counts = self._counts[family]
+        counts[_limit_labels(counts, labels)] += amount
+
+    def record(self, family, seconds, *labels):
+        """Record a duration in seconds."""
+        histograms = self._histograms[family]
+        labels = _limit_labels(histograms, labels)
+        histogram = histograms.get(labels)
+        if histogram is None:
+            histogram = histograms[labels] = HdrHistogram(1, HIGHEST, DIGITS)
+        histogram.record_value(min(HIGHEST, max(1, int(seconds * MICROSECONDS))))
+
+    def render(self):
+        """Return the exposition text, encoded."""
+        return generate_latest(self._registry)
+
+    def collect(self):
+        """Yield the families, as the registry's collector."""
+        yield _make_counter(Family("events", "Log events.", ("event",)), EVENT_COUNTS)
+        for family, counts in self._counts.items():
+            yield _make_counter(family.value, counts)
+        for family, histograms in self._histograms.items():
+            yield _make_histogram(family.value, histograms)
+        gauges = {family: _start_gauge(family.value) for family in Gauge}
+        for family, labels, value in self._read_gauges():
+            gauges[family].add_metric(labels, value)
+        yield from gauges.values()
+
+
+def _limit_labels(known, labels):
+    """Return the labels, or their stand-in where a family has too many."""
+    if labels in known or len(known) < MOST_SERIES:
+        return labels
+    return (OTHER,) * len(labels)
+
+
+def _make_counter(family, counts):
+    metric = CounterMetricFamily(
+        f"{NAMESPACE}_{family.name}", family.text, labels=family.labels
+    )
+    for labels, value in counts.items():
+        metric.add_metric(labels, value)
+    return metric
+
+
+def _start_gauge(family):
+    return GaugeMetricFamily(
+        f"{NAMESPACE}_{family.name}", family.text, labels=family.labels
+    )
+
+
+def _make_histogram(family, histograms):
+    metric = HistogramMetricFamily(
+        f"{NAMESPACE}_{family.name}", family.text, labels=family.labels
+    )
+    for labels, histogram in histograms.items():
+        total = histogram.get_mean_value() * histogram.total_count / MICROSECONDS
+        metric.add_metric(labels, _accumulate(histogram), total)
+    return metric
+
+
+def _accumulate(histogram):
+    """Return ``(bound, count)`` pairs, each with all values up to its bound."""
+    values = [
+        (item.value_iterated_to / MICROSECONDS, item.count_added_in_this_iter_step)
+        for item in histogram.get_recorded_iterator()
+    ]
+    pairs = [
+        (str(float(bound)), sum(count for value, count in values if value <= bound))
+        for bound in BOUNDS
+    ]
+    return [*pairs, ("+Inf", histogram.total_count)]
--- a/libs/cell/src/cactustiller/cell/orders.py
+++ b/libs/cell/src/cactustiller/cell/orders.py
@@ -5,8 +5,10 @@
 from cactustiller.model import ErrorCode, Outcome
 
 from .events import Event, log_event
+from .metrics import Count, Latency
 from .ports import StartAnswer, StartOrder
 from .rooms import LEASE_SECONDS
+from .runs import End
 
 # A worker without ends to tell is heard of this often; a lost one is noticed then.
 HOLD_WAIT_MS = 500
@@ -33,10 +35,13 @@
         Called after each change.
     on_fenced : callable
         Called when a worker has seen a higher fence.
+    metrics : Metrics
     """
 
-    def __init__(self, engine, calls, fence, wake, on_fenced):
+    def __init__(self, engine, calls, fence, wake, on_fenced, metrics):
         self._engine = engine
+        self._metrics = metrics
+        engine.on_run_ended = self._count_end
         self._calls = calls
         self._fence = fence
         self._wake = wake
@@ -48,7 +53,8 @@
     def send_starts(self, placements):
         """Send starts without waiting for their answers."""
         for placement in placements:
-            self._run_aside(self._send_start(placement))
+            # The task may get another run before the call is made.
+            self._run_aside(self._send_start(placement, placement.task.run))
 
     def send_stops(self, stops):
         """Send stops without waiting for their answers."""
@@ -146,10 +152,10 @@
         if not task.cancelled() and task.exception() is not None:
             log_event(Event.TERM_FAILED, reason=repr(task.exception()))
 
-    async def _send_start(self, placement):
+    async def _send_start(self, placement, run):
         task, worker, ticket = placement
         loop = asyncio.get_running_loop()
-        run, step = task.run, task.step
+        step = task.step
         sent_at = loop.time()
         deadline_ms = worker.make_deadline_ms(sent_at, LEASE_SECONDS)
         if deadline_ms is None:
@@ -181,11 +187,13 @@
                 ticket_age=round(step.approved_until - sent_at, 3),
             )
             self._engine.confirm_start(task, run, now)
-            self._engine.counters["starts"] += 1
+            priority = self._engine.find_rules(step.job).priority
+            self._metrics.record(
+                Latency.START_WAIT, sent_at - step.eligible_at, str(priority)
+            )
             return
         if answer is StartAnswer.FENCED:
             self._on_fenced()
-        self._engine.counters[f"starts_{answer.value}"] += 1
         if answer is StartAnswer.UNANSWERED:
             log_event(Event.RUN_UNANSWERED, **fields, seconds=round(now - sent_at, 3))
             task.is_unanswered = task.run == run
@@ -197,6 +205,13 @@
             self._take_refusal(placement, run, answer, now)
         self._wake()
 
+    def _count_end(self, task, end):
+        self._metrics.count(Count.RUNS_ENDED, end.value)
+        if end is not End.DONE and task.started_at:
+            seconds = asyncio.get_running_loop().time() - task.started_at
+            cores = task.step.spec.amounts[0] / 1000
+            self._metrics.count(Count.WASTED, end.value, amount=seconds * cores)
+
     def _take_refusal(self, placement, run, answer, now):
         task, worker, _ = placement
         if answer is StartAnswer.NO_TICKET:
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -29,7 +29,7 @@
     Parameters
     ----------
     ports : Ports
-        Store, worker calls, approval service and the makers of followers.
+        Store, worker calls, approval service, metrics and the makers of followers.
     claim : tuple
         What the election returned.
     status_ms : int
@@ -65,6 +65,7 @@
             claim[0].epoch,
             self._wake.set,
             lambda: self.depose("a worker has seen a higher fence"),
+            ports.metrics,
         )
         self._desk = ApprovalDesk(
             self.engine,
@@ -117,6 +118,11 @@
             await self._registry.stop()
             await self._roster.stop()
 
+    @property
+    def pending_hand_ins(self):
+        """Number of jobs that wait for the store."""
+        return len(self._handins.jobs)
+
     # Entry points of this member
 
     async def hand_in(self, job, row):
