Serve callers while the store is slow

(1) A transaction takes 0.6 s then; the owner gave up after 0.4 s, sent it again behind itself (one part carries out one transaction after another, 0.3 s each) and refused all jobs meanwhile. (2) Placements older than 0.6 s were thrown away, so none survived its own transaction. (3) Callers and starts waited for all transactions of a round, up to three. (4) Members gave an owner up after 0.6 s though it announced itself, and passed it by for 2 s. (5) A member that waited for its own transaction could answer after 8 s, long after its caller had left. Ruled out: the store's rate (no 429), approvals (answered throughout). Change: without an answer the owner's row is read, which tells a lost answer from a slow store; a slow store is not lost; a round is one transaction, what callers wait for first; placements up to 2.5 s old are checked against their worker instead; ends are acknowledged as far as their rows are stored; an owner that announces itself is waited for; no caller waits beyond its time. `answered unknown` now asks for a write that lands later than callers wait: a read tells earlier ones, for which there is a test of its own.

--- a/libs/cell/src/cactustiller/cell/attempts.py
+++ b/libs/cell/src/cactustiller/cell/attempts.py
@@ -119,6 +119,7 @@
             task.checkpoint = end.checkpoint
         if task.run != end.run or task.phase is RunPhase.SUCCEEDED:
             return
+        worker.unstored.append((end.number, task.step.job.spec.job))
         log_event(
             Event.RUN_ENDED,
             job=task.step.job.spec.job,
--- a/libs/cell/src/cactustiller/cell/commits.py
+++ b/libs/cell/src/cactustiller/cell/commits.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-from cactustiller.model import JobId, Outcome
+from result import Err, Ok
+
+from cactustiller.model import ErrorCode, Failure, JobId, Outcome
 
 from .election import RENEW_SECONDS, OwnerRecord, decode_owner, encode_owner
 from .events import Event, log_event
@@ -17,17 +19,22 @@
 )
 from .rooms import OWNER_WITHOUT_STORE_SECONDS
 
-# Bound of one call; a slow store answers within it.
-COMMIT_CALL_SECONDS = 1.2
-# Bound while the store answers as usual, so that a lost answer holds up little.
-LEAST_CALL_SECONDS = 0.35
+# Bound of one call: three answers of a store that takes sixty times its usual 10 ms.
+CALL_SECONDS = 2.0
+# Without an answer for so long, some ten usual ones, the owner's row is read: the
+# answer may be lost, or the store slow.
+PATIENCE_SECONDS = 0.1
 SLOW_CALLS = 4.0
+# Bound of that read: twice what a store takes that is sixty times slower than usual.
+PROBE_SECONDS = 0.5
 RETRY_SECONDS = 0.12
 # Failures after which jobs are given up, where each promises that nothing was done.
 SURE_FAILURES = 2
 # Refusals and resets come at once, unlike lost answers.
 QUICK_FAILURE_SECONDS = 0.15
 QUICK_FAILURES = 2
+# A store that answers reads, but no transaction for so long, counts as lost.
+LOST_AFTER_SECONDS = 1.2
 # Counts no failure as sure any more after one that may have taken effect.
 NEVER = float("-inf")
 # The store takes 100 entries and 1 MB a transaction; a row that must not exist yet
@@ -36,26 +43,46 @@
 MOST_BYTES = 600_000
 
 
-def split_puts(puts):
+def split_puts(groups):
     """Return the puts as dicts that each fit one transaction, at least one.
 
     Parameters
     ----------
-    puts : list of (RowKey, bytes)
+    groups : list of list of (RowKey, bytes)
+        Puts that share a transaction, in order of their urgency.
     """
     chunks = [{}]
     entries = size = 0
-    for key, value in puts:
-        cost = 2 if key.table == JOB_TABLE else 1
-        if entries + cost > MOST_ENTRIES or size + len(value) > MOST_BYTES:
+    for group in groups:
+        cost = sum(2 if key.table == JOB_TABLE else 1 for key, _ in group)
+        length = sum(len(value) for _, value in group)
+        if entries + cost > MOST_ENTRIES or size + length > MOST_BYTES:
             chunks.append({})
             entries = size = 0
-        chunks[-1][key] = value
+        chunks[-1].update(group)
         entries += cost
-        size += len(value)
+        size += length
     return chunks
 
 
+def group_puts(rows, new_jobs):
+    """Return the puts of each job: its progress with its own row, if that is new.
+
+    Parameters
+    ----------
+    rows : list of (JobId, bytes)
+        Progress, the most urgent first.
+    new_jobs : list of (JobId, bytes)
+        Rows of jobs that are handed in.
+    """
+    groups = {job: [] for job, _ in rows}
+    for job, value in new_jobs:
+        groups.setdefault(job, []).append((make_job_key(job), value))
+    for job, value in rows:
+        groups[job].append((make_progress_key(job), value))
+    return list(groups.values())
+
+
 class OwnershipLostError(Exception):
     """Raised once another member owns the cell, or may own it."""
 
@@ -74,21 +101,25 @@
         Called with the jobs that surely were not and will not be stored.
     on_turned_away : callable
         Called when the store refuses calls at once: it may serve other members.
+    usual_seconds : float
+        How long the store takes for a transaction, as far as known.
 
     Attributes
     ----------
     is_store_lost : bool
-        The latest call failed.
+        Calls fail; a store that is only slow is not lost.
     """
 
-    def __init__(self, store, claim, on_lost, on_given_up, on_turned_away):
+    def __init__(
+        self, store, claim, on_lost, on_given_up, on_turned_away, usual_seconds=0.0
+    ):
         self._store = store
         self._on_lost = on_lost
         self._on_given_up = on_given_up
         self._on_turned_away = on_turned_away
         self.record, self._version, self._now_ms = claim
         self._now_at = self.succeeded_at = asyncio.get_running_loop().time()
-        self._usual = 0.0
+        self._usual = usual_seconds
         self.is_store_lost = False
 
     @property
@@ -103,7 +134,7 @@
         Parameters
         ----------
         rows : list of (JobId, bytes)
-            Progress of jobs.
+            Progress of jobs, the most urgent first.
         new_jobs : list of (JobId, bytes)
             Rows of jobs that are handed in; one that is stored already is kept.
 
@@ -112,10 +143,7 @@
         OwnershipLostError
             If another member has taken over, or the store stays away too long.
         """
-        # A job's row goes before its progress, or with it.
-        puts = [(make_job_key(job), value) for job, value in new_jobs]
-        puts += [(make_progress_key(job), value) for job, value in rows]
-        for chunk in split_puts(puts):
+        for chunk in split_puts(group_puts(rows, new_jobs)):
             await self._write_chunk(chunk)
 
     async def release(self):
@@ -127,42 +155,93 @@
         sequence = self.record.sequence + 1
         sure_failures = quick_failures = 0
         while True:
-            since = (loop.time() - self._now_at) * 1000
-            record = OwnerRecord(
-                self.record.epoch,
-                self.record.member,
-                self.record.address,
-                sequence,
-                int(self._now_ms + since),
-                is_released,
-            )
+            record = self._make_record(sequence, is_released)
             expected = {key: 0 for key in puts if key.table == JOB_TABLE}
             transaction = Transaction(
                 {OWNER_ROW: self._version, **expected},
                 {**puts, OWNER_ROW: encode_owner(record)},
             )
-            seconds = min(
-                COMMIT_CALL_SECONDS, LEAST_CALL_SECONDS + SLOW_CALLS * self._usual
-            )
             asked_at = loop.time()
-            answer = await self._store.transact(transaction, seconds)
+            answer = await self._transact(transaction, record)
             if answer.is_ok():
                 self._usual = loop.time() - asked_at
-            else:
-                self._usual = max(self._usual, seconds / 2)
-            if answer.is_err():
-                is_sure = answer.unwrap_err().outcome is Outcome.NOT_RUN
-                sure_failures = sure_failures + 1 if is_sure else NEVER
-                self._note_failure(answer.unwrap_err())
-                is_quick = loop.time() - asked_at < QUICK_FAILURE_SECONDS
-                quick_failures = quick_failures + 1 if is_quick else 0
-                if quick_failures == QUICK_FAILURES:
-                    self._on_turned_away()
-                if sure_failures >= SURE_FAILURES:
-                    self._give_up_jobs(puts)
-                await asyncio.sleep(RETRY_SECONDS)
-            elif self._accept(answer.unwrap(), record, puts):
-                return
+                if self._accept(answer.unwrap(), record, puts):
+                    return
+                continue
+            failure = answer.unwrap_err()
+            is_sure = failure.outcome is Outcome.NOT_RUN
+            sure_failures = sure_failures + 1 if is_sure else NEVER
+            if failure.code is ErrorCode.TIMEOUT:
+                quick_failures = 0
+                self._note_silence(failure)
+                continue
+            self._note_failure(failure)
+            is_quick = loop.time() - asked_at < QUICK_FAILURE_SECONDS
+            quick_failures = quick_failures + 1 if is_quick else 0
+            if quick_failures == QUICK_FAILURES:
+                self._on_turned_away()
+            if sure_failures >= SURE_FAILURES:
+                self._give_up_jobs(puts)
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _make_record(self, sequence, is_released):
+        since = asyncio.get_running_loop().time() - self._now_at
+        return OwnerRecord(
+            self.record.epoch,
+            self.record.member,
+            self.record.address,
+            sequence,
+            int(self._now_ms + since * 1000),
+            is_released,
+        )
+
+    async def _transact(self, transaction, record):
+        """Return the reply to a transaction, or what the owner's row tells of it.
+
+        A retry would take a slow store another turn, and a lost answer never comes:
+        a read that overtakes the answer tells which of the two it is.
+        """
+        call = asyncio.create_task(self._store.transact(transaction, CALL_SECONDS))
+        probe = None
+        try:
+            patience = max(PATIENCE_SECONDS, SLOW_CALLS * self._usual)
+            await asyncio.wait([call], timeout=patience)
+            if not call.done():
+                probe = asyncio.create_task(self._probe(record, patience))
+                await asyncio.wait([call, probe], return_when=asyncio.FIRST_COMPLETED)
+                if not call.done() and probe.result() is not None:
+                    return probe.result()
+            return await call
+        finally:
+            call.cancel()
+            if probe is not None:
+                probe.cancel()
+
+    async def _probe(self, record, patience):
+        """Return what the owner's row tells of a transaction, None while unclear."""
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        key = OWNER_ROW
+        answer = await self._store.read(
+            key.table, key.part, key.key, key.key + "\0", PROBE_SECONDS
+        )
+        if answer.is_err():
+            self._note_failure(answer.unwrap_err())
+            return None
+        rows = answer.unwrap().rows
+        stored = decode_owner(rows[0] if rows else None)
+        if stored[:2] != record[:2] or stored.sequence == record.sequence:
+            return Ok(Conflict(rows))
+        if loop.time() - asked_at > patience:
+            return None
+        return Err(
+            Failure(
+                code=ErrorCode.TIMEOUT,
+                step="transact",
+                reason="the owner's row stands as before",
+                outcome=Outcome.UNKNOWN,
+            )
+        )
 
     def _accept(self, reply, record, puts):
         """Take a reply; return whether the transaction is settled.
@@ -205,6 +284,12 @@
         log_event(Event.JOBS_STORED_BEFORE, jobs=[key.key for key in stored])
         return False
 
+    def _note_silence(self, failure):
+        """Take a call without an answer, which a store that is slow explains."""
+        away = asyncio.get_running_loop().time() - self.succeeded_at
+        if away > LOST_AFTER_SECONDS:
+            self._note_failure(failure)
+
     def _note_failure(self, failure):
         away = asyncio.get_running_loop().time() - self.succeeded_at
         if not self.is_store_lost:
--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -11,8 +11,11 @@
 from .runs import JobRun, RunPhase, decode_progress, encode_progress
 from .shares import ShareMeter
 
-# Placements older than this go by a view of workers and tickets that is too old.
-STALE_BATCH_SECONDS = 0.6
+# Placements older than this are made anew: four transactions of a store that takes
+# sixty times as long as usual. Younger ones are checked against the workers' state.
+STALE_SECONDS = 2.5
+# A row that must not exist yet is named twice in a transaction.
+NEW_JOB_ENTRIES = 2
 # Finished jobs stay readable this much longer than callers are promised.
 RETENTION_MARGIN_SECONDS = 30.0
 # Times of steps that are kept besides those of the steps that wait.
@@ -25,17 +28,20 @@
 
     Attributes
     ----------
-    rows : dict of JobId to (str, bytes)
-        Progress rows.
-    acknowledged : dict of WorkerId to (int, int)
-        Life of the worker and its last end that the rows hold.
+    rows : dict of JobId to bytes
+        Progress rows, the most urgent first.
+    new_jobs : list of JobId
+        Jobs whose own rows go along.
+    states : dict of JobId to (JobRun, JobState)
+        What is shown of the jobs from then on.
+    placements : list of Placement
+        Starts that may be sent from then on.
     """
 
     rows: dict = field(default_factory=dict)
+    new_jobs: list = field(default_factory=list)
     states: dict = field(default_factory=dict)
-    created_at: float = 0.0
     placements: list[Placement] = field(default_factory=list)
-    acknowledged: dict = field(default_factory=dict)
 
 
 class Engine(Attempts):
@@ -211,7 +217,7 @@
         )
 
     def _assign(self, placement):
-        task, worker, ticket = placement
+        task, worker, ticket, _ = placement
         step = task.step
         if step.spec.is_gang:
             run = max(member.run for member in step.tasks)
@@ -232,21 +238,51 @@
             self._eligible.pop(step, None)
         self._dirty.add(step.job.spec.job)
 
-    def collect(self):
-        """Return the `Batch` of all changes since the last one, or None."""
-        batch = Batch(placements=self._last_placements, created_at=self._clock())
-        self._last_placements = []
-        for job_id in self._dirty:
-            job = self.jobs.get(job_id)
-            if job is not None:
-                batch.rows[job_id] = encode_progress(job)
-                batch.states[job_id] = (job, job.state)
-        self._dirty = set()
-        for worker in self.workers.values():
-            if worker.seen_through > worker.acked_through:
-                key = worker.info.worker
-                batch.acknowledged[key] = (worker.born_ms, worker.seen_through)
-        return batch if batch.rows or batch.acknowledged else None
+    def collect(self, most, new_jobs=()):
+        """Return the `Batch` of the most urgent changes; the others stay for later.
+
+        Jobs that ended come first, then new ones, whose callers wait, then those that
+        start; what else ended is only needed for a takeover.
+
+        Parameters
+        ----------
+        most : int
+            Entries of a transaction. A new job's own row counts as two.
+        new_jobs : iterable of JobId
+            Jobs whose own rows are to be stored.
+        """
+        batch = Batch()
+        new_jobs = list(new_jobs)
+        self._dirty &= self.jobs.keys()
+        ended = {job for job in self._dirty if self.jobs[job].state.is_final}
+        most -= len(ended)
+        batch.new_jobs = new_jobs[: max(0, most // NEW_JOB_ENTRIES)]
+        most -= NEW_JOB_ENTRIES * len(batch.new_jobs)
+        # Progress goes with its job's own row, or after it.
+        unstored = set(new_jobs[len(batch.new_jobs) :])
+        placed = [p.task.step.job.spec.job for p in self._last_placements]
+        others = dict.fromkeys([*placed, *self._dirty])
+        others = [job for job in others if job not in ended | unstored]
+        for job_id in [*(ended - unstored), *others[: max(0, most)]]:
+            job = self.jobs[job_id]
+            batch.rows[job_id] = encode_progress(job)
+            batch.states[job_id] = (job, job.state)
+        self._dirty -= batch.rows.keys()
+        later = []
+        for placement in self._last_placements:
+            is_stored = placement.task.step.job.spec.job in batch.rows
+            (batch.placements if is_stored else later).append(placement)
+        self._last_placements = later
+        return batch
+
+    @property
+    def has_unstored(self):
+        """Whether changes wait for a batch."""
+        return bool(self._dirty)
+
+    def is_unstored(self, job_id):
+        """Return whether the newest state of a job is in no batch yet."""
+        return job_id in self._dirty
 
     def confirm(self, batch):
         """Note that a batch is stored; return the starts that may be sent."""
@@ -254,21 +290,28 @@
             # A job that was dropped meanwhile may have been handed in anew.
             if self.jobs.get(job_id) is job:
                 self.shown[job_id] = state
-        for worker_id, (born_ms, number) in batch.acknowledged.items():
-            worker = self.workers.get(worker_id)
-            if worker is not None and worker.born_ms == born_ms:
-                worker.acked_through = max(worker.acked_through, number)
+        now = self._clock()
         starts = []
-        is_stale = self._clock() - batch.created_at > STALE_BATCH_SECONDS
         for placement in batch.placements:
-            task, worker, _ = placement
-            if is_stale or task.is_stopping or not task.holds_room:
+            task, worker = placement.task, placement.worker
+            is_stale = now - placement.decided_at > STALE_SECONDS
+            is_unusable = is_stale or not worker.takes_work(now)
+            if is_unusable or task.is_stopping or not task.holds_room:
                 self.reject_start(worker, task, task.run, 0.0)
                 continue
             task.is_sent = True
             starts.append(placement)
         return starts
 
+    def acknowledge_ends(self):
+        """Let workers forget the ends that are stored; call it after a write."""
+        for worker in self.workers.values():
+            unstored = worker.unstored
+            while unstored and unstored[0][1] not in self._dirty:
+                unstored.popleft()
+            first = unstored[0][0] if unstored else worker.seen_through + 1
+            worker.acked_through = max(worker.acked_through, first - 1)
+
     def _open_due(self, now_ms):
         for job_id in list(self._timed):
             job = self.jobs.get(job_id)
--- a/libs/cell/src/cactustiller/cell/handins.py
+++ b/libs/cell/src/cactustiller/cell/handins.py
@@ -28,8 +28,7 @@
         self._engine = engine
         self._member = member
         self._cancels = {}
-        self._jobs_in_flight = frozenset()
-        self._cancels_in_flight = frozenset()
+        self._in_flight = frozenset()
 
     async def wait_for_job(self, job, row):
         """Return ``Ok(None)`` once a job is stored."""
@@ -44,25 +43,25 @@
         )
         return await asyncio.shield(future)
 
-    def take_off(self):
-        """Return the rows for the next transaction."""
-        self._jobs_in_flight = frozenset(self.jobs)
-        self._cancels_in_flight = frozenset(self._cancels)
-        return [(job, row) for job, (row, _) in self.jobs.items()]
+    def take_off(self, jobs):
+        """Return the rows of jobs that go into the next transaction."""
+        self._in_flight = frozenset(jobs)
+        return [(job, self.jobs[job][0]) for job in jobs]
 
     def land(self):
         """Answer the callers whose transaction took effect."""
-        stored = [job for job in self._jobs_in_flight if job in self.jobs]
+        stored = [job for job in self._in_flight if job in self.jobs]
         self._engine.confirm_jobs(stored)
         for job in stored:
             self.jobs.pop(job)[1].set_result(Ok(None))
-        for job in self._cancels_in_flight:
-            self._cancels.pop(job).set_result(Ok(None))
-        self._jobs_in_flight = self._cancels_in_flight = frozenset()
+        for job in list(self._cancels):
+            if not self._engine.is_unstored(job):
+                self._cancels.pop(job).set_result(Ok(None))
+        self._in_flight = frozenset()
 
     def refuse_unwritten(self):
         """Refuse the jobs that no transaction on its way holds."""
-        self.refuse([job for job in self.jobs if job not in self._jobs_in_flight])
+        self.refuse([job for job in self.jobs if job not in self._in_flight])
 
     def refuse(self, jobs):
         """Refuse jobs that surely are not stored, and forget them."""
--- a/libs/cell/src/cactustiller/cell/insertion.py
+++ b/libs/cell/src/cactustiller/cell/insertion.py
@@ -50,6 +50,7 @@
         self._store = store
         self._breaker = Breaker(generator)
         self._pending: dict[RowKey, _Pending] = {}
+        self._in_flight = frozenset()
         self._task = None
 
     async def insert(self, key, value, deadline, may_have_run=False):
@@ -73,11 +74,23 @@
             self._pending[key] = pending
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._run())
-        return await asyncio.shield(pending.future)
+        try:
+            async with asyncio.timeout_at(max(deadline, pending.deadline)):
+                return await asyncio.shield(pending.future)
+        except TimeoutError:
+            return self._give_up(key, pending)
+
+    def _give_up(self, key, pending):
+        """Return what is sure of a row whose caller waits no longer."""
+        if pending.may_have_run or key in self._in_flight:
+            return Acceptance.UNKNOWN
+        self._pending.pop(key, None)
+        return Acceptance.REFUSED
 
     async def _run(self):
         while self._pending:
             batch = dict(list(self._pending.items())[:MOST_ROWS])
+            self._in_flight = batch.keys()
             answer = await self._store.transact(
                 Transaction(
                     dict.fromkeys(batch, 0), {k: p.value for k, p in batch.items()}
@@ -104,6 +117,7 @@
 
     def _take_failure(self, batch, is_sure):
         now = asyncio.get_running_loop().time()
+        self._in_flight = frozenset()
         for key, pending in batch.items():
             pending.may_have_run |= not is_sure
             pending.tries += 1
--- a/libs/cell/src/cactustiller/cell/intake.py
+++ b/libs/cell/src/cactustiller/cell/intake.py
@@ -35,10 +35,13 @@
 STORE_SECONDS = 1.5
 # A store that takes longer for a read is left to the owner, who writes in batches.
 SLOW_STORE_SECONDS = 0.05
-# The owner answers after its next transaction; two of a store that is slow.
-HAND_IN_SECONDS = 1.7
+# The owner answers after its next transaction but one; three of a slow store.
+HAND_IN_SECONDS = 2.3
+# An owner that neither answers for so long nor announces itself is given up.
 LEAST_HAND_IN_SECONDS = 0.6
-STORE_CALLS = 6.0
+# Owners announce themselves every 0.7 s.
+OWNER_SILENCE_SECONDS = 1.1
+SILENCE_CHECK_SECONDS = 0.1
 # Callers wait 3 s: the answer has to be on its way before.
 TOTAL_SECONDS = 2.8
 # An owner that did not answer is passed by until another had time to take over.
@@ -88,8 +91,13 @@
         self._inserter = Inserter(store, generator)
         self._election = election
         self._suspects = {}
+        self._heard_at = {}
         self._tasks = set()
 
+    def note_announcement(self, address):
+        """Note that the owner at an address announced itself."""
+        self._heard_at = {address: asyncio.get_running_loop().time()}
+
     async def accept(self, spec):
         """Store a job; `REFUSED` promises that it never runs.
 
@@ -197,14 +205,9 @@
         elif not address or self._is_suspect(address):
             return Acceptance.REFUSED
         else:
-            seconds = min(
-                HAND_IN_SECONDS,
-                LEAST_HAND_IN_SECONDS + STORE_CALLS * self._election.read_seconds,
-            )
-            answer = await self._peers.call(address, message, seconds)
+            answer = await self._call_owner(address, message)
             if answer.is_err() and answer.unwrap_err().code in LOST_CODES:
-                now = asyncio.get_running_loop().time()
-                self._suspects = {address: now + SUSPECT_SECONDS}
+                self._suspects = {address: asyncio.get_running_loop().time()}
                 if answer.unwrap_err().code is ErrorCode.UNAVAILABLE:
                     self._election.suspect_owner(address)
         if answer.is_ok():
@@ -212,6 +215,21 @@
         is_sure = answer.unwrap_err().outcome is Outcome.NOT_RUN
         return Acceptance.REFUSED if is_sure else Acceptance.UNKNOWN
 
+    async def _call_owner(self, address, message):
+        """Call the owner for as long as it shows that it lives."""
+        loop = asyncio.get_running_loop()
+        call = asyncio.create_task(self._peers.call(address, message, HAND_IN_SECONDS))
+        try:
+            await asyncio.wait([call], timeout=LEAST_HAND_IN_SECONDS)
+            while not call.done():
+                silence = loop.time() - self._heard_at.get(address, float("-inf"))
+                if silence > OWNER_SILENCE_SECONDS:
+                    return _fail_without_answer("the owner is silent", address)
+                await asyncio.wait([call], timeout=SILENCE_CHECK_SECONDS)
+            return call.result()
+        finally:
+            call.cancel()
+
     def _tell_owner_later(self, message, outcome):
         """Tell the owner of a row that this member stored; its feed is slower."""
         if outcome is Acceptance.ACCEPTED:
@@ -230,18 +248,14 @@
             async with asyncio.timeout(HAND_IN_SECONDS):
                 return await serve_owner_call(owner, message)
         except TimeoutError:
-            return Err(
-                Failure(
-                    code=ErrorCode.TIMEOUT,
-                    step="store job",
-                    reason="the store does not answer",
-                    outcome=Outcome.UNKNOWN,
-                )
-            )
+            return _fail_without_answer("the store does not answer")
 
     def _is_suspect(self, address):
-        now = asyncio.get_running_loop().time()
-        return self._suspects.get(address, 0.0) > now
+        """Return whether an owner failed a call and was not heard of since."""
+        failed_at = self._suspects.get(address, float("-inf"))
+        if self._heard_at.get(address, float("-inf")) > failed_at:
+            return False
+        return asyncio.get_running_loop().time() < failed_at + SUSPECT_SECONDS
 
     async def _insert(self, key, value, deadline, may_have_run=False):
         """Store a row without the owner, unless the store is slow or away.
@@ -282,6 +296,18 @@
         return Lookup(True, JobState.CANCELLED if is_cancelled else JobState.WAITING)
 
 
+def _fail_without_answer(reason, peer="local"):
+    return Err(
+        Failure(
+            code=ErrorCode.TIMEOUT,
+            step="store job",
+            peer=peer,
+            reason=reason,
+            outcome=Outcome.UNKNOWN,
+        )
+    )
+
+
 async def serve_owner_call(owner, message):
     """Pass a job or its cancelling to the owner of this process."""
     if isinstance(message, HandInJob):
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -210,6 +210,7 @@
         self._told_at = asyncio.get_running_loop().time()
         if self._owner is not None and message.epoch > self._owner.epoch:
             self._owner.depose(f"{message.member} owns the cell")
+        self.intake.note_announcement(message.address)
         self._election.take_announcement(message.epoch, message.member, message.address)
         if message.desired_version > self.desired_state.version:
             answer = await self.peers.call(
@@ -222,7 +223,9 @@
     async def _take_terms(self):
         while not self._stop.is_set():
             claim = await self._election.wait_for_claim()
-            self._owner = Owner(self, claim, self.settings.status_ms)
+            self._owner = Owner(
+                self, claim, self.settings.status_ms, self._election.read_seconds
+            )
             try:
                 await self._owner.run(self._stop)
             except Exception as error:
--- a/libs/cell/src/cactustiller/cell/metering.py
+++ b/libs/cell/src/cactustiller/cell/metering.py
@@ -47,7 +47,12 @@
     async def _measure(self, purpose, size, call):
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        answer = await call
+        try:
+            answer = await call
+        except asyncio.CancelledError:
+            # The caller did not wait for it any longer.
+            self._metrics.count(Count.STORE_CALLS, purpose, UNKNOWN)
+            raise
         self._metrics.record(Latency.STORE_CALL, loop.time() - started_at, purpose)
         self._metrics.count(Count.STORE_CALLS, purpose, _name_outcome(answer))
         if answer.is_ok():
--- a/libs/cell/src/cactustiller/cell/orders.py
+++ b/libs/cell/src/cactustiller/cell/orders.py
@@ -153,7 +153,7 @@
             log_event(Event.TERM_FAILED, reason=repr(task.exception()))
 
     async def _send_start(self, placement, run):
-        task, worker, ticket = placement
+        task, worker, ticket, _ = placement
         loop = asyncio.get_running_loop()
         step = task.step
         sent_at = loop.time()
@@ -213,7 +213,7 @@
             self._metrics.count(Count.WASTED, end.value, amount=seconds * cores)
 
     def _take_refusal(self, placement, run, answer, now):
-        task, worker, _ = placement
+        task, worker = placement.task, placement.worker
         if answer is StartAnswer.NO_TICKET:
             task.step.approved_until = 0.0
         if answer is StartAnswer.UNHEALTHY:
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -8,7 +8,7 @@
 
 from .announcing import Announcer
 from .approvals import ApprovalDesk
-from .commits import BatchWriter, OwnershipLostError
+from .commits import MOST_ENTRIES, BatchWriter, OwnershipLostError
 from .engine import Engine
 from .events import Event, log_event
 from .handins import HandIns
@@ -21,6 +21,8 @@
 # Longest time between two rounds, for what only time changes.
 IDLE_ROUND_SECONDS = 0.15
 RENEWAL_CHECK_SECONDS = 0.05
+# A transaction takes the store some two reads.
+TRANSACTION_READS = 2.0
 
 
 class Owner:
@@ -34,9 +36,11 @@
         What the election returned.
     status_ms : int
         How long finished jobs stay readable.
+    read_seconds : float
+        How long the store took for a read just now.
     """
 
-    def __init__(self, ports, claim, status_ms):
+    def __init__(self, ports, claim, status_ms, read_seconds=0.0):
         loop = asyncio.get_running_loop()
         self.engine = Engine(loop.time, ports.wall_clock_ms)
         self.is_loaded = False
@@ -50,6 +54,7 @@
             self._handins.refuse_unwritten,
             self._handins.refuse,
             self._invite_successor,
+            TRANSACTION_READS * read_seconds,
         )
         self._wake = asyncio.Event()
         self._serving = None
@@ -223,17 +228,16 @@
         engine.find_stalled()
         engine.find_leaving()
         self._desk.ask(engine.plan())
-        batch = engine.collect()
-        jobs = self._handins.take_off()
-        rows = list(batch.rows.items()) if batch else []
-        if jobs or rows:
-            await self._writer.write(rows, jobs)
-        elif self._writer.needs_renewal:
-            await self._writer.write([])
-        self._handins.land()
-        if batch is not None:
+        batch = engine.collect(MOST_ENTRIES, self._handins.jobs)
+        jobs = self._handins.take_off(batch.new_jobs)
+        if jobs or batch.rows or self._writer.needs_renewal:
+            await self._writer.write(list(batch.rows.items()), jobs)
+            self._handins.land()
             self._orders.send_starts(engine.confirm(batch))
+            engine.acknowledge_ends()
             self._orders.note_committed()
+        if engine.has_unstored:
+            self._wake.set()
         self._orders.send_stops(engine.find_stops())
 
     def _invite_successor(self):
--- a/libs/cell/src/cactustiller/cell/placement.py
+++ b/libs/cell/src/cactustiller/cell/placement.py
@@ -25,11 +25,12 @@
 
 
 class Placement(NamedTuple):
-    """Task to be started on a worker."""
+    """Task to be started on a worker; decided at a time of the loop."""
 
     task: TaskRun
     worker: Worker
     ticket: str
+    decided_at: float
 
 
 @dataclass(slots=True)
@@ -314,4 +315,4 @@
     ticket = (step.approved or {}).get(worker.info.worker, "")
     worker.take(step.spec.counted)
     current.take_of_team(step.job.spec.team, step.spec.amounts)
-    current.placements.append(Placement(task, worker, ticket))
+    current.placements.append(Placement(task, worker, ticket, current.now))
--- a/libs/cell/src/cactustiller/cell/workers.py
+++ b/libs/cell/src/cactustiller/cell/workers.py
@@ -1,5 +1,6 @@
 """What the owner knows of one worker: room, runs, lease and health."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from cactustiller.model import Amounts, ServiceName, WorkerId
@@ -49,6 +50,8 @@
         Runs there that nobody asks for, with the room that they take.
     acked_through, seen_through : int
         Last end acknowledged to the worker, and last end processed.
+    unstored : deque of (int, JobId)
+        Ends processed whose job's row may not be stored yet, with that job.
     lease_ends_at : float
         Time by which every lease granted so far has surely lapsed.
     listed_at : float
@@ -73,6 +76,7 @@
     strays: dict = field(default_factory=dict)
     acked_through: int = 0
     seen_through: int = 0
+    unstored: deque = field(default_factory=deque)
     clock_offset: float | None = None
     lease_ends_at: float = 0.0
     listed_at: float = 0.0
@@ -148,5 +152,6 @@
     def forget_life(self):
         """Reset what belonged to the worker's former life."""
         self.acked_through = self.seen_through = 0
+        self.unstored.clear()
         self.clock_offset = None
         self.is_synchronized = False
--- a/standins/fleet/peers.py
+++ b/standins/fleet/peers.py
@@ -15,6 +15,7 @@
     def __init__(self):
         self.cut = set()
         self._handlers = {}
+        self._tasks = set()
 
     def make_peers(self, identity, handle):
         """Return a client and a server for a member."""
@@ -25,17 +26,17 @@
         member, handle = self._handlers.get(address, (None, None))
         if handle is None or sender.member in self.cut or member in self.cut:
             await asyncio.sleep(seconds)
-            return Err(
-                Failure(
-                    code=ErrorCode.UNAVAILABLE,
-                    step="call peer",
-                    peer=address,
-                    reason="no answer",
-                    outcome=Outcome.UNKNOWN,
-                )
-            )
+            return _fail(ErrorCode.UNAVAILABLE, address)
         await asyncio.sleep(CALL_SECONDS)
-        reply = await handle(message, sender)
+        # A peer goes on with a call that its caller has given up.
+        task = asyncio.create_task(handle(message, sender))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            async with asyncio.timeout(seconds):
+                reply = await asyncio.shield(task)
+        except TimeoutError:
+            return _fail(ErrorCode.TIMEOUT, address)
         return Err(reply) if isinstance(reply, Failure) else Ok(reply)
 
     def connect(self, address, member, handle):
@@ -47,6 +48,18 @@
         self._handlers.pop(address, None)
 
 
+def _fail(code, address):
+    return Err(
+        Failure(
+            code=code,
+            step="call peer",
+            peer=address,
+            reason="no answer",
+            outcome=Outcome.UNKNOWN,
+        )
+    )
+
+
 class _Client:
     def __init__(self, network, identity):
         self._network = network
--- a/tests/cell/test_engine.py
+++ b/tests/cell/test_engine.py
@@ -1,5 +1,6 @@
 """The engine's state, without members or a store."""
 
+from cactustiller.cell import End, ListedEnd, Listing
 from cactustiller.cell.engine import Engine
 from cactustiller.cell.runs import JobRun, RunPhase, encode_progress
 from cactustiller.cell.workers import WorkerInfo
@@ -64,3 +65,77 @@
     engine.adopt_missing_workers()
     assert passes == []
     assert sum(len(worker.runs) for worker in engine.workers.values()) == 100
+
+
+def make_busy_engine(jobs, workers=4):
+    """Return an engine whose jobs, all new, were placed in one round."""
+    engine = make_engine()
+    engine.update_workers(make_infos(workers))
+    for worker in engine.workers.values():
+        worker.is_reachable = worker.is_synchronized = True
+    for number in range(1, jobs + 1):
+        engine.add_job(make_job(number, cpu=500), is_stored=False)
+    engine.plan()
+    return engine
+
+
+def test_a_batch_holds_what_fits_and_leaves_the_rest():
+    engine = make_busy_engine(40)
+    ids = list(engine.jobs)
+    batch = engine.collect(60, ids)
+    assert batch.new_jobs == ids[:30]
+    assert batch.rows == {}
+    batch = engine.collect(60, ids[30:])
+    assert batch.new_jobs == ids[30:]
+    assert len(batch.rows) == len(batch.placements) == 40
+    assert not engine.has_unstored
+
+
+def test_progress_never_goes_before_its_job():
+    engine = make_busy_engine(4)
+    ids = list(engine.jobs)
+    for job in ids:
+        engine.cancel_job(job)
+    batch = engine.collect(6, ids)
+    assert set(batch.rows) <= set(batch.new_jobs)
+    later = engine.collect(60, ids[len(batch.new_jobs) :])
+    assert set(batch.rows) | set(later.rows) == set(ids)
+
+
+def test_a_dropped_job_leaves_nothing_to_store():
+    engine = make_busy_engine(2)
+    for job in list(engine.jobs):
+        engine.drop_job(job)
+    engine.collect(96)
+    assert not engine.has_unstored
+
+
+def end_run(engine, worker, number, task, run):
+    ended = (ListedEnd(number, task, run, End.DONE, ""),)
+    engine.apply_listing(worker, Listing(50_000, 1, (), ended), NOW, NOW)
+
+
+def test_ends_are_acknowledged_in_order_once_their_rows_are_stored():
+    engine = make_busy_engine(3, workers=1)
+    (worker,) = engine.workers.values()
+    first = engine.collect(96, engine.jobs)
+    engine.confirm(first)
+    jobs = list(engine.jobs)
+    for number, job in enumerate(jobs, 1):
+        end_run(engine, worker, number, f"{job}.0.0.0", 1)
+    # A fourth end, of a run that nobody asked for.
+    end_run(engine, worker, 4, f"{'f' * 16}.0.0.0", 1)
+    engine._dirty.discard(jobs[0])
+    engine.acknowledge_ends()
+    assert worker.acked_through == 1
+    engine.confirm(engine.collect(96))
+    engine.acknowledge_ends()
+    assert worker.acked_through == worker.seen_through == 4
+
+
+def test_a_start_decided_before_its_worker_was_lost_is_not_sent():
+    engine = make_busy_engine(2, workers=1)
+    batch = engine.collect(96, engine.jobs)
+    next(iter(engine.workers.values())).is_reachable = False
+    assert engine.confirm(batch) == []
+    assert all(not worker.runs for worker in engine.workers.values())
--- /dev/null
+++ b/tests/cell/test_slow_store.py
@@ -0,0 +1,76 @@
+"""Load of a usual second on a store that takes sixty times as long to answer."""
+
+import asyncio
+import random
+
+import pytest
+
+from cactustiller.cell import Acceptance
+from standins.fleet import FleetCell, make_job, make_queue
+
+pytestmark = pytest.mark.looptime
+
+SLOWNESS = 60.0
+WORKERS = 24
+JOBS_PER_SECOND = 27
+# The store is slow for this long; a calm second before it fills the workers.
+SLOW_SECONDS = 5.0
+# Callers wait this long.
+CALLER_SECONDS = 3.0
+
+
+async def hand_in(cell, number, queues, accepted):
+    """Hand in one job of the usual mix: mostly short and urgent ones."""
+    kind = random.Random(number).random()
+    if kind < 0.9:
+        spec = make_job(number, queues[0], count=2, cpu=2800, estimate_ms=640)
+        seconds = 0.64
+    elif kind < 0.98:
+        spec = make_job(number, queues[1], count=10, cpu=2000, estimate_ms=3400)
+        seconds = 3.4
+    else:
+        spec = make_job(number, queues[1], count=8, cpu=9000, estimate_ms=6200)
+        seconds = 6.2
+    members = list(cell.members)
+    loop = asyncio.get_running_loop()
+    asked_at = loop.time()
+    outcome = await cell.submit(spec, seconds, members[number % len(members)])
+    if outcome is Acceptance.ACCEPTED:
+        accepted[spec.job] = loop.time() - asked_at
+
+
+async def test_jobs_are_stored_and_start_while_the_store_is_slow():
+    queues = [make_queue("urgent"), make_queue("batch", priority=2)]
+    accepted = {}
+    calls = []
+    async with FleetCell(members=6, workers=WORKERS, queues=queues) as cell:
+        owner = cell.find_owner()
+        first_slow = 3 * JOBS_PER_SECOND
+        for number in range(int((3 + SLOW_SECONDS) * JOBS_PER_SECOND)):
+            if number == first_slow:
+                cell.store.slowness = SLOWNESS
+            calls.append(asyncio.create_task(hand_in(cell, number, queues, accepted)))
+            await asyncio.sleep(1 / JOBS_PER_SECOND)
+        await asyncio.sleep(CALLER_SECONDS)
+        started = {task.partition(".")[0] for task, _, _ in cell.audit.starts}
+        slow = [f"{n:016x}" for n in range(first_slow, len(calls))]
+        taken = [job for job in slow if job in accepted]
+        begun = [job for job in slow if job in started]
+        assert len(taken) > 0.9 * len(slow)
+        assert len(begun) > 0.9 * len(slow)
+        assert max(accepted.values()) < CALLER_SECONDS
+        assert cell.find_owner() == owner
+        cell.store.slowness = 1.0
+        await asyncio.gather(*calls)
+
+
+async def test_callers_are_answered_in_time_when_the_store_turns_slow():
+    async with FleetCell(members=3) as cell:
+        cell.store.slowness = 4 * SLOWNESS
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        names = list(cell.members)
+        await asyncio.gather(
+            *(cell.submit(make_job(n), member=names[n % 3]) for n in range(1, 10))
+        )
+        assert loop.time() - asked_at < CALLER_SECONDS
