Use all workers of a large cell; end the spiral of an owner with many waiting jobs

(2) With 400 steps waiting for approval each round and each new job chose workers for all of them, 40 ms on this machine, though no caller was free: owners stood still for 0.7 to 1.35 s (`frozen` lines), lost the cell one after another and served nothing. Ruled out: the size of the store's answers and the link (loads took 0.1 s); limits of teams (under half); placing itself (1 ms). Change: workers with room are named first, spread over the steps; a step without room on the workers approved has others asked; tickets are valid one by one; no worker is chosen while no caller is free. Members read the owner's row once a second while the owner announces itself, and check the store when they need to know; a worker is asked again only once its ends are stored; idle workers of a large cell are asked less often. Tests: tests/cell/test_approvals.py.

--- a/libs/cell/src/cactustiller/cell/approvals.py
+++ b/libs/cell/src/cactustiller/cell/approvals.py
@@ -1,6 +1,7 @@
 """Spreads calls to the approval service over the members."""
 
 import asyncio
+import random
 
 from cactustiller.model import WorkerId
 from cactustiller.model.messages import AskApproval
@@ -17,6 +18,23 @@
 # Most workers that one call may name.
 MOST_WORKERS = 100
 RETRY_SECONDS = 0.2
+# Steps that are looked at in vain before a round of calls ends.
+MOST_MISSES = 4
+
+
+def may_be_named(step, rules, worker):
+    """Return whether asking for a worker may bring a ticket for the step."""
+    info = worker.info
+    label = step.spec.required_label
+    is_refused = info.worker in step.asked and info.worker not in (step.approved or {})
+    return (
+        info.service == rules.service
+        and worker.is_listed
+        and not info.is_draining
+        and not is_refused
+        and (not label or label in info.labels)
+        and step.spec.counted.fits_within(info.capacity)
+    )
 
 
 class ApprovalDesk:
@@ -46,7 +64,11 @@
 
     def ask(self, steps):
         """Start calls for steps in order, as long as callers are free."""
+        misses = 0
         for step in steps:
+            # Hundreds of steps may wait; choosing workers for each takes too long.
+            if misses == MOST_MISSES or not self.count_free_callers():
+                break
             if step.is_asking:
                 continue
             workers = self._choose_workers(step)
@@ -55,6 +77,7 @@
             expected = self._expect_seconds(step, len(workers))
             caller = self._find_caller(expected <= SHORT_CALL_SECONDS)
             if caller is None:
+                misses += 1
                 continue
             step.is_asking = True
             self._busy.add(caller)
@@ -69,33 +92,47 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def _choose_workers(self, step):
+        """Return the workers to name: those with room first, spread over the steps.
+
+        Workers whose answer was no are left out, since answers never change.
+        """
         rules = self._engine.find_rules(step.job)
-        label = step.spec.required_label
-        named = []
-        for worker in self._engine.workers.values():
-            info = worker.info
-            known = info.worker in step.asked
-            if info.service != rules.service or not worker.is_listed:
-                continue
-            if info.is_draining or (label and label not in info.labels):
-                continue
-            if known and info.worker not in (step.approved or {}):
-                continue
-            if step.spec.counted.fits_within(info.capacity):
-                named.append(info.worker)
-        return named[:MOST_WORKERS]
+        named = [
+            worker
+            for worker in self._engine.workers.values()
+            if may_be_named(step, rules, worker)
+        ]
+        if len(named) > MOST_WORKERS:
+            now = asyncio.get_running_loop().time()
+            # Steps that wait at the same time see the same room.
+            spread = random.Random(step.name)
+            amounts, count = step.spec.counted, step.spec.count
+            named.sort(
+                key=lambda worker: (
+                    -worker.count_fits(amounts, count) * worker.takes_work(now),
+                    spread.random(),
+                )
+            )
+        return [worker.info.worker for worker in named[:MOST_WORKERS]]
 
     def _expect_seconds(self, step, count):
         rules = self._engine.find_rules(step.job)
         return (rules.approval_ms + rules.approval_worker_ms * count) / 1000
 
-    def _find_caller(self, is_short):
+    def count_free_callers(self):
+        """Return how many calls may start now."""
+        return len(self._find_free_members()) + ("" not in self._busy)
+
+    def _find_free_members(self):
         now = asyncio.get_running_loop().time()
-        others = [
+        return [
             address
             for address in self._members()
             if address not in self._busy and self._paused.get(address, 0.0) <= now
         ]
+
+    def _find_caller(self, is_short):
+        others = self._find_free_members()
         own = [] if "" in self._busy else [""]
         if is_short:
             return next(iter(own + others), None)
@@ -147,9 +184,10 @@
             for worker, ticket in (step.approved or {}).items()
             if worker not in workers
         }
-        # Tickets of workers that this call did not name are older: keep the shorter.
         step.approved = kept | approval.tickets
-        step.approved_until = now + approval.valid_seconds
+        step.approved_until |= dict.fromkeys(
+            approval.tickets, now + approval.valid_seconds
+        )
         log_event(
             Event.APPROVAL,
             job=step.job.spec.job,
--- a/libs/cell/src/cactustiller/cell/election.py
+++ b/libs/cell/src/cactustiller/cell/election.py
@@ -14,6 +14,10 @@
 # An owner renews its row at least this often.
 RENEW_SECONDS = 0.3
 POLL_SECONDS = 0.35
+# The same while the owner announces itself, which it does every 0.7 s.
+CALM_POLL_SECONDS = 1.0
+ANNOUNCED_SECONDS = 0.8
+LEAST_PAUSE_SECONDS = 0.01
 # Age of the row at which a member takes over: three renewals and a slow answer.
 TAKEOVER_AFTER_SECONDS = 1.1
 # The same for an owner whose process does not accept connections: two renewals.
@@ -124,24 +128,37 @@
         self._seen = (-1, 0.0)
         self._poke = asyncio.Event()
         self._pause = POLL_SECONDS
+        self._announced_at = self._looked_at = float("-inf")
         self._invited = None
         self._suspect = None
+        self._check = None
 
     def look_soon(self):
         """Read the owner's row now, since it may be released."""
         self._poke.set()
 
-    def accept_invitation(self, epoch):
+    async def accept_invitation(self, epoch):
         """Take the cell over from an owner that the store turns away.
 
         Returns whether the store answers this member.
         """
-        if self.lost_at is not None:
+        if not await self.check_store(most_age=0.0):
             return False
         self._invited = epoch
         self._poke.set()
         return True
 
+    async def check_store(self, most_age=POLL_SECONDS):
+        """Return whether the store answers, as a read of at most some age tells.
+
+        While an owner announces itself the row is read seldom.
+        """
+        if asyncio.get_running_loop().time() - self._looked_at > most_age:
+            if self._check is None or self._check.done():
+                self._check = asyncio.create_task(self._read_row())
+            await asyncio.shield(self._check)
+        return self.lost_at is None
+
     def suspect_owner(self, address):
         """Note that the process of the owner refuses connections."""
         if address == self.record.address:
@@ -150,46 +167,66 @@
 
     def take_announcement(self, epoch, member, address):
         """Take an owner's word for its epoch, for when the store does not answer."""
+        if epoch >= self.record.epoch:
+            self._announced_at = asyncio.get_running_loop().time()
         if epoch > self.record.epoch:
             self._note(OwnerRecord(epoch, member, address, 0, 0))
 
     async def wait_for_claim(self):
         """Return ``(OwnerRecord, version, now_ms)`` once this member owns the cell."""
         while True:
-            claim = await self._look()
-            if claim is not None:
-                return claim
+            if self._must_look():
+                claim = await self._look()
+                if claim is not None:
+                    return claim
             try:
                 async with asyncio.timeout(self._pause):
                     await self._poke.wait()
             except TimeoutError:
                 continue
 
-    async def _look(self):
+    def _must_look(self):
+        """Return whether the row is to be read now; sets the next pause if not."""
+        now = asyncio.get_running_loop().time()
+        silent_at = self._announced_at + ANNOUNCED_SECONDS
+        due_at = min(silent_at, self._looked_at + CALM_POLL_SECONDS)
+        if self._poke.is_set() or self.lost_at is not None or now >= due_at:
+            return True
+        self._pause = max(LEAST_PAUSE_SECONDS, due_at - now)
+        return False
+
+    async def _read_row(self):
+        """Return a `Page` with the owner's row, or None; note how the store answers."""
         loop = asyncio.get_running_loop()
         key = OWNER_ROW
         asked_at = loop.time()
         seconds = min(CALL_SECONDS, LEAST_CALL_SECONDS + SLOW_READS * self.read_seconds)
-        is_told = self._poke.is_set()
-        self._poke.clear()
         answer = await self._store.read(
             key.table, key.part, key.key, key.key + "\0", seconds
         )
+        self._looked_at = loop.time()
         if answer.is_err():
-            self._seen = (-1, 0.0)
             # The next read waits longer, in case the store has turned slow.
             self.read_seconds = max(self.read_seconds, seconds / 2)
             self.lost_at = self.lost_at or loop.time()
             return None
         self.lost_at = None
-        page = answer.unwrap()
+        self.read_seconds = loop.time() - asked_at
+        return answer.unwrap()
+
+    async def _look(self):
+        is_told = self._poke.is_set()
+        self._poke.clear()
+        page = await self._read_row()
+        if page is None:
+            self._seen = (-1, 0.0)
+            return None
         row = page.rows[0] if page.rows else None
         record, version = decode_owner(row), row.version if row else 0
-        now = loop.time()
+        now = asyncio.get_running_loop().time()
         self._note(record)
         if version != self._seen[0]:
             self._seen = (version, now)
-        self.read_seconds = now - asked_at
         # A row that may be taken over soon is looked at as soon as it may.
         left = self._seen[1] + STILL_SECONDS - now
         self._pause = left if 0 < left < POLL_SECONDS else POLL_SECONDS
@@ -253,5 +290,4 @@
                 epoch=record.epoch,
                 before=self.record.member,
             )
-            self.record = record
         self.record = record
--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -1,5 +1,6 @@
 """State of a cell at its owner and the decisions on it; no I/O."""
 
+import heapq
 from dataclasses import dataclass, field
 
 from cactustiller.model import JobState
@@ -152,7 +153,8 @@
         now, now_ms = self._clock(), self._wall_clock_ms()
         self._open_due(now_ms)
         usable = [worker for worker in self.workers.values() if worker.takes_work(now)]
-        ordered = self._order_steps(self._eligible, now_ms)
+        ordered = self._key_steps(self._eligible, now_ms)
+        ordered.sort(key=lambda entry: entry[0])
         current = Round(
             now,
             usable,
@@ -172,36 +174,37 @@
         """Return the steps with tasks that may start."""
         return list(self._eligible)
 
-    def find_unapproved(self):
-        """Return the steps whose approval was never asked, in order."""
+    def find_unapproved(self, most):
+        """Return the first `most` steps whose approval was never asked, in order."""
+        if not most:
+            return []
         unasked = [
             step
             for step in self._eligible
-            if step.approved is None and not step.is_asking
-        ]
-        return [
-            step
-            for _, step, rules in self._order_steps(unasked, self._wall_clock_ms())
-            if rules.needs_approval
+            if step.approved is None
+            and not step.is_asking
+            and self.find_rules(step.job).needs_approval
         ]
+        keyed = self._key_steps(unasked, self._wall_clock_ms())
+        first = heapq.nsmallest(most, keyed, key=lambda entry: entry[0])
+        return [step for _, step, _ in first]
 
-    def _order_steps(self, steps, now_ms):
-        """Return key, step and rules of steps that wait, in order."""
+    def _key_steps(self, steps, now_ms):
+        """Return key, step and rules of steps that wait."""
         is_stale = self._times_version != self.desired.version
         if is_stale or len(self._times) > 2 * len(self._eligible) + KEPT_TIMES:
             # A newer desired state may hold other rules; steps leave the queue.
             self._times.clear()
             self._times_version = self.desired.version
-        ordered = []
+        keyed = []
         for step in steps:
             known = self._times.get(step)
             if known is None:
                 rules = self.find_rules(step.job)
                 known = self._times[step] = (rules, find_times(step, rules))
             rules, times = known
-            ordered.append((make_order_key(step, rules, times, now_ms), step, rules))
-        ordered.sort(key=lambda entry: entry[0])
-        return ordered
+            keyed.append((make_order_key(step, rules, times, now_ms), step, rules))
+        return keyed
 
     def _preempt(self, task, worker):
         task.is_stopping = True
--- a/libs/cell/src/cactustiller/cell/intake.py
+++ b/libs/cell/src/cactustiller/cell/intake.py
@@ -108,9 +108,10 @@
         asked_at = loop.time()
         row = encode_job(spec)
         message = HandInJob(job=spec.job, row=row.decode())
-        outcome = await self._ask_owner(message)
+        answer = await self._ask_owner(message)
+        outcome = _read_outcome(answer)
         path = "owner"
-        if outcome is not Acceptance.ACCEPTED:
+        if outcome is not Acceptance.ACCEPTED and not _is_overloaded(answer):
             path = "store"
             key = make_job_key(spec.job)
             may_have_run = outcome is Acceptance.UNKNOWN
@@ -134,7 +135,7 @@
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
         message = WithdrawJob(job=job)
-        outcome = await self._ask_owner(message)
+        outcome = _read_outcome(await self._ask_owner(message))
         if outcome is not Acceptance.ACCEPTED:
             outcome = await self._store_cancel(job, asked_at + TOTAL_SECONDS)
             self._tell_owner_later(message, outcome)
@@ -198,22 +199,19 @@
         return PendingCounted(count=owner.engine.count_pending(message.queue))
 
     async def _ask_owner(self, message):
-        """Return what the owner made of a job; `REFUSED` is sure."""
+        """Return the owner's answer, or the failure where none is known."""
         owner, address, _ = self._find_owner()
         if owner is not None:
             answer = await self._call_own(owner, message)
         elif not address or self._is_suspect(address):
-            return Acceptance.REFUSED
+            return _fail(ErrorCode.NOT_OWNER, "no owner is known", Outcome.NOT_RUN)
         else:
             answer = await self._call_owner(address, message)
             if answer.is_err() and answer.unwrap_err().code in LOST_CODES:
                 self._suspects = {address: asyncio.get_running_loop().time()}
                 if answer.unwrap_err().code is ErrorCode.UNAVAILABLE:
                     self._election.suspect_owner(address)
-        if answer.is_ok():
-            return Acceptance.ACCEPTED
-        is_sure = answer.unwrap_err().outcome is Outcome.NOT_RUN
-        return Acceptance.REFUSED if is_sure else Acceptance.UNKNOWN
+        return answer
 
     async def _call_owner(self, address, message):
         """Call the owner for as long as it shows that it lives."""
@@ -224,7 +222,7 @@
             while not call.done():
                 silence = loop.time() - self._heard_at.get(address, float("-inf"))
                 if silence > OWNER_SILENCE_SECONDS:
-                    return _fail_without_answer("the owner is silent", address)
+                    return _fail(ErrorCode.TIMEOUT, "the owner is silent")
                 await asyncio.wait([call], timeout=SILENCE_CHECK_SECONDS)
             return call.result()
         finally:
@@ -239,7 +237,7 @@
 
     async def _tell_owner(self, message):
         for _ in range(TELL_TRIES):
-            if await self._ask_owner(message) is Acceptance.ACCEPTED:
+            if (await self._ask_owner(message)).is_ok():
                 return
             await asyncio.sleep(TELL_RETRY_SECONDS)
 
@@ -248,7 +246,7 @@
             async with asyncio.timeout(HAND_IN_SECONDS):
                 return await serve_owner_call(owner, message)
         except TimeoutError:
-            return _fail_without_answer("the store does not answer")
+            return _fail(ErrorCode.TIMEOUT, "the store does not answer")
 
     def _is_suspect(self, address):
         """Return whether an owner failed a call and was not heard of since."""
@@ -263,9 +261,12 @@
         One transaction for each member would take a slow store longer than callers
         wait, and hold up the owner's; then callers are told at once when to return.
         """
-        if self._election.lost_at is not None or (
-            self._election.read_seconds > SLOW_STORE_SECONDS
-        ):
+        try:
+            async with asyncio.timeout_at(deadline):
+                is_served = await self._election.check_store()
+        except TimeoutError:
+            is_served = False
+        if not is_served or self._election.read_seconds > SLOW_STORE_SECONDS:
             return Acceptance.UNKNOWN if may_have_run else Acceptance.REFUSED
         return await self._inserter.insert(key, value, deadline, may_have_run)
 
@@ -296,18 +297,27 @@
         return Lookup(True, JobState.CANCELLED if is_cancelled else JobState.WAITING)
 
 
-def _fail_without_answer(reason, peer="local"):
+def _fail(code, reason, outcome=Outcome.UNKNOWN):
     return Err(
         Failure(
-            code=ErrorCode.TIMEOUT,
-            step="store job",
-            peer=peer,
-            reason=reason,
-            outcome=Outcome.UNKNOWN,
+            code=code, step="store job", peer="owner", reason=reason, outcome=outcome
         )
     )
 
 
+def _read_outcome(answer):
+    """Return what an owner's answer says of a job; `REFUSED` is sure."""
+    if answer.is_ok():
+        return Acceptance.ACCEPTED
+    is_sure = answer.unwrap_err().outcome is Outcome.NOT_RUN
+    return Acceptance.REFUSED if is_sure else Acceptance.UNKNOWN
+
+
+def _is_overloaded(answer):
+    """Return whether an owner refused a job that no one else can store sooner."""
+    return answer.is_err() and answer.unwrap_err().code is ErrorCode.OVERLOADED
+
+
 async def serve_owner_call(owner, message):
     """Pass a job or its cancelling to the owner of this process."""
     if isinstance(message, HandInJob):
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -292,7 +292,7 @@
             case AnnounceOwner():
                 return await self._take_announcement(message)
             case HandOver():
-                if self._election.accept_invitation(message.epoch):
+                if await self._election.accept_invitation(message.epoch):
                     return Done()
             case GetDesired():
                 return DesiredText(text=self._desired_value.decode())
--- a/libs/cell/src/cactustiller/cell/orders.py
+++ b/libs/cell/src/cactustiller/cell/orders.py
@@ -12,6 +12,10 @@
 
 # A worker without ends to tell is heard of this often; a lost one is noticed then.
 HOLD_WAIT_MS = 500
+# In a large cell less often, so that idle workers cost 200 calls a second; workers
+# wait 2 s at most.
+HOLD_WAIT_MS_PER_WORKER = 5
+MOST_HOLD_WAIT_MS = 2000
 HOLD_RETRY_SECONDS = 0.25
 # Leases are renewed in the meantime while the store does not take the ends.
 COMMIT_WAIT_SECONDS = 1.0
@@ -97,7 +101,7 @@
                 self._fence,
                 worker.acked_through,
                 worker.make_deadline_ms(sent_at, LEASE_SECONDS),
-                HOLD_WAIT_MS if waits else 0,
+                self._choose_wait_ms() if waits else 0,
             )
             if answer.is_err():
                 self._note_unreachable(worker, answer.unwrap_err())
@@ -106,13 +110,21 @@
             self._note_reachable(worker)
             self._engine.apply_listing(worker, answer.unwrap(), sent_at, loop.time())
             self._wake()
-            if worker.seen_through != worker.acked_through:
-                await self._wait_for_commit()
+            await self._wait_until_acknowledged(worker)
 
-    async def _wait_for_commit(self):
+    def _choose_wait_ms(self):
+        wait_ms = HOLD_WAIT_MS_PER_WORKER * len(self._engine.workers)
+        return min(MOST_HOLD_WAIT_MS, max(HOLD_WAIT_MS, wait_ms))
+
+    async def _wait_until_acknowledged(self, worker):
+        """Wait until all ends that a worker listed are stored.
+
+        A call before that would only bring the same ends again.
+        """
         try:
             async with asyncio.timeout(COMMIT_WAIT_SECONDS):
-                await self._committed.wait()
+                while worker.seen_through != worker.acked_through:
+                    await self._committed.wait()
         except TimeoutError:
             return
 
@@ -184,7 +196,7 @@
                 Event.RUN_STARTED,
                 **fields,
                 waited=round(sent_at - step.eligible_at, 3),
-                ticket_age=round(step.approved_until - sent_at, 3),
+                ticket_left=round(self._find_ticket_left(placement, sent_at), 3),
             )
             self._engine.confirm_start(task, run, now)
             priority = self._engine.find_rules(step.job).priority
@@ -205,6 +217,10 @@
             self._take_refusal(placement, run, answer, now)
         self._wake()
 
+    def _find_ticket_left(self, placement, now):
+        until = placement.task.step.approved_until
+        return until.get(placement.worker.info.worker, now) - now
+
     def _count_end(self, task, end):
         self._metrics.count(Count.RUNS_ENDED, end.value)
         if end is not End.DONE and task.started_at:
@@ -215,7 +231,7 @@
     def _take_refusal(self, placement, run, answer, now):
         task, worker = placement.task, placement.worker
         if answer is StartAnswer.NO_TICKET:
-            task.step.approved_until = 0.0
+            task.step.approved_until.pop(worker.info.worker, None)
         if answer is StartAnswer.UNHEALTHY:
             worker.avoided_until = now + UNHEALTHY_PAUSE_SECONDS
         pause = 0.0 if answer in REFUSALS_WITHOUT_PAUSE else REFUSED_PAUSE_SECONDS
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -140,11 +140,12 @@
             if self._writer.is_store_lost:
                 return self._handins.fail("the store is away")
             if self._expect_wait() > MOST_WAIT_SECONDS:
-                return self._handins.fail("too much waits for the store")
+                reason = "too much waits for the store"
+                return self._handins.fail(reason, ErrorCode.OVERLOADED)
             self._loader.add_job(job, row, is_stored=False)
             # Approval comes while the store is busy, so that the job's row and its
             # placement share a transaction.
-            self._desk.ask(self.engine.find_unapproved())
+            self._ask_unapproved()
             self._wake.set()
         return await self._handins.wait_for_job(job, row)
 
@@ -207,9 +208,13 @@
             task.cancel()
 
     def _take_approval(self):
-        self._desk.ask(self.engine.find_unapproved())
+        self._ask_unapproved()
         self._wake.set()
 
+    def _ask_unapproved(self):
+        free = self._desk.count_free_callers()
+        self._desk.ask(self.engine.find_unapproved(free))
+
     # Rounds
 
     async def _serve(self, stop):
--- a/libs/cell/src/cactustiller/cell/placement.py
+++ b/libs/cell/src/cactustiller/cell/placement.py
@@ -88,15 +88,15 @@
     for key, step, rules in ordered:
         if step.retry_at > current.now:
             continue
-        is_approved = step.approved is not None or not rules.needs_approval
+        if rules.needs_approval and step.approved is None:
+            current.wants_approval.append(step)
+            continue
         fits = current.may_fit(step.spec.counted)
-        if is_approved and not fits and key.band not in ACTIVE_BANDS:
+        if not fits and key.band not in ACTIVE_BANDS:
             continue
         before = len(current.placements)
         candidates = _find_candidates(current, step, rules)
-        if candidates is None:
-            current.wants_approval.append(step)
-        elif step.spec.is_gang:
+        if step.spec.is_gang:
             _place_gang(current, key, step, rules, candidates, kept)
         else:
             _place_tasks(current, key, step, rules, candidates)
@@ -104,15 +104,16 @@
             current.note_room()
 
 
-def has_valid_tickets(step, now):
-    """Return whether starts of the step would be accepted."""
-    return step.approved is not None and (
-        now + TICKET_MARGIN_SECONDS <= step.approved_until
-    )
+def has_valid_ticket(step, rules, worker, now):
+    """Return whether the worker would accept a start of the step."""
+    if not rules.needs_approval:
+        return True
+    until = step.approved_until.get(worker.info.worker, 0.0)
+    return now + TICKET_MARGIN_SECONDS <= until
 
 
 def _find_candidates(current, step, rules):
-    """Return the workers that may run the step, or None if approval is unknown."""
+    """Return the workers that may run the step."""
     label = step.spec.required_label
     workers = [
         worker
@@ -122,8 +123,6 @@
     ]
     if not rules.needs_approval:
         return workers
-    if step.approved is None:
-        return None
     return [worker for worker in workers if worker.info.worker in step.approved]
 
 
@@ -161,10 +160,15 @@
     if not fits:
         if key.band == URGENT and _may_preempt(current, step):
             preempt_for(current, step, candidates)
+        _ask_for_more(current, step, rules)
         return
-    if rules.needs_approval and not has_valid_tickets(step, current.now):
-        current.wants_approval.append(step)
-        return
+    valid = [f for f in fits if has_valid_ticket(step, rules, f[2], current.now)]
+    if sum(room for _, room, _ in valid) < min(wanted, len(waiting)):
+        if len(valid) < len(fits):
+            current.wants_approval.append(step)
+        if not valid:
+            return
+    fits = valid
     # Best fit keeps large blocks free for gangs.
     fits.sort(key=lambda fit: fit[0])
     position = 0
@@ -191,9 +195,10 @@
                 worker.reserved_for = step
                 current.reserved += 1
         if not any(worker.reserved_for is step for worker in open_workers):
-            _reserve(current, step, open_workers, kept)
+            _reserve(current, step, rules, open_workers, kept)
+        _ask_for_more(current, step, rules)
         return
-    if rules.needs_approval and not has_valid_tickets(step, current.now):
+    if not all(has_valid_ticket(step, rules, w, current.now) for w, _ in chosen):
         current.wants_approval.append(step)
         for worker, _ in chosen:
             worker.reserved_for = step
@@ -204,6 +209,22 @@
             _assign(current, next(tasks), worker)
 
 
+def _ask_for_more(current, step, rules):
+    """Have more workers approved for a step for which none has room.
+
+    A call names a part of a large cell's workers only.
+    """
+    if not rules.needs_approval or len(step.asked) >= len(current.workers):
+        return
+    if any(
+        worker.info.worker not in step.asked
+        and worker.info.service == rules.service
+        and worker.count_fits(step.spec.counted, 1)
+        for worker in current.workers
+    ):
+        current.wants_approval.append(step)
+
+
 def _may_preempt(current, step):
     """Return whether room may be made for a step now, which costs time to find."""
     if step.preempts_at > current.now:
@@ -256,7 +277,7 @@
     return rooms
 
 
-def _reserve(current, step, workers, kept):
+def _reserve(current, step, rules, workers, kept):
     """Keep workers free for a gang that does not fit yet.
 
     Takes the workers that are free soonest; those kept for it in the last round go
@@ -286,7 +307,8 @@
     for _, worker in taken:
         worker.reserved_for = step
     is_near = max(free_at for free_at, _ in taken) <= current.now + ASK_AHEAD_SECONDS
-    if is_near and not has_valid_tickets(step, current.now + ASK_AHEAD_SECONDS):
+    soon = current.now + ASK_AHEAD_SECONDS
+    if is_near and not all(has_valid_ticket(step, rules, w, soon) for _, w in taken):
         current.wants_approval.append(step)
 
 
--- a/libs/cell/src/cactustiller/cell/runs.py
+++ b/libs/cell/src/cactustiller/cell/runs.py
@@ -85,8 +85,8 @@
         Latest run of a gang that counted as a failed attempt.
     approved : dict of WorkerId to str, or None
         Tickets by worker; None before the first answer.
-    approved_until : float
-        Time until which the tickets are valid.
+    approved_until : dict of WorkerId to float
+        Time until which each ticket is valid.
     is_asking : bool
         A call for approval is on its way.
     failed_on : set of WorkerId
@@ -106,7 +106,7 @@
     succeeded: int = 0
     failed_run: int = 0
     approved: dict | None = None
-    approved_until: float = 0.0
+    approved_until: dict = field(default_factory=dict)
     is_asking: bool = False
     asked: set = field(default_factory=set)
     eligible_at: float = 0.0
--- /dev/null
+++ b/tests/cell/test_approvals.py
@@ -0,0 +1,113 @@
+"""Choice of the workers and of the calls for approvals."""
+
+import asyncio
+
+import pytest
+
+from cactustiller.cell.approvals import MOST_WORKERS, ApprovalDesk
+from cactustiller.cell.engine import Engine
+from cactustiller.cell.placement import place_steps
+from cactustiller.cell.runs import JobRun
+from standins.fleet import FleetCell, make_job, make_queue
+from tests.cell.builders import make_round, make_worker
+
+QUEUE = make_queue(needs_approval=True, approval_ms=10, approval_worker_ms=1)
+
+
+class Service:
+    def __init__(self):
+        self.asked = []
+
+    async def ask(self, step, workers):
+        self.asked.append((step, workers))
+        await asyncio.Event().wait()
+
+
+def make_desk(workers, jobs):
+    """Return a desk with one caller, and the steps that wait."""
+    engine = Engine(lambda: 100.0, lambda: 100_000)
+    engine.workers = {worker.info.worker: worker for worker in workers}
+    for number in range(1, jobs + 1):
+        engine.add_job(make_job(number, QUEUE))
+    service = Service()
+    desk = ApprovalDesk(engine, service, None, list, lambda: None)
+    return desk, service, engine.find_waiting()
+
+
+async def test_workers_with_room_are_named_first():
+    # The list is longer than a call may be; the first workers in it are full.
+    workers = [make_worker(f"w{n:03d}") for n in range(180)]
+    for worker in workers[:90]:
+        worker.free_cpu = 0
+    desk, service, steps = make_desk(workers, 1)
+    desk.ask(steps)
+    await asyncio.sleep(0)
+    ((_, named),) = service.asked
+    assert len(named) == MOST_WORKERS
+    assert {worker.info.worker for worker in workers[90:]} <= set(named)
+    await desk.close()
+
+
+async def test_steps_that_wait_together_name_different_workers():
+    workers = [make_worker(f"w{n:03d}") for n in range(300)]
+    desk, _, steps = make_desk(workers, 3)
+    named = [set(desk._choose_workers(step)) for step in steps]
+    assert len(named[0] | named[1] | named[2]) > 1.5 * MOST_WORKERS
+
+
+async def test_no_workers_are_chosen_while_no_caller_is_free(monkeypatch):
+    # At 400 waiting steps and 176 workers each round took 40 ms, and so did each job.
+    desk, service, steps = make_desk([make_worker(f"w{n}") for n in range(20)], 400)
+    chosen = []
+    choose = desk._choose_workers
+    monkeypatch.setattr(
+        desk, "_choose_workers", lambda s: chosen.append(s) or choose(s)
+    )
+    desk.ask(steps)
+    desk.ask(steps)
+    await asyncio.sleep(0)
+    assert len(chosen) == len(service.asked) == 1
+    await desk.close()
+
+
+@pytest.mark.parametrize("is_gang", [True, False])
+def test_a_step_without_room_on_its_workers_has_others_asked(is_gang):
+    full, free = make_worker("w0"), make_worker("w1")
+    full.free_cpu = 0
+    step = JobRun(make_job(1, QUEUE, is_gang=is_gang)).open_occurrence(0)[0]
+    step.approved, step.asked = {"w0": "ticket"}, {"w0"}
+    step.approved_until = {"w0": 1000.0}
+    current = make_round([full, free])
+    place_steps(current, [(make_key(step), step, QUEUE.rules)])
+    assert current.wants_approval == [step]
+    assert current.placements == []
+
+
+def test_only_tickets_that_are_valid_are_used():
+    old, new = make_worker("w0"), make_worker("w1")
+    step = JobRun(make_job(1, QUEUE, count=2)).open_occurrence(0)[0]
+    step.approved = {"w0": "old", "w1": "new"}
+    step.asked = {"w0", "w1"}
+    step.approved_until = {"w0": 90.0, "w1": 1000.0}
+    current = make_round([old, new])
+    place_steps(current, [(make_key(step), step, QUEUE.rules)])
+    assert {p.ticket for p in current.placements} == {"new"}
+
+
+def make_key(step):
+    """Return the order key of a step that is in time."""
+    engine = Engine(lambda: 100.0, lambda: 100_000)
+    ((key, _, _),) = engine._key_steps([step], 100_000)
+    return key
+
+
+@pytest.mark.looptime
+async def test_a_large_cell_uses_all_its_workers():
+    queue = make_queue(needs_approval=True, approval_ms=10, approval_worker_ms=0)
+    async with FleetCell(workers=150, queues=[queue], members=4) as cell:
+        for number in range(1, 61):
+            await cell.submit(make_job(number, queue, count=5, cpu=16_000), 5.0)
+        await asyncio.sleep(3)
+        used = {worker for _, _, worker in cell.audit.starts}
+        assert len(cell.audit.starts) == 300
+        assert len(used) == 150
