Give a silent owner of a slow store less time

Cause: an owner that froze while the store was slow was waited for 2.1 s, the time an owner needs to renew its row there, although it had stopped announcing itself. Change: two reads' time instead of four once two announcements have not come.

--- a/libs/cell/src/cactustiller/cell/election.py
+++ b/libs/cell/src/cactustiller/cell/election.py
@@ -17,6 +17,8 @@
 # The same while the owner announces itself, which it does every 0.7 s.
 CALM_POLL_SECONDS = 1.0
 ANNOUNCED_SECONDS = 0.8
+# Two announcements in a row have not come.
+SILENT_SECONDS = 1.5
 LEAST_PAUSE_SECONDS = 0.01
 # Age of the row at which a member takes over: three renewals and a slow answer.
 TAKEOVER_AFTER_SECONDS = 1.1
@@ -27,6 +29,8 @@
 STILL_SECONDS = 0.4
 # A renewal takes about two calls' time, and the owner waits for one before the next.
 SLOW_READS = 4.0
+# The same for an owner that announces itself no more.
+SILENT_READS = 2.0
 CALL_SECONDS = 1.5
 # Bound of a read of a store of usual speed, which answers in 4 ms.
 LEAST_CALL_SECONDS = 0.35
@@ -72,7 +76,14 @@
 
 
 def should_claim(
-    record, version, seen, page_now_ms, now, read_seconds=0.0, is_suspect=False
+    record,
+    version,
+    seen,
+    page_now_ms,
+    now,
+    read_seconds=0.0,
+    is_suspect=False,
+    is_silent=False,
 ):
     """Return whether a member should take the cell over.
 
@@ -91,13 +102,16 @@
         How long the read took; an owner of a slow store renews its row less often.
     is_suspect : bool
         The owner's process refused a connection, so it needs no such patience.
+    is_silent : bool
+        The owner announced itself before, and does no more.
     """
     if record.is_released:
         return True
     age = (page_now_ms - record.renewed_ms) / 1000
     stood_still = seen[0] == version and now - seen[1] >= STILL_SECONDS
     patience = SUSPECT_AFTER_SECONDS if is_suspect else TAKEOVER_AFTER_SECONDS
-    return stood_still and age >= patience + SLOW_READS * read_seconds
+    reads = SILENT_READS if is_silent else SLOW_READS
+    return stood_still and age >= patience + reads * read_seconds
 
 
 class Election:
@@ -239,6 +253,7 @@
             now,
             self.read_seconds,
             record.epoch == self._suspect,
+            SILENT_SECONDS < now - self._announced_at < float("inf"),
         ):
             return None
         if not is_told and not is_invited:
--- a/tests/cell/test_election.py
+++ b/tests/cell/test_election.py
@@ -28,5 +28,11 @@
     )
 
 
+def test_a_silent_owner_of_a_slow_store_is_given_less_time():
+    arguments = (RECORD, 5, SEEN, 11_700, 10.0, 0.25)
+    assert not should_claim(*arguments)
+    assert should_claim(*arguments, is_silent=True)
+
+
 def test_a_released_cell_is_claimed_at_once():
     assert should_claim(RECORD._replace(is_released=True), 5, (-1, 0), 10_001, 0.0)
