--- a/specs/check.py
+++ b/specs/check.py
@@ -6,11 +6,19 @@
 
 import typer
 
-from . import gangs, leases, permits, replicas, runs
+from . import cells, gangs, handins, leases, permits, replicas, runs
 from .kit import OPEN, RECOVERABLE, check
 from .pages import format_section, is_in_step, write_page
 
-SPECS = (runs.SPEC, leases.SPEC, gangs.SPEC, replicas.SPEC, permits.SPEC)
+SPECS = (
+    runs.SPEC,
+    leases.SPEC,
+    gangs.SPEC,
+    replicas.SPEC,
+    permits.SPEC,
+    cells.SPEC,
+    handins.SPEC,
+)
 
 
 def check_spec(spec):
