Answer callers at once when the store falls silent; probe lost answers soon

Cause: with the longer bound of a store call, callers whose job was in a transaction when the store fell silent were held until 2.3 s; a transaction that a read had settled counted as a slow one, so that the next lost answer was waited for 0.4 s instead of 0.1 s; and a member that checked the store by itself could wait 1.5 s for a read. Change: once reads fail too, callers in flight are told that their job may be stored; only an answered transaction says how long the store takes; a store known to be lost is not asked again for a caller.

--- a/libs/cell/src/cactustiller/cell/commits.py
+++ b/libs/cell/src/cactustiller/cell/commits.py
@@ -95,7 +95,8 @@
     claim : tuple of (OwnerRecord, int, int)
         Record, version and clock of the store at the claim.
     on_lost : callable
-        Called when a call fails after one that succeeded.
+        Called when a call fails after one that succeeded; its argument tells whether
+        the store answers not even reads.
     on_given_up : callable
         Called with the jobs that surely were not and will not be stored.
     on_turned_away : callable
@@ -165,13 +166,14 @@
             asked_at = loop.time()
             answer = await self._transact(transaction, record)
             if answer.is_ok():
-                self.usual_seconds = loop.time() - asked_at
+                if isinstance(answer.unwrap(), Committed):
+                    self.usual_seconds = loop.time() - asked_at
                 self._accept(answer.unwrap(), record)
                 return
             failure = answer.unwrap_err()
             is_sure = failure.outcome is Outcome.NOT_RUN
             sure_failures = sure_failures + 1 if is_sure else NEVER
-            if failure.code is ErrorCode.TIMEOUT:
+            if failure.code is ErrorCode.TIMEOUT and not is_sure:
                 quick_failures = 0
                 self._note_silence(failure)
                 continue
@@ -226,7 +228,7 @@
             key.table, key.part, key.key, key.key + "\0", PROBE_SECONDS
         )
         if answer.is_err():
-            self._note_failure(answer.unwrap_err())
+            self._note_failure(answer.unwrap_err(), is_silent=True)
             return None
         rows = answer.unwrap().rows
         stored = decode_owner(rows[0] if rows else None)
@@ -285,11 +287,11 @@
         if away > LOST_AFTER_SECONDS:
             self._note_failure(failure)
 
-    def _note_failure(self, failure):
+    def _note_failure(self, failure, is_silent=False):
         away = asyncio.get_running_loop().time() - self.succeeded_at
         if not self.is_store_lost:
             self.is_store_lost = True
-            self._on_lost()
+            self._on_lost(is_silent)
             log_event(
                 Event.DEPENDENCY_LOST,
                 dependency="store",
--- a/libs/cell/src/cactustiller/cell/election.py
+++ b/libs/cell/src/cactustiller/cell/election.py
@@ -166,8 +166,11 @@
     async def check_store(self, most_age=POLL_SECONDS):
         """Return whether the store answers, as a read of at most some age tells.
 
-        While an owner announces itself the row is read seldom.
+        While an owner announces itself the row is read seldom; while the store does
+        not answer it is read all the time.
         """
+        if self.lost_at is not None:
+            return False
         if asyncio.get_running_loop().time() - self._looked_at > most_age:
             if self._check is None or self._check.done():
                 self._check = asyncio.create_task(self._read_row())
--- a/libs/cell/src/cactustiller/cell/handins.py
+++ b/libs/cell/src/cactustiller/cell/handins.py
@@ -32,7 +32,8 @@
 
     async def wait_for_job(self, job, row):
         """Return ``Ok(None)`` once a job is stored."""
-        if job not in self.jobs:
+        known = self.jobs.get(job)
+        if known is None or known[1].done():
             self.jobs[job] = (row, asyncio.get_running_loop().create_future())
         return await asyncio.shield(self.jobs[job][1])
 
@@ -53,29 +54,38 @@
         stored = [job for job in self._in_flight if job in self.jobs]
         self._engine.confirm_jobs(stored)
         for job in stored:
-            self.jobs.pop(job)[1].set_result(Ok(None))
+            _resolve(self.jobs.pop(job)[1], Ok(None))
         for job in list(self._cancels):
             if not self._engine.is_unstored(job):
                 self._cancels.pop(job).set_result(Ok(None))
         self._in_flight = frozenset()
 
-    def refuse_unwritten(self):
-        """Refuse the jobs that no transaction on its way holds."""
+    def note_store_lost(self, is_silent):
+        """Refuse the jobs that no transaction holds; the others may be stored yet.
+
+        Callers of the others are told so at once where the store is silent, and ask
+        again after a while.
+        """
         self.refuse([job for job in self.jobs if job not in self._in_flight])
+        if not is_silent:
+            return
+        failure = self.fail("no answer of the store", outcome=Outcome.UNKNOWN)
+        for _, future in self.jobs.values():
+            _resolve(future, failure)
 
     def refuse(self, jobs):
         """Refuse jobs that surely are not stored, and forget them."""
         for job in jobs:
             _, future = self.jobs.pop(job)
             self._engine.drop_job(job)
-            future.set_result(self.fail("the store is away"))
+            _resolve(future, self.fail("the store is away"))
 
     def end_term(self):
         """Answer all callers; what is on its way may still be stored."""
-        self.refuse_unwritten()
+        self.refuse([job for job in self.jobs if job not in self._in_flight])
         failure = self.fail("the term ended", ErrorCode.NOT_OWNER, Outcome.UNKNOWN)
         for future in [*(f for _, f in self.jobs.values()), *self._cancels.values()]:
-            future.set_result(failure)
+            _resolve(future, failure)
         self.jobs.clear()
         self._cancels.clear()
 
@@ -90,3 +100,9 @@
                 outcome=outcome,
             )
         )
+
+
+def _resolve(future, answer):
+    """Answer a caller who was not answered before."""
+    if not future.done():
+        future.set_result(answer)
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -53,7 +53,7 @@
         self._writer = BatchWriter(
             ports.store,
             claim,
-            self._handins.refuse_unwritten,
+            self._handins.note_store_lost,
             self._handins.refuse,
             self._invite_successor,
             TRANSACTION_READS * read_seconds,
--- a/tests/cell/test_slow_store.py
+++ b/tests/cell/test_slow_store.py
@@ -7,6 +7,7 @@
 
 from cactustiller.cell import Acceptance
 from standins.fleet import FleetCell, make_job, make_queue
+from standins.fleet.store import Trouble
 
 pytestmark = pytest.mark.looptime
 
@@ -105,3 +106,44 @@
         assert len(started & set(taken)) > 0.9 * len(taken)
         assert sorted(refused)[int(0.9 * len(refused))] < 0.1
         cell.store.slowness = 1.0
+
+
+async def test_callers_are_told_at_once_when_the_store_falls_silent():
+    async with FleetCell(members=3) as cell:
+        await asyncio.sleep(1)
+        for store in cell.stores.values():
+            store.trouble = Trouble.SILENT
+        loop = asyncio.get_running_loop()
+        waits = []
+
+        async def hand_in_one(number):
+            await asyncio.sleep(0.05 * number)
+            asked_at = loop.time()
+            await cell.submit(make_job(number), member=f"m{number % 3}")
+            waits.append(loop.time() - asked_at)
+
+        await asyncio.gather(*(hand_in_one(number) for number in range(1, 61)))
+        # The first wait for a sign of life; a read tells that there is none.
+        assert max(waits) < 1.2
+        assert sorted(waits)[len(waits) // 2] < 0.1
+        for store in cell.stores.values():
+            store.trouble = Trouble.NONE
+        await cell.wait_for_owner()
+
+
+async def test_lost_answers_of_the_store_hold_up_little():
+    # Two in five answers are lost.
+    async with FleetCell(members=3) as cell:
+        await asyncio.sleep(1)
+        generator = random.Random(1)
+        store = cell.stores[cell.find_owner()]
+        loop = asyncio.get_running_loop()
+        waits = []
+        for number in range(1, 81):
+            store.answers_to_lose = int(generator.random() < 0.4)
+            asked_at = loop.time()
+            assert await cell.submit(make_job(number)) is Acceptance.ACCEPTED
+            waits.append(loop.time() - asked_at)
+        store.answers_to_lose = 0
+        assert sum(waits) / len(waits) < 0.12
+        assert max(waits) < 0.5
