Pace tasks that fill beside tasks that serve

Cause: tasks that fill were started beside serving tasks and never slowed down, so that a site with such tasks would have had its users harmed without bound. Ways weighed: stopping filling tasks (loses work, and a stop is the slower order); a pace from a model of each image's disturbance (it changes within seconds, and the figures are rough); additive increase and multiplicative decrease for each worker (taken). Change: pacing.py decides from the tails that workers list; `pace` is a call of the worker port, sent again while unanswered and, where the tail stays high, even if answered, since an older order may have been carried out late.

--- a/libs/cell/src/cactustiller/cell/attempts.py
+++ b/libs/cell/src/cactustiller/cell/attempts.py
@@ -13,11 +13,14 @@
     note_success,
     will_be_cut,
 )
+from .pacing import OVER, choose_pace
 from .rooms import LEASE_SECONDS, Rooms
-from .runs import End, RunPhase
+from .runs import End, RunPhase, TaskRun
 from .workers import Worker
 
 STOP_RETRY_SECONDS = 0.5
+# A pace without an answer is sent again, as it may fall every 0.6 s.
+PACE_RETRY_SECONDS = 0.5
 # A run that is still there this long after its stop was answered is stopped again.
 STOP_PATIENCE_SECONDS = 2.0
 
@@ -30,6 +33,19 @@
     run: int
 
 
+class PaceOrder(NamedTuple):
+    """Share of its speed, in percent, at which a filling run is to work.
+
+    `tails` are the tail latencies that decided, as parts of their targets.
+    """
+
+    worker: Worker
+    task: TaskRun
+    run: int
+    percent: int
+    tails: list[float]
+
+
 class Attempts(Rooms):
     """Follows the latest run of each task.
 
@@ -198,6 +214,9 @@
             task.phase = RunPhase.RUNNING
             task.started_at = task.started_at or now
             self._mark_started(task.step.job)
+        target_ms = task.step.spec.latency_target_ms
+        if target_ms:
+            task.tail = listed.load / target_ms
         if listed.progress > task.progress:
             task.progress, task.progressed_at = listed.progress, now
 
@@ -291,6 +310,45 @@
                     task.step.failed_on.add(worker.info.worker)
                     note_stall(worker, task, self.workers.values(), now)
 
+    def find_paces(self):
+        """Return the paces that are due for tasks that fill beside serving ones."""
+        now = self._clock()
+        due = []
+        for worker in self.workers.values():
+            runs = [task for task, run in worker.runs.values() if task.run == run]
+            fills = [
+                task
+                for task in runs
+                if task.step.spec.fills and task.phase is RunPhase.RUNNING
+            ]
+            if not fills or not worker.is_reachable:
+                continue
+            tails = [task.tail for task in runs if task.step.spec.latency_target_ms]
+            percent = choose_pace(worker.pace, tails, now)
+            # An older order without an answer may have been carried out since.
+            is_doubtful = max(tails, default=0.0) > OVER
+            for task in fills:
+                is_due = now - task.paced_at >= PACE_RETRY_SECONDS
+                if is_due and (task.pace != percent or is_doubtful):
+                    task.paced_at = now
+                    due.append(PaceOrder(worker, task, task.run, percent, tails))
+        return due
+
+    def confirm_pace(self, order):
+        """Note that a worker took a pace."""
+        task = order.task
+        if task.run == order.run and task.pace != order.percent:
+            task.pace = order.percent
+            log_event(
+                Event.RUN_PACED,
+                job=task.step.job.spec.job,
+                task=task.name,
+                run=order.run,
+                worker=order.worker.info.worker,
+                percent=order.percent,
+                tail=round(max(order.tails, default=0.0), 2),
+            )
+
     def _mark_started(self, job):
         if not job.has_started:
             job.has_started = True
--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -8,6 +8,7 @@
 from .attempts import Attempts
 from .events import Event, log_event
 from .ordering import find_times, make_order_key
+from .pacing import FULL
 from .placement import Placement, Round, place_steps
 from .runs import JobRun, RunPhase, decode_progress, encode_progress
 from .shares import ShareMeter
@@ -233,6 +234,8 @@
         task.is_sent = task.is_stopping = task.is_unanswered = False
         task.started_at = task.stopped_at = 0.0
         task.progress = -1
+        # Every run begins at its full pace.
+        task.pace, task.tail = FULL, 0.0
         step.waiting -= 1
         worker.runs[task.name] = (task, run)
         if not step.waiting:
--- a/libs/cell/src/cactustiller/cell/events.py
+++ b/libs/cell/src/cactustiller/cell/events.py
@@ -42,6 +42,7 @@
     RUN_PREEMPTED = "run_preempted"
     RUN_EVACUATED = "run_evacuated"
     RUN_STOPPED = "run_stopped"
+    RUN_PACED = "run_paced"
     WORKER_LOST = "worker_lost"
     WORKER_BACK = "worker_back"
     WORKER_REBORN = "worker_reborn"
@@ -65,6 +66,7 @@
         Event.RUN_STARTED,
         Event.RUN_ENDED,
         Event.RUN_STOPPED,
+        Event.RUN_PACED,
         Event.CALL_REFUSED,
         Event.CALL_FAILED,
         Event.ENTRY_UNREADABLE,
--- a/libs/cell/src/cactustiller/cell/metering.py
+++ b/libs/cell/src/cactustiller/cell/metering.py
@@ -91,6 +91,14 @@
         self._note("stop", loop.time() - started_at, _name_outcome(answer))
         return answer
 
+    async def pace(self, worker, task, run, percent, fence):
+        """Let a filling run work at a share of its speed."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        answer = await self._calls.pace(worker, task, run, percent, fence)
+        self._note("pace", loop.time() - started_at, _name_outcome(answer))
+        return answer
+
     async def hold(self, worker, fence, acked_through, deadline_ms, wait_ms):
         """Renew the lease of all runs and wait for an end.
 
--- a/libs/cell/src/cactustiller/cell/orders.py
+++ b/libs/cell/src/cactustiller/cell/orders.py
@@ -65,6 +65,11 @@
         for stop in stops:
             self._run_aside(self._send_stop(stop))
 
+    def send_paces(self, paces):
+        """Send paces without waiting for their answers."""
+        for order in paces:
+            self._run_aside(self._send_pace(order))
+
     def note_committed(self):
         """Let the workers whose ends are stored hear of it."""
         self._committed.set()
@@ -252,6 +257,13 @@
             )
             await self._look(stop.worker)
 
+    async def _send_pace(self, order):
+        answer = await self._calls.pace(
+            order.worker.info, order.task.name, order.run, order.percent, self._fence
+        )
+        if answer.is_ok():
+            self._engine.confirm_pace(order)
+
     async def _look(self, worker):
         """Take a worker's list at once, beside the call that waits for ends."""
         loop = asyncio.get_running_loop()
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -253,6 +253,7 @@
         if engine.unstored_jobs:
             self._wake.set()
         self._orders.send_stops(engine.find_stops())
+        self._orders.send_paces(engine.find_paces())
 
     def _invite_successor(self):
         self._run_aside(self._announcer.invite_successor())
--- a/libs/cell/src/cactustiller/cell/ports.py
+++ b/libs/cell/src/cactustiller/cell/ports.py
@@ -118,6 +118,11 @@
     ) -> Result[None, Failure]:
         """Stop a run; one that has not started yet never will."""
 
+    async def pace(
+        self, worker: WorkerInfo, task: str, run: int, percent: int, fence: int
+    ) -> Result[None, Failure]:
+        """Let a filling run work at a share of its speed."""
+
     async def hold(
         self,
         worker: WorkerInfo,
--- a/libs/cell/src/cactustiller/cell/runs.py
+++ b/libs/cell/src/cactustiller/cell/runs.py
@@ -50,6 +50,12 @@
         When its worker answered a stop; 0 before that.
     progress, progressed_at : int, float
         Last percentage listed, and when it last rose.
+    tail : float
+        Latest tail latency of a serving task, as a part of its target.
+    pace : int or None
+        Percent that the worker was told for a filling task; None where unknown.
+    paced_at : float
+        When its worker was told a pace last.
     """
 
     step: "StepRun"
@@ -68,6 +74,9 @@
     progress: int = -1
     progressed_at: float = 0.0
     ticket: str = ""
+    tail: float = 0.0
+    pace: int | None = None
+    paced_at: float = float("-inf")
 
     @property
     def holds_room(self):
--- a/libs/cell/src/cactustiller/cell/workers.py
+++ b/libs/cell/src/cactustiller/cell/workers.py
@@ -5,6 +5,8 @@
 
 from cactustiller.model import Amounts, ServiceName, WorkerId
 
+from .pacing import Pace
+
 # A worker's clock may run this much slower than ours.
 CLOCK_DRIFT = 0.02
 LEASE_MARGIN_SECONDS = 0.3
@@ -86,6 +88,7 @@
     failures: int = 0
     failed_jobs: set = field(default_factory=set)
     reserved_for: object = None
+    pace: Pace = field(default_factory=Pace)
 
     def __post_init__(self):
         self.free_cpu, self.free_memory, self.free_accelerators = self.info.capacity
--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -44,6 +44,7 @@
     seconds: float
     total: float
     stops_at: float = 0.0
+    pace: int = 100
 
 
 @dataclass
@@ -61,6 +62,8 @@
     describe: object
     trouble: WorkerTrouble = WorkerTrouble.NONE
     late_seconds: float = 3.0
+    # Tail latency in milliseconds of the serving runs, from the runs at work here.
+    measure_load: object = lambda runs: 0
     fence: int = 0
     lease_until: float = 0.0
     runs: dict = field(default_factory=dict)
@@ -131,6 +134,16 @@
         if held is not None and held.run <= run and not held.stops_at:
             held.stops_at = asyncio.get_running_loop().time() + STOP_SECONDS
 
+    def take_pace(self, task, run, percent, fence):
+        """Set the pace of a run."""
+        if fence < self.fence:
+            return False
+        self.fence = fence
+        held = self.runs.get(task)
+        if held is not None and held.run == run:
+            held.pace = percent
+        return True
+
     def take_hold(self, fence, acked_through, deadline_ms):
         """Renew the lease; return the `Listing`, or None for a lower fence."""
         if fence < self.fence:
@@ -149,7 +162,11 @@
         now_ms = int(asyncio.get_running_loop().time() * 1000)
         active = tuple(
             ListedRun(
-                run.task, run.run, "", int(100 * (1 - run.seconds / run.total)), 0
+                run.task,
+                run.run,
+                "",
+                int(100 * (1 - run.seconds / run.total)),
+                self.measure_load(list(self.runs.values())),
             )
             for run in self.runs.values()
         )
@@ -162,7 +179,7 @@
             now = loop.time()
             for run in list(self.runs.values()):
                 if self.trouble is not WorkerTrouble.STANDING_STILL:
-                    run.seconds -= TICK_SECONDS
+                    run.seconds -= TICK_SECONDS * run.pace / 100
                 if now > self.lease_until:
                     self._end(run, End.LAPSED)
                 elif run.stops_at and now >= run.stops_at:
@@ -205,6 +222,15 @@
         found.take_stop(task, run, fence)
         return Ok(None)
 
+    async def pace(self, worker, task, run, percent, fence):
+        """Set the pace of a run."""
+        found = self._workers[worker.worker]
+        if await self._lose(found, lambda: found.take_pace(task, run, percent, fence)):
+            return _fail(ErrorCode.TIMEOUT, "no answer")
+        if not found.take_pace(task, run, percent, fence):
+            return _fail(ErrorCode.FENCED, "a lower fence")
+        return Ok(None)
+
     async def hold(self, worker, fence, acked_through, deadline_ms, wait_ms):
         """Renew the lease and wait for an end."""
         found = self._workers[worker.worker]
