--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -5,8 +5,8 @@
 
 from cactustiller.model import JobState
 
-from .attempts import Attempts
 from .events import Event, log_event
+from .interventions import Interventions
 from .ordering import find_times, make_order_key
 from .pacing import FULL
 from .placement import Placement, Round, place_steps
@@ -44,7 +44,7 @@
     placements: list[Placement] = field(default_factory=list)
 
 
-class Engine(Attempts):
+class Engine(Interventions):
     """Queues, workers and runs of one cell.
 
     Parameters
