--- a/libs/cell/src/cactustiller/cell/intake.py
+++ b/libs/cell/src/cactustiller/cell/intake.py
@@ -15,7 +15,6 @@
     WithdrawJob,
 )
 
-from .backoff import choose_retry_seconds
 from .events import Event, log_event
 from .insertion import Acceptance, Inserter
 from .ports import (
@@ -51,6 +50,9 @@
 # The owner is told through a takeover, which takes about 3 s.
 TELL_TRIES = 12
 TELL_RETRY_SECONDS = 0.25
+# Back when the store has had time to return, or another owner to take over. Callers'
+# 3 s run from their first try, so a longer pause would cost them a try.
+RETRY_AFTER_SECONDS = 1
 
 
 LOST_CODES = (ErrorCode.TIMEOUT, ErrorCode.UNAVAILABLE)
@@ -129,13 +131,6 @@
         )
         return outcome
 
-    def choose_retry_seconds(self, spec):
-        """Return after how many seconds a refused job may be handed in again."""
-        lost_at = self._election.lost_at
-        now = asyncio.get_running_loop().time()
-        away = 0.0 if lost_at is None else now - lost_at
-        return choose_retry_seconds(spec, away)
-
     async def cancel(self, job):
         """Store that a job is cancelled."""
         loop = asyncio.get_running_loop()
