--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -76,6 +76,7 @@
             self.shown[spec.job] = job.state
         if job.state.is_final:
             return
+        self._has_fills |= any(step.fills for step in spec.steps)
         team = self.desired.teams.get(spec.team)
         job.is_over_share = self._shares.is_over(team, spec)
         if not spec.repeat_count and not job.occurrences:
--- a/libs/cell/src/cactustiller/cell/interventions.py
+++ b/libs/cell/src/cactustiller/cell/interventions.py
@@ -51,6 +51,8 @@
     def __init__(self, clock, wall_clock_ms):
         super().__init__(clock, wall_clock_ms)
         self._stops_sent = {}
+        # Most cells have no filling tasks; the walk over all runs is left out there.
+        self._has_fills = False
 
     def find_leaving(self):
         """Stop runs that would be cut when their draining worker leaves."""
@@ -123,6 +125,8 @@
 
     def find_paces(self):
         """Return the paces that are due for tasks that fill beside serving ones."""
+        if not self._has_fills:
+            return []
         now = self._clock()
         due = []
         for worker in self.workers.values():
