--- a/tests/cell/test_engine.py
+++ b/tests/cell/test_engine.py
@@ -139,3 +139,15 @@
     next(iter(engine.workers.values())).is_reachable = False
     assert engine.confirm(batch) == []
     assert all(not worker.runs for worker in engine.workers.values())
+
+
+def test_a_forgotten_job_leaves_nothing_to_store():
+    engine = make_busy_engine(1)
+    (job,) = engine.jobs
+    engine.cancel_job(job)
+    engine.confirm(engine.collect(96, [job]))
+    # A run of it is settled after its end, and then the job is forgotten.
+    engine._refresh(engine.jobs[job])
+    del engine.jobs[job]
+    engine.collect(96)
+    assert not engine.unstored_jobs
