Keep slots closed that a restarted gateway may have forgotten

Cause: a gateway's new process reports no permits, while executors still work on requests of the previous one. Likewise a new owner did not know the longest deadline of a silent gateway.

Ruled out: a late reply of the former owner (the ballot refuses it), and permits of the former owner (they expire and are released after the longest deadline).

Change: a gateway that found its own row at the start reports for how long requests of its previous process may go on, at most the longest timeout of the settings; the pool grants only reported slots until then, and releases a silent gateway's slots after that timeout. The model permits has a restart and a mutant without the wait. Two of its mutants were still marked as open although the code checks ballots and refreshes its members; they are marked as mended.

--- a/libs/gateway/src/cactustiller/gateway/permits.py
+++ b/libs/gateway/src/cactustiller/gateway/permits.py
@@ -12,6 +12,7 @@
 
 import structlog
 
+from cactustiller.model import ErrorCode, Failure
 from cactustiller.model.messages import AcquirePermits, HeldPermits, Permits
 from cactustiller.ownership import pool_of_service
 from cactustiller.scheduler.ballots import make_ballot
@@ -51,15 +52,22 @@
     health : ExecutorHealth
     seed : int
         Seed of the backoff jitter and of the choice of executors.
+    find_timeout_limit_ms : callable
+        Returns the longest timeout that the settings allow any request, None if the
+        settings are not known.
     """
 
-    def __init__(self, service, member, directory, health, seed=0):
+    def __init__(
+        self, service, member, directory, health, find_timeout_limit_ms, seed=0
+    ):
         self.admission = AdmissionControl(service)
         self._service = service
         self._partition = pool_of_service(service)
         self._member = member
         self._directory = directory
         self._health = health
+        self._find_timeout_limit_ms = find_timeout_limit_ms
+        self._started_at = asyncio.get_running_loop().time()
         self._random = random.Random(seed)
         self._idle = {}
         self._in_use = {}
@@ -202,7 +210,20 @@
         return sorted(self._idle)
 
     def report(self, ballot):
-        """Follow a ballot and return the permits held; ballot 0 only queries."""
+        """Follow a ballot and return the permits held; ballot 0 only queries.
+
+        Returns
+        -------
+        HeldPermits or Failure
+        """
+        limit_ms = self._find_timeout_limit_ms()
+        if ballot and limit_ms is None:
+            return Failure(
+                code=ErrorCode.UNAVAILABLE,
+                step=f"report permits of {self._service}",
+                peer=self._member.record.member,
+                reason="the settings, which limit timeouts, are not known",
+            )
         self._ballot = max(self._ballot, ballot)
         permits = self._list_held() if ballot else []
         return HeldPermits(
@@ -210,8 +231,17 @@
             epoch=self.ballot,
             gateway=self.holder_id,
             longest_ms=self._requested_timeout_ms,
+            limit_ms=limit_ms or 0,
+            previous_busy_ms=self._find_previous_busy_ms(limit_ms or 0),
         )
 
+    def _find_previous_busy_ms(self, limit_ms):
+        """Return for how long requests of a previous process may still run."""
+        if not self._member.has_predecessor:
+            return 0
+        age_seconds = asyncio.get_running_loop().time() - self._started_at
+        return max(0, math.ceil(limit_ms - age_seconds * 1000))
+
     async def register_timeout(self, timeout_seconds):
         """Return how long a request may run, at most `timeout_seconds`.
 
--- a/libs/gateway/src/cactustiller/gateway/routing.py
+++ b/libs/gateway/src/cactustiller/gateway/routing.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from cactustiller.model import ErrorCode, Failure, FailureError, Outcome
+from cactustiller.settings import find_largest
 
 from .ejection import ExecutorHealth
 from .errors import make_refusal
@@ -47,14 +48,16 @@
     member : Member
     directory : ExecutorDirectory
     metrics : Metrics
+    replica : SettingsReplica
     seed : int
         Seed of the backoff jitter.
     """
 
-    def __init__(self, member, directory, metrics, seed=0):
+    def __init__(self, member, directory, metrics, replica, seed=0):
         self._member = member
         self._directory = directory
         self._metrics = metrics
+        self._replica = replica
         self._seed = seed
         self._random = random.Random(seed)
         self._stores = {}
@@ -204,13 +207,22 @@
                 self.get_store(service)
             await asyncio.sleep(SERVICE_POLL_INTERVAL_SECONDS)
 
+    def _find_timeout_limit_ms(self):
+        tree = self._replica.tree
+        return find_largest(tree, "request_timeout_ms") if tree is not None else None
+
     def get_store(self, service):
         """Return the `PermitStore` of a service, creating and starting it on demand."""
         store = self._stores.get(service)
         if store is None:
             health = ExecutorHealth(partial(self._directory.list_usable, service))
             store = PermitStore(
-                service, self._member, self._directory, health, self._seed
+                service,
+                self._member,
+                self._directory,
+                health,
+                self._find_timeout_limit_ms,
+                self._seed,
             )
             store.start()
             self._health[service] = health
--- a/libs/gateway/src/cactustiller/gateway/serving.py
+++ b/libs/gateway/src/cactustiller/gateway/serving.py
@@ -60,7 +60,7 @@
         ),
         owner_client=OwnerClient(member),
         directory=directory,
-        router=RequestRouter(member, directory, metrics),
+        router=RequestRouter(member, directory, metrics, replica),
         records=RequestRecordStore(member),
         metrics=metrics,
         stop=stop,
--- a/libs/model/src/cactustiller/model/messages.capnp
+++ b/libs/model/src/cactustiller/model/messages.capnp
@@ -250,6 +250,8 @@
   epoch @1 :UInt64;
   gateway @2 :Text;
   longestMs @3 :UInt32;
+  limitMs @4 :UInt32;
+  previousBusyMs @5 :UInt32;
 }
 struct ReportPermits { service @0 :Text; epoch @1 :UInt64; }
 
--- a/libs/model/src/cactustiller/model/messages.py
+++ b/libs/model/src/cactustiller/model/messages.py
@@ -323,12 +323,20 @@
 
 
 class HeldPermits(Record):
-    """Reply to `ReportPermits`: held permits, and the highest ballot followed."""
+    """Reply to `ReportPermits`: held permits, and the highest ballot followed.
+
+    `longest_ms` is the upper limit of the deadlines of the gateway's requests, and
+    `limit_ms` that of any gateway's by the settings. For `previous_busy_ms` executors
+    may still work on requests of the gateway's previous process, whose permits it does
+    not know.
+    """
 
     permits: list[Permit]
     epoch: int = 0
     gateway: str = ""
     longest_ms: int = 0
+    limit_ms: int = 0
+    previous_busy_ms: int = 0
 
 
 class AnnounceSettings(Record):
--- a/libs/ownership/src/cactustiller/ownership/member.py
+++ b/libs/ownership/src/cactustiller/ownership/member.py
@@ -108,6 +108,8 @@
             timing.commit_delay_ms / 1000,
             seed,
         )
+        # Whether a row of an earlier process of this member was found at the start.
+        self.has_predecessor = False
         self.ownership = Ownership()
         self.ownership_version = 0
         self.members = {}
@@ -324,6 +326,7 @@
                 row = answer.unwrap()
                 if row.value is not None and row.value.get("token") == token:
                     return row.version
+                self.has_predecessor = row.value is not None
                 write = Write(
                     checks=[Check(key=key, version=row.version)],
                     puts=[Put(key=key, value=self._make_member_row(token))],
--- a/libs/scheduler/src/cactustiller/scheduler/pools.py
+++ b/libs/scheduler/src/cactustiller/scheduler/pools.py
@@ -101,9 +101,12 @@
         self._used = Counter()
         self._reported_slots = Counter()
         self._is_recovering = False
+        self._has_silent_gateways = False
+        self._busy_until = float("-inf")
         self._holders = {}
         self._release = None
         self._longest_ms = 0
+        self._limit_ms = 0
         self._first_number = (epoch << EPOCH_SHIFT) + (generation << GENERATION_SHIFT)
         self._next_number = self._first_number
         self._task = None
@@ -182,7 +185,9 @@
         """Collect the permits of earlier epochs from the gateways after a takeover.
 
         The pool grants only slots that gateways have reported until every gateway has
-        answered, or until the permits of the others have expired.
+        answered, or until the permits of the others have expired. A gateway that was
+        restarted cannot report the requests of its previous process; the pool also
+        waits until the executors have finished these.
 
         Parameters
         ----------
@@ -200,6 +205,8 @@
         """Confirm the ballot if needed; schedule or perform the release of slots."""
         now = asyncio.get_running_loop().time()
         self._free_expired_grants(now)
+        if not self._has_silent_gateways and now >= self._busy_until:
+            self._is_recovering = False
         self._expire_holders(now)
         has_expired = any(grant.renewed_until <= now for grant in self._grants.values())
         must_release = self._release is None and (has_expired or self._is_recovering)
@@ -223,16 +230,23 @@
             self._longest_ms = max(self._longest_ms, reply.longest_ms)
         if self._is_recovering:
             for reply in outcome.replies:
+                self._limit_ms = max(self._limit_ms, reply.limit_ms)
+                if reply.previous_busy_ms:
+                    busy_seconds = reply.previous_busy_ms / 1000 + EXPIRY_MARGIN_SECONDS
+                    self._busy_until = max(self._busy_until, now + busy_seconds)
                 holder = self._holders.setdefault(reply.gateway, Holder())
                 for permit in reply.permits:
                     self._adopt(permit, reply.gateway, holder, now)
-            self._is_recovering = bool(outcome.unconfirmed)
+            self._has_silent_gateways = bool(outcome.unconfirmed)
+            self._is_recovering = self._has_silent_gateways or now < self._busy_until
         if must_release and outcome.has_majority:
             # Executors may work until the deadline of the last request sent to them.
             seconds = (
                 CONFIRMED_SECONDS + PERMIT_LIFETIME_SECONDS + EXPIRY_MARGIN_SECONDS
             )
-            seconds += self._longest_ms / 1000
+            # Only the previous owner knew the longest deadline of a silent gateway.
+            limit_ms = self._limit_ms if self._is_recovering else 0
+            seconds += max(self._longest_ms, limit_ms) / 1000
             self._release = Release(now + seconds, expired_before)
         return outcome.unconfirmed
 
@@ -246,7 +260,8 @@
         ]
         for number in expired:
             self._free_grant(number)
-        self._is_recovering = False
+        self._has_silent_gateways = False
+        self._is_recovering = now < self._busy_until
         self._release = None
         log.info("slots_released", service=self.service, slots=len(expired))
 
--- a/libs/settings/src/cactustiller/settings/__init__.py
+++ b/libs/settings/src/cactustiller/settings/__init__.py
@@ -16,7 +16,13 @@
 from .names import Level, ResolvedValues, Spread, format_names_table, get_levels
 from .parsing import SettingsError
 from .patches import apply_patch, make_patch
-from .resolution import DEFAULT_ORIGIN, ValueOrigin, resolve, show_origin
+from .resolution import (
+    DEFAULT_ORIGIN,
+    ValueOrigin,
+    find_largest,
+    resolve,
+    show_origin,
+)
 from .tree import SettingsTree, StoredKey, default_tree, dump_tree, has_path
 
 __all__ = [
@@ -46,6 +52,7 @@
     "default_tree",
     "diff_trees",
     "dump_tree",
+    "find_largest",
     "format_names_table",
     "get_levels",
     "has_path",
--- a/libs/settings/src/cactustiller/settings/resolution.py
+++ b/libs/settings/src/cactustiller/settings/resolution.py
@@ -6,7 +6,7 @@
 from cactustiller.model import Record
 
 from .names import Level, ResolvedValues
-from .tree import Scalar, SettingsTree, find_nodes, split_path
+from .tree import Scalar, SettingsTree, find_nodes, iterate_nodes, split_path
 
 DEFAULT_ORIGIN = "(default)"
 
@@ -62,6 +62,15 @@
     ]
 
 
+def find_largest(tree: SettingsTree, name: str):
+    """Return the largest value of a number over all levels and its default."""
+    values = [ResolvedValues.model_fields[name].default]
+    values += [
+        node.values[name] for _, node in iterate_nodes(tree) if name in node.values
+    ]
+    return max(values)
+
+
 def _resolve_uncached(tree, names):
     nodes = find_nodes(tree, names)
     if nodes is None or len(names) > Level.QUEUE:
--- a/specs/permits.py
+++ b/specs/permits.py
@@ -1,13 +1,14 @@
 """Permits: an executor's slot, two gateways and a change of the pool's owner.
 
 The former owner grants the slot, the new one learns from the gateways what they hold.
-A gateway may join late, so that a stale list lacks it, and may not answer. Replies are
-late. Time passes in ticks, the same for all clocks.
+One gateway may join late, so that a stale list lacks it; the other may restart once and
+forget its permits, whose executors work on. A gateway may not answer. Replies are late.
+Time passes in ticks, the same for all clocks.
 """
 
 from typing import NamedTuple
 
-from .kit import MENDED, OPEN, Mutant, Spec
+from .kit import MENDED, Mutant, Spec
 
 LIFE_TICKS = 2
 LEASE_TICKS = 1
@@ -17,24 +18,33 @@
 
 
 class Gateway(NamedTuple):
-    """A gateway: highest epoch heard of, and its permit's owner, number, life."""
+    """A gateway: highest epoch heard of, and its permit's owner, number, life.
+
+    `forgotten` is the time for which an executor works on under a permit of its
+    previous process, `previous_busy` the upper limit of it that the gateway reports.
+    """
 
     epoch: int = FORMER
     owner: int = 0
     permit: int = 0
     life: int = 0
     has_answered: bool = False
+    has_restarted: bool = False
+    forgotten: int = 0
+    previous_busy: int = 0
 
 
 class State(NamedTuple):
     """All parts; grants and replies hold gateway, epoch, number, ticks left.
 
-    `closed` is the time until the new owner opens, -1 before its takeover.
+    `closed` is the time until the new owner opens, -1 before its takeover, and `busy`
+    the time for which requests of restarted gateways may go on.
     """
 
     lease: int = LEASE_TICKS
     has_former: bool = True
     closed: int = -1
+    busy: int = 0
     is_asking: bool = False
     has_joined: bool = False
     is_listed: bool = False
@@ -114,10 +124,12 @@
     gateway = state.gateways[number]
     is_asked = state.is_asking and (number == 0 or state.is_listed)
     if is_asked and not gateway.has_answered:
-        yield f"PermitStore.report of gateway {number}", _report(state, number)
+        yield f"PermitStore.report of gateway {number}", _report(state, flags, number)
+    if number == 0 and not gateway.has_restarted:
+        yield f"Member.start of gateway {number} again", _restart(state, number)
     if state.has_former and (state.lease or "grant without a lease" in flags):
         yield from _acquire(state, flags, number, FORMER)
-    if state.closed == 0 and not state.is_asking:
+    if state.closed == 0 and not state.is_asking and not state.busy:
         yield from _acquire(state, flags, number, OWNER)
     if gateway.life:
         freed = _set_gateway(state, number, owner=0, permit=0, life=0)
@@ -128,9 +140,29 @@
         )
 
 
-def _report(state, number):
+def _restart(state, number):
+    gateway = state.gateways[number]
+    restarted = _set_gateway(
+        state,
+        number,
+        epoch=FORMER if state.closed < 0 else OWNER,
+        owner=0,
+        permit=0,
+        life=0,
+        has_restarted=True,
+        forgotten=gateway.life,
+        previous_busy=LIFE_TICKS,
+    )
+    replies = frozenset(reply for reply in state.replies if reply[0] != number)
+    return restarted._replace(replies=replies)
+
+
+def _report(state, flags, number):
     gateway = state.gateways[number]
     answered = _set_gateway(state, number, epoch=OWNER, has_answered=True)
+    if "forgotten permits" not in flags:
+        busy = max(answered.busy, gateway.previous_busy)
+        answered = answered._replace(busy=busy)
     if not gateway.life:
         return answered
     held = {(number, gateway.owner, gateway.permit, gateway.life)}
@@ -182,6 +214,7 @@
     ticked = state._replace(
         lease=max(0, state.lease - 1),
         closed=max(0, state.closed - 1) if state.closed > 0 else state.closed,
+        busy=max(0, state.busy - 1),
         replies=_age(state.replies),
         grants=tuple(_age(grants) for grants in state.grants),
     )
@@ -189,7 +222,15 @@
         life = max(0, gateway.life - 1)
         owner = gateway.owner if life else 0
         permit = gateway.permit if life else 0
-        ticked = _set_gateway(ticked, number, life=life, owner=owner, permit=permit)
+        ticked = _set_gateway(
+            ticked,
+            number,
+            life=life,
+            owner=owner,
+            permit=permit,
+            forgotten=max(0, gateway.forgotten - 1),
+            previous_busy=max(0, gateway.previous_busy - 1),
+        )
     return ticked
 
 
@@ -204,12 +245,15 @@
 SPEC = Spec(
     name="permits",
     title="Slot permits over a change of the pool's owner",
-    sizes="1 executor with 1 slot, 2 gateways (1 joins late), 2 owners; ticks: "
+    sizes="1 executor with 1 slot, 2 gateways (1 joins late, 1 may restart "
+    "once), 2 owners; ticks: "
     f"permit life {LIFE_TICKS}, lease {LEASE_TICKS}",
     initial=State(),
     list_steps=list_steps,
     properties={
-        _SLOTS: lambda state: sum(g.life > 0 for g in state.gateways) <= 1,
+        _SLOTS: lambda state: (
+            sum((g.life > 0) + (g.forgotten > 0) for g in state.gateways) <= 1
+        ),
     },
     goal=lambda state: state.numbers[OWNER - 1] > 0,
     actions={
@@ -227,23 +271,20 @@
         "PermitStore._acquire": "gateway/permits.py",
         "PermitStore._give_back": "gateway/permits.py",
     },
-    outside=(
-        "a gateway that restarts and forgets its permits",
-        "an executor that works on after a permit's end",
-    ),
+    outside=("an executor that works on after a permit's end",),
     mutants=(
         Mutant("grant before gateways answered", _SLOTS, "a new owner grants at once"),
         Mutant(
             "grant without a lease",
             _SLOTS,
             "Pool.acquire grants although the owner's lease has ended",
-            fault=OPEN,
+            fault=MENDED,
         ),
         Mutant(
             "gateways of an old list",
             _SLOTS,
             "a new owner asks the gateways that it knew before the takeover",
-            fault=OPEN,
+            fault=MENDED,
         ),
         Mutant(
             "replies of a former owner",
@@ -256,6 +297,12 @@
             "a pool built again under its epoch numbers permits from 1 again",
             fault=MENDED,
         ),
+        Mutant(
+            "forgotten permits",
+            _SLOTS,
+            "a new owner takes the report of a restarted gateway for complete",
+            fault=MENDED,
+        ),
         Mutant(
             "open before permits expire",
             _SLOTS,
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -314,7 +314,7 @@
             access_control=AccessControl(replica, "demo", "main"),
             owner_client=OwnerClient(member),
             directory=directory,
-            router=RequestRouter(member, directory, metrics),
+            router=RequestRouter(member, directory, metrics, replica),
             records=RequestRecordStore(member),
             metrics=metrics,
             stop=asyncio.Event(),
--- a/tests/gateway/simulated_cell.py
+++ b/tests/gateway/simulated_cell.py
@@ -17,6 +17,8 @@
 SERVICE = "prices"
 LEASE_SECONDS = 2.0
 CALL_SECONDS = 1.0
+# Longest timeout of a request that the settings allow.
+TIMEOUT_LIMIT_MS = 20_000
 
 
 def build_executor(name, zone="a", state="live", slots=2):
@@ -71,7 +73,8 @@
 class Gateway:
     """Gateway with a `PermitStore`, and its fake member, directory and peers."""
 
-    def __init__(self, cell, name, incarnation):
+    def __init__(self, cell, name, incarnation, has_predecessor):
+        self.has_predecessor = has_predecessor
         self.cell = cell
         self.name = name
         self.record = SimpleNamespace(
@@ -85,7 +88,9 @@
         infos = {info.executor: info for info in cell.executors}
         health = ExecutorHealth(lambda: set(infos))
         directory = SimpleNamespace(is_usable=infos.__contains__, get=infos.get)
-        self.store = PermitStore(SERVICE, self, directory, health)
+        self.store = PermitStore(
+            SERVICE, self, directory, health, lambda: TIMEOUT_LIMIT_MS
+        )
         self.store.start()
 
     def list_members(self, role):
@@ -132,16 +137,16 @@
         for number in range(gateways):
             self.start_gateway(f"g{number}")
 
-    def start_gateway(self, name):
+    def start_gateway(self, name, has_predecessor=False):
         incarnation = self.random.randrange(10**9)
-        self.gateways[name] = Gateway(self, name, incarnation)
+        self.gateways[name] = Gateway(self, name, incarnation, has_predecessor)
 
     async def restart_gateway(self, name):
         """Replace a gateway; executors continue to work on its requests."""
         old = self.gateways.pop(name)
         old.is_paused = True
         old.store._task.cancel()
-        self.start_gateway(name)
+        self.start_gateway(name, has_predecessor=True)
 
     async def renew_leases(self):
         """Renew the current owner's lease while it can reach the table."""
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -4,6 +4,7 @@
 import contextlib
 import functools
 
+import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -199,3 +200,35 @@
         await asyncio.sleep(10.0)
         assert cell.gateways["g0"].store.take_idle() is None
         assert await cell.send("g0", 0.1, 1.0) is False
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_new_owner_does_not_grant_slots_that_a_restarted_gateway_forgot(seed):
+    machine = SlotMachine()
+    machine.start(seed)
+    try:
+        machine.cut_owner_from_table()
+        machine.restart("g0")
+        machine.change_owner()
+        machine.let_time_pass(12.0)
+        machine.let_time_pass(12.0)
+        machine.no_executor_is_over_its_slots()
+        assert machine.cell.owners[-1].pool.count_used().total() > 2
+    finally:
+        machine.teardown()
+
+
+@run_on_new_loop
+async def test_new_owner_allows_for_long_requests_of_a_silent_gateway():
+    async with open_cell() as cell:
+        long_requests = [cell.send("g0", 20.0, 20.0) for _ in range(4)]
+        await asyncio.sleep(1.5)
+        assert sum(cell.busy.values()) == 4
+        cell.gateways["g0"].is_paused = True
+        cell.cut_links.add((cell.owners[-1].name, "table"))
+        await asyncio.sleep(2.5)
+        assert cell.take_over()
+        await send_until(cell, 16, work_seconds=1.0)
+        assert cell.highest <= cell.slots
+        for request in long_requests:
+            request.cancel()
--- a/tests/scheduler/test_handover.py
+++ b/tests/scheduler/test_handover.py
@@ -57,3 +57,15 @@
     reconciler._plan_hand_over = lambda limit: {HOME: other}
     await reconciler._hand_over(1)
     assert events == [("release", HOME), ("reopen", HOME)]
+
+
+async def test_member_knows_whether_an_earlier_process_of_it_had_joined():
+    table = MemoryTable()
+    first = Member(build_record("m1"), table, TimingSettings(), refuse_all)
+    await first.start()
+    assert not first.has_predecessor
+    await first.stop()
+    second = Member(build_record("m1"), table, TimingSettings(), refuse_all)
+    await second.start()
+    assert second.has_predecessor
+    await second.stop()
--- a/tests/settings/test_tree.py
+++ b/tests/settings/test_tree.py
@@ -9,6 +9,7 @@
     add_team,
     diff_trees,
     dump_tree,
+    find_largest,
     format_names_table,
     parse_tree,
     resolve,
@@ -118,5 +119,13 @@
     )
 
 
+def test_largest_value_is_found_over_all_levels_and_the_default():
+    tree = build_tree()
+    assert find_largest(tree, "request_timeout_ms") == 10_000
+    tree = set_value(tree, "demo/main/red", "request_timeout_ms", 30_000).unwrap()
+    tree = set_value(tree, "", "request_timeout_ms", 500).unwrap()
+    assert find_largest(tree, "request_timeout_ms") == 30_000
+
+
 def test_page_has_the_names_table():
     assert format_names_table() in PAGE.read_text()
