Choose the wait of calls to workers by what may have gone wrong there

Change: polling.py decides. A call to an idle worker waits 2 s, the limit of workers; one to a busy worker until its first run would count as stalled; one to a worker with failures, or with filling tasks, 0.5 s. A start without an answer is followed by a check, so that a lost worker is found as early as before, and the end of a running task that is stopped is left to the hold call.

Weighed: a longer fixed wait (finds stalled runs late), delaying the next call to collect several ends (callers wait for the ends).

Without the check after an unanswered start, two of the four cases of the new test fail.

--- a/libs/cell/src/cactustiller/cell/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/dispatch.py
@@ -12,16 +12,10 @@
 from .capacity import LEASE_SECONDS
 from .events import Event, log_event
 from .metrics import Count, Latency
+from .polling import choose_wait_ms
 from .ports import StartAnswer, StartOrder
-from .runs import RunEnd
+from .runs import RunEnd, RunPhase
 
-# A worker without new ends answers a hold call after this time, which bounds the time
-# until a lost worker is detected.
-HOLD_WAIT_MS = 500
-# The wait grows with the cell, so that idle workers cause about 200 calls a second;
-# workers limit it to 2 s.
-HOLD_WAIT_MS_PER_WORKER = 5
-MAX_HOLD_WAIT_MS = 2000
 HOLD_RETRY_SECONDS = 0.25
 # After this wait for the store to commit a worker's ends, the lease is renewed anyway.
 COMMIT_WAIT_SECONDS = 1.0
@@ -29,8 +23,8 @@
 REFUSED_PAUSE_SECONDS = 0.1
 # The same for a worker that reports itself unhealthy.
 UNHEALTHY_PAUSE_SECONDS = 1.5
-# After an unanswered start, no runs are placed on the worker for this time; by then a
-# hold call has been answered or has failed.
+# After an unanswered start, no runs are placed on the worker for this time; by then the
+# call that checks on the worker has been answered or has failed.
 UNANSWERED_PAUSE_SECONDS = 0.7
 REFUSALS_WITHOUT_PAUSE = (StartAnswer.NO_TICKET, StartAnswer.OLD_RUN)
 
@@ -116,7 +110,9 @@
                 self._fencing_token,
                 worker.acked_through,
                 worker.grant_lease_ms(sent_at, LEASE_SECONDS),
-                self._choose_wait_ms() if may_wait else 0,
+                choose_wait_ms(worker, len(self._engine.workers), sent_at)
+                if may_wait
+                else 0,
             )
             if answer.is_err():
                 self._mark_unreachable(worker, answer.unwrap_err())
@@ -127,10 +123,6 @@
             self._wake()
             await self._wait_until_acknowledged(worker)
 
-    def _choose_wait_ms(self):
-        wait_ms = HOLD_WAIT_MS_PER_WORKER * len(self._engine.workers)
-        return min(MAX_HOLD_WAIT_MS, max(HOLD_WAIT_MS, wait_ms))
-
     async def _wait_until_acknowledged(self, worker):
         """Wait until all ends that a worker listed are stored and acknowledged.
 
@@ -227,6 +219,8 @@
             worker.avoided_until = max(
                 worker.avoided_until, now + UNANSWERED_PAUSE_SECONDS
             )
+            # The hold call may wait for longer before it shows that the worker is lost.
+            self._start_task(self._fetch_listing(worker))
         else:
             log_event(Event.RUN_REFUSED, **fields, answer=answer.value)
             self._handle_refusal(placement, run, answer, now)
@@ -267,7 +261,14 @@
                 run=stop.run,
                 worker=stop.worker.info.worker,
             )
-            await self._fetch_listing(stop.worker)
+            if not self._is_running(stop):
+                # Its absence from a listing shows that the run can no longer start.
+                await self._fetch_listing(stop.worker)
+
+    def _is_running(self, stop):
+        """Return whether a run has started, so that the hold call reports its end."""
+        task, run = stop.worker.runs.get(stop.task, (None, 0))
+        return run == stop.run and task.run == run and task.phase is RunPhase.RUNNING
 
     async def _send_pace(self, order):
         answer = await self._calls.pace(
@@ -281,12 +282,17 @@
             self._engine.confirm_pace(order)
 
     async def _fetch_listing(self, worker):
-        """Fetch a worker's listing by a second call while its hold call is waiting."""
+        """Fetch a worker's listing by a second call while its hold call is waiting.
+
+        Without an answer the worker counts as unreachable until a hold call succeeds.
+        """
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         answer = await self._calls.hold(
             worker.info, self._fencing_token, worker.acked_through, None, 0
         )
-        if answer.is_ok():
-            self._engine.apply_listing(worker, answer.unwrap(), sent_at, loop.time())
-            self._wake()
+        if answer.is_err():
+            self._mark_unreachable(worker, answer.unwrap_err())
+            return
+        self._engine.apply_listing(worker, answer.unwrap(), sent_at, loop.time())
+        self._wake()
--- a/libs/cell/src/cactustiller/cell/health.py
+++ b/libs/cell/src/cactustiller/cell/health.py
@@ -69,22 +69,29 @@
     return True
 
 
-def is_stalled(task, worker):
-    """Return whether a run makes no progress although its worker still reports.
+def find_stall_time(task):
+    """Return when a run counts as stalled unless it progresses; None if it never does.
 
-    A run at 100% is not stalled: a gang member waits there for the other members.
+    A run at 100% does not stall: a gang member waits there for the other members.
     """
-    estimate = task.step.spec.estimate_ms / 1000
-    patience = STALL_SECONDS + STALL_ESTIMATE_FRACTION * estimate
-    return (
-        task.phase is RunPhase.RUNNING
-        and not task.is_stopping
-        and not task.step.spec.is_service
-        and not task.step.spec.fills
-        and task.progress < COMPLETE_PERCENT
-        and bool(task.progressed_at)
-        and worker.listed_at - task.progressed_at > patience
-    )
+    spec = task.step.spec
+    if (
+        task.phase is not RunPhase.RUNNING
+        or task.is_stopping
+        or spec.is_service
+        or spec.fills
+        or task.progress >= COMPLETE_PERCENT
+        or not task.progressed_at
+    ):
+        return None
+    patience = STALL_SECONDS + STALL_ESTIMATE_FRACTION * spec.estimate_ms / 1000
+    return task.progressed_at + patience
+
+
+def is_stalled(task, worker):
+    """Return whether a run makes no progress although its worker still reports."""
+    stalls_at = find_stall_time(task)
+    return stalls_at is not None and worker.listed_at > stalls_at
 
 
 def outlives_worker(task, leaves_at, now):
--- a/standins/fleet/cell.py
+++ b/standins/fleet/cell.py
@@ -190,6 +190,11 @@
                 return name
         return None
 
+    def find_engine(self):
+        """Return the engine of the member that owns the cell."""
+        owner, _, _ = self.members[self.find_owner()]._find_owner()
+        return owner.engine
+
     async def wait_for_owner(self, seconds=10.0, besides=None):
         """Wait until a member owns the cell and return its name."""
         async with asyncio.timeout(seconds):
--- a/tests/cell/test_failures.py
+++ b/tests/cell/test_failures.py
@@ -9,7 +9,7 @@
 from cactustiller.model import JobState
 from standins.fleet import FleetCell, make_job, make_queue
 from standins.fleet.store import Trouble
-from standins.fleet.workers import WorkerTrouble
+from standins.fleet.workers import LOST_SECONDS, WorkerTrouble
 
 pytestmark = pytest.mark.looptime
 
@@ -73,6 +73,18 @@
         assert len(cell.audit.starts) == 3
 
 
+@pytest.mark.parametrize("seconds", [1.0, 1.5, 2.0, 2.5])
+async def test_an_unanswered_start_shows_at_once_that_a_worker_is_lost(seconds):
+    # A call to an idle worker waits there for 2 s, so it alone would show it later.
+    async with FleetCell(workers=2) as cell:
+        await asyncio.sleep(seconds)
+        cell.workers["w0"].trouble = WorkerTrouble.CUT_OFF
+        await cell.submit(make_job(count=2, cpu=20_000), seconds=4.0)
+        # One call without an answer after the other.
+        await asyncio.sleep(2 * LOST_SECONDS + 0.1)
+        assert not cell.find_engine().workers["w0"].is_reachable
+
+
 async def test_tasks_of_a_restarted_worker_are_run_again():
     async with FleetCell(workers=2) as cell:
         spec = make_job(count=2, cpu=20_000)
