Survive malformed messages, rows and unexpected errors in background tasks

Cause (operators' report: one malformed message takes a process down), found by fuzzing the decoders of platform/: a job whose step follows step 1000000 was accepted and stored, raised IndexError in the owner, ended the task that follows the job table, and would have failed every later takeover, so that one job stopped the cell for good. Negative amounts added capacity. A malformed row of a member, page of the store or desired state (infinite numbers, a null path) ended the task that follows the table without a log line; a malformed owner's row ended the election of a member. A malformed listing restarted its hold loop without a pause.

--- a/libs/cell/src/cactustiller/cell/__init__.py
+++ b/libs/cell/src/cactustiller/cell/__init__.py
@@ -22,7 +22,7 @@
     Transaction,
 )
 from .runs import RunEnd
-from .specs import JobSpec, QueueRules, StepSpec
+from .specs import JobSpec, QueueRules, StepSpec, check_spec
 from .workers import WorkerInfo
 
 __all__ = [
@@ -54,4 +54,5 @@
     "Transaction",
     "WorkerInfo",
     "admit_call",
+    "check_spec",
 ]
--- a/libs/cell/src/cactustiller/cell/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/dispatch.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from functools import partial
 
 from cactustiller.model import ErrorCode, Outcome
 
@@ -15,6 +16,7 @@
 from .polling import choose_wait_ms
 from .ports import StartAnswer, StartOrder
 from .runs import RunEnd, RunPhase
+from .supervision import keep_running
 
 HOLD_RETRY_SECONDS = 0.25
 # After this wait for the store to commit a worker's ends, the lease is renewed anyway.
@@ -90,7 +92,12 @@
         """Start a hold loop for each worker that has none."""
         for worker_id, worker in self._engine.workers.items():
             if worker_id not in self._hold_tasks and worker.info.address:
-                task = asyncio.create_task(self._hold_worker(worker))
+                task = asyncio.create_task(
+                    keep_running(
+                        f"renew lease of {worker_id}",
+                        partial(self._hold_worker, worker),
+                    )
+                )
                 self._hold_tasks[worker_id] = task
                 task.add_done_callback(self._on_task_done)
                 task.add_done_callback(
@@ -169,7 +176,9 @@
     def _on_task_done(self, task):
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            log_event(Event.TERM_FAILED, reason=repr(task.exception()))
+            log_event(
+                Event.TASK_FAILED, step="call worker", reason=repr(task.exception())
+            )
 
     async def _send_start(self, placement, run):
         task, worker, ticket, _ = placement
--- a/libs/cell/src/cactustiller/cell/events.py
+++ b/libs/cell/src/cactustiller/cell/events.py
@@ -23,6 +23,7 @@
     OWNER_CHANGED = "owner_changed"
     TAKEOVER = "takeover"
     TERM_FAILED = "term_failed"
+    TASK_FAILED = "task_failed"
     TAKEOVER_LOST = "takeover_lost"
     HANDOVER_ASKED = "handover_asked"
     OWNERSHIP_LOST = "ownership_lost"
--- a/libs/cell/src/cactustiller/cell/followers.py
+++ b/libs/cell/src/cactustiller/cell/followers.py
@@ -6,6 +6,7 @@
 
 from .events import Event, log_event
 from .ports import MEMBER_TABLE
+from .supervision import keep_running
 from .tables import read_table
 
 READ_TIMEOUT_SECONDS = 1.5
@@ -50,7 +51,8 @@
 
     def start(self):
         """Start following the table."""
-        self._task = asyncio.create_task(self._run())
+        name = f"follow table {self._table}"
+        self._task = asyncio.create_task(keep_running(name, self._run))
 
     async def stop(self):
         """Stop following the table."""
@@ -64,6 +66,8 @@
 
     async def _run(self):
         loop = asyncio.get_running_loop()
+        # After a failure the cached rows may lack a change.
+        self._version = None
         while True:
             is_reread_due = loop.time() - self._read_at > REREAD_INTERVAL_SECONDS
             if self._version is None or is_reread_due:
@@ -192,8 +196,18 @@
         return self._names.get(address)
 
     def _on_rows(self, rows):
-        self._names = {decode_member_row(v)[0]: k for k, v in rows.items()}
-        members = [decode_member_row(value) for value in rows.values()]
+        self._names = {}
+        members = []
+        for key, value in rows.items():
+            try:
+                member = decode_member_row(value)
+            except ValueError as error:
+                log_event(
+                    Event.ENTRY_UNREADABLE, what="member", key=key, reason=str(error)
+                )
+                continue
+            self._names[member[0]] = key
+            members.append(member)
         members.sort(key=lambda member: (-member[2], -member[1]))
         self._addresses = [
             member[0] for member in members if member[0] != self._own_address
@@ -206,6 +220,12 @@
 
 
 def decode_member_row(value):
-    """Return a member's address, start in Unix milliseconds and strength."""
+    """Return a member's address, start in Unix milliseconds and strength.
+
+    Raises
+    ------
+    ValueError
+        If the value was not written by `encode_member_row`.
+    """
     address, started_ms, strength = value.decode().split(" ")
     return address, int(started_ms), float(strength)
--- a/libs/cell/src/cactustiller/cell/loading.py
+++ b/libs/cell/src/cactustiller/cell/loading.py
@@ -94,8 +94,8 @@
         try:
             spec = decode_job(JobId(job), row)
             self._engine.add_job(spec, progress, is_stored)
-        except ValueError as error:
-            log_event(Event.ENTRY_UNREADABLE, what="job", job=job, reason=str(error))
+        except (ValueError, KeyError, IndexError, TypeError) as error:
+            log_event(Event.ENTRY_UNREADABLE, what="job", job=job, reason=repr(error))
             return
         if job in self._cancelled:
             self._engine.cancel_job(job)
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -35,6 +35,7 @@
 from .metrics import Count, Gauge, Latency, Metrics
 from .owner import Owner
 from .ports import MEMBER_TABLE, RowKey, Transaction
+from .supervision import keep_running
 
 ROLE = "cell"
 MEMBER_ROW_RETRY_SECONDS = 0.5
@@ -101,11 +102,13 @@
         await self._server.start(self.settings.host, self.settings.peer_port)
         self._desired_follower.start()
         self._tasks = [
-            asyncio.create_task(self._publish_row()),
-            asyncio.create_task(self._run_terms()),
+            asyncio.create_task(keep_running("publish member", self._publish_row)),
+            asyncio.create_task(keep_running("elect owner", self._run_terms)),
         ]
         self._loop_monitor = asyncio.create_task(
-            monitor_loop(self.metrics, self.wall_clock_ms)
+            keep_running(
+                "monitor loop", lambda: monitor_loop(self.metrics, self.wall_clock_ms)
+            )
         )
         log_event(Event.STARTED, what="member", address=self.settings.peer_address)
 
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -20,6 +20,7 @@
 from .housekeeping import run_housekeeping
 from .loading import JobLoader
 from .submissions import PendingSubmissions
+from .supervision import keep_running
 
 # Minimum time between two scheduling rounds, so that run ends and new jobs share a
 # transaction.
@@ -96,18 +97,22 @@
         log_event(Event.TAKEOVER, epoch=record.epoch, member=record.member)
         try:
             await self._load()
-            self._start_task(self._loader.follow(self._wake.set))
-            self._start_task(
-                self._announcer.announce(lambda: self.engine.desired.version)
+            self._start_supervised(
+                "follow jobs", lambda: self._loader.follow(self._wake.set)
             )
-            self._start_task(
-                run_housekeeping(
+            self._start_supervised(
+                "announce owner",
+                lambda: self._announcer.announce(lambda: self.engine.desired.version),
+            )
+            self._start_supervised(
+                "remove expired rows",
+                lambda: run_housekeeping(
                     self.engine,
                     self._ports.store,
                     self._member_registry,
                     self._announcer,
                     self._status_retention_ms,
-                )
+                ),
             )
             self._rounds_task = asyncio.create_task(self._run_rounds(stop))
             await self._rounds_task
@@ -280,6 +285,9 @@
     def _request_handover(self):
         self._start_task(self._announcer.request_handover())
 
+    def _start_supervised(self, name, run):
+        self._start_task(keep_running(name, run))
+
     def _start_task(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
--- a/libs/cell/src/cactustiller/cell/specs.py
+++ b/libs/cell/src/cactustiller/cell/specs.py
@@ -13,6 +13,8 @@
     TeamId,
 )
 
+MAX_TASKS_PER_JOB = 2000
+
 
 @dataclass(frozen=True, slots=True)
 class StepSpec:
@@ -131,6 +133,30 @@
     repeat_count: int = 0
 
 
+def check_spec(spec):
+    """Check that a job can be scheduled, whatever the size of the cell.
+
+    Raises
+    ------
+    ValueError
+        Names the first value that is out of range.
+    """
+    if not spec.steps:
+        raise ValueError("a job needs at least one step")
+    task_count = sum(step.count for step in spec.steps)
+    if task_count > MAX_TASKS_PER_JOB:
+        raise ValueError(f"{task_count} tasks exceed {MAX_TASKS_PER_JOB}")
+    for position, step in enumerate(spec.steps):
+        if step.count < 1:
+            raise ValueError(f"step {position}: needs at least one task")
+        if min(step.amounts) < 0 or min(step.estimate_ms, step.max_per_worker) < 0:
+            raise ValueError(f"step {position}: negative amount, estimate or limit")
+        if not all(0 <= earlier < position for earlier in step.after):
+            raise ValueError(f"step {position}: may only follow earlier steps")
+    if min(spec.first_run_ms, spec.interval_ms, spec.repeat_count) < 0:
+        raise ValueError("negative time or number of occurrences")
+
+
 _STEP_DEFAULTS = StepSpec(count=1)
 _STEP_FIELDS = tuple(
     name for name in StepSpec.__dataclass_fields__ if name not in ("count", "amounts")
@@ -164,7 +190,7 @@
     """
     try:
         queue, team, payload, steps, rules, times = orjson.loads(data)
-        return JobSpec(
+        spec = JobSpec(
             job=job,
             queue=queue,
             team=team,
@@ -176,8 +202,10 @@
             interval_ms=times[2],
             repeat_count=times[3],
         )
-    except (TypeError, ValueError, IndexError) as error:
+        check_spec(spec)
+    except (TypeError, ValueError, IndexError, AttributeError) as error:
         raise ValueError(f"invalid row of job {job}: {error}") from error
+    return spec
 
 
 def _decode_step(fields):
--- a/libs/cli/src/cactustiller/cli/story.py
+++ b/libs/cli/src/cactustiller/cli/story.py
@@ -18,6 +18,7 @@
         "desired_state_applied",
         "lines_dropped",
         "term_failed",
+        "task_failed",
     }
 )
 # Lines about a worker matter only where the job has runs.
