Let strong members claim the cell first, and call only owners that have loaded it

Change: claims.py holds the decision apart from the I/O. The owner announces to each member whether it is a standby (the three strongest, if about equally strong). Standbys read the row each 0.35 s; others leave them 1.2 s and read it again before they claim, which also spares the transactions that all members lost at the same moment. Only an invitation (release, handover) skips the delay. The owner's row says whether the owner has loaded the cell; until then members store and read without it.

--- a/libs/cell/src/cactustiller/cell/announcements.py
+++ b/libs/cell/src/cactustiller/cell/announcements.py
@@ -4,6 +4,7 @@
 
 from cactustiller.model.messages import AnnounceOwner, AnnounceOwnership, HandOver
 
+from .claims import choose_standbys
 from .events import Event, log_event
 
 # Members that can't reach the store learn of the owner and of a new desired state from
@@ -51,16 +52,16 @@
         reach the store.
         """
         while True:
-            message = AnnounceOwner(
-                epoch=self._record.epoch,
-                member=self._record.member,
-                address=self._record.address,
-                desired_version=get_desired_version(),
-            )
+            desired_version = get_desired_version()
             addresses = self._member_registry.find_addresses()
+            standbys = choose_standbys(self._member_registry.list_strengths())
             answers = await asyncio.gather(
                 *(
-                    self._peers.call(address, message, ANNOUNCE_INTERVAL_SECONDS)
+                    self._peers.call(
+                        address,
+                        self._make_announcement(desired_version, address in standbys),
+                        ANNOUNCE_INTERVAL_SECONDS,
+                    )
                     for address in addresses
                 )
             )
@@ -73,6 +74,15 @@
                 ANNOUNCE_INTERVAL_SECONDS if addresses else NO_MEMBERS_RETRY_SECONDS
             )
 
+    def _make_announcement(self, desired_version, is_standby):
+        return AnnounceOwner(
+            epoch=self._record.epoch,
+            member=self._record.member,
+            address=self._record.address,
+            desired_version=desired_version,
+            is_standby=is_standby,
+        )
+
     async def notify_successor(self):
         """Notify the first member that answers that the cell is released."""
         message = AnnounceOwnership(version=self._record.epoch)
--- a/libs/cell/src/cactustiller/cell/commits.py
+++ b/libs/cell/src/cactustiller/cell/commits.py
@@ -7,7 +7,8 @@
 from cactustiller.model import ErrorCode, Failure, JobId, Outcome
 
 from .capacity import MAX_OWNER_SECONDS_WITHOUT_STORE
-from .election import RENEW_SECONDS, OwnerRecord, decode_owner, encode_owner
+from .claims import OwnerRecord, decode_owner, encode_owner
+from .election import RENEW_SECONDS
 from .events import Event, log_event
 from .ports import (
     JOB_TABLE,
@@ -118,6 +119,8 @@
         Whether calls fail; a store that is merely slow is not unavailable.
     transaction_seconds : float
         Duration of the latest transaction.
+    is_serving : bool
+        Whether the owner's row says that the owner answers calls.
     """
 
     def __init__(
@@ -137,6 +140,7 @@
         self._store_ms_at = self.succeeded_at = asyncio.get_running_loop().time()
         self.transaction_seconds = transaction_seconds
         self.is_store_unavailable = False
+        self.is_serving = False
 
     @property
     def needs_renewal(self):
@@ -214,6 +218,7 @@
             sequence,
             int(self._store_ms + since * 1000),
             is_released,
+            self.is_serving,
         )
 
     async def _transact(self, transaction, record):
--- a/libs/cell/src/cactustiller/cell/election.py
+++ b/libs/cell/src/cactustiller/cell/election.py
@@ -7,127 +7,37 @@
 
 import asyncio
 import random
-from typing import NamedTuple
-
-import orjson
-
-from cactustiller.model import Epoch, MemberId, Outcome
 
+from cactustiller.model import Epoch, Outcome
+
+from .claims import (
+    MIN_UNCHANGED_SECONDS,
+    NO_OWNER,
+    READS_PER_RENEWAL,
+    OwnerRecord,
+    choose_claim_delay,
+    decode_owner,
+    encode_owner,
+    should_claim,
+)
 from .events import Event, log_event
 from .ports import OWNER_ROW, Committed, Conflict, Transaction
 
 # Maximum interval between renewals of the owner's row.
 RENEW_SECONDS = 0.3
 POLL_SECONDS = 0.35
-# Poll interval while the owner announces itself to the other members.
-ANNOUNCED_POLL_SECONDS = 1.0
+# Poll interval while the owner announces itself, of standbys and of the others.
+STANDBY_POLL_SECONDS = 0.35
+ANNOUNCED_POLL_SECONDS = 1.5
 # Age at which the latest announcement expires; the owner sends one every 0.7 s.
 ANNOUNCEMENT_TIMEOUT_SECONDS = 0.8
 # Age of the latest announcement at which two consecutive ones are missing.
 MISSED_ANNOUNCEMENTS_SECONDS = 1.5
 MIN_PAUSE_SECONDS = 0.01
-# Age of the row at which a member takes over: three renewal intervals and one slow
-# answer.
-TAKEOVER_AFTER_SECONDS = 1.1
-# The same if the owner's process refuses connections: two renewal intervals.
-SUSPECT_TAKEOVER_AFTER_SECONDS = 0.65
-# A member must also have observed the row unchanged for this long, so that an owner
-# can renew it after the store was unavailable to all.
-MIN_UNCHANGED_SECONDS = 0.4
-# Allowance for a slow store, in read latencies: a renewal takes about two, and the
-# owner waits for one renewal before it starts the next.
-READS_PER_RENEWAL = 4.0
-# The same for an owner that has stopped announcing itself.
-READS_PER_RENEWAL_IF_UNANNOUNCED = 2.0
 CALL_TIMEOUT_SECONDS = 1.5
 # For a store of usual speed, which answers in 4 ms.
 MIN_READ_TIMEOUT_SECONDS = 0.35
 MAX_CLAIM_JITTER_SECONDS = 0.15
-# Claim delay of a member of strength 0; one of strength 1 claims without delay.
-MAX_CLAIM_DELAY_SECONDS = 0.8
-
-
-class OwnerRecord(NamedTuple):
-    """Value of the owner's row.
-
-    Attributes
-    ----------
-    sequence : int
-        Number of the transaction within the epoch; shows after a lost answer whether
-        the transaction was committed.
-    renewed_ms : int
-        Time of the renewal on the store's clock, as estimated by the owner.
-    is_released : bool
-        Whether the owner has released the cell.
-    """
-
-    epoch: Epoch
-    member: MemberId
-    address: str
-    sequence: int
-    renewed_ms: int
-    is_released: bool = False
-
-
-NO_OWNER = OwnerRecord(Epoch(0), MemberId(""), "", 0, 0, True)
-
-
-def encode_owner(record):
-    """Return the value of the owner's row."""
-    return orjson.dumps(list(record))
-
-
-def decode_owner(row):
-    """Return the `OwnerRecord` of a row, or `NO_OWNER` if the row does not exist."""
-    if row is None or row.value is None:
-        return NO_OWNER
-    return OwnerRecord(*orjson.loads(row.value))
-
-
-def should_claim(
-    record,
-    version,
-    first_seen,
-    store_now_ms,
-    now,
-    read_seconds=0.0,
-    is_suspect=False,
-    is_unannounced=False,
-):
-    """Return whether a member should take over the cell.
-
-    Parameters
-    ----------
-    record : OwnerRecord
-    version : int
-        Version of the row in the latest read.
-    first_seen : tuple of (int, float)
-        Version of the row in previous reads and the loop time of the first of them;
-        reset by a failed read.
-    store_now_ms : int
-        Time of the store.
-    now : float
-        Loop time in seconds.
-    read_seconds : float
-        Duration of the read; with a slow store the owner renews its row less often.
-    is_suspect : bool
-        Whether the owner's process refused a connection; takeover is then sooner.
-    is_unannounced : bool
-        Whether the owner has stopped announcing itself.
-    """
-    if record.is_released:
-        return True
-    age = (store_now_ms - record.renewed_ms) / 1000
-    is_unchanged = (
-        first_seen[0] == version and now - first_seen[1] >= MIN_UNCHANGED_SECONDS
-    )
-    takeover_age = (
-        SUSPECT_TAKEOVER_AFTER_SECONDS if is_suspect else TAKEOVER_AFTER_SECONDS
-    )
-    allowed_reads = (
-        READS_PER_RENEWAL_IF_UNANNOUNCED if is_unannounced else READS_PER_RENEWAL
-    )
-    return is_unchanged and age >= takeover_age + allowed_reads * read_seconds
 
 
 class Election:
@@ -153,19 +63,22 @@
         self._store = store
         self._member = member
         self._address = address
-        self._claim_delay = (1.0 - strength) * MAX_CLAIM_DELAY_SECONDS
+        self._strength = strength
+        self._is_standby = None
         self._random = random.Random(member)
         self._first_seen = (-1, 0.0)
         self._wake = asyncio.Event()
         self._pause = POLL_SECONDS
         self._announced_at = self._read_at = float("-inf")
+        self._is_invited = False
         self._handover_epoch = None
         self._suspected_epoch = None
         self._pending_read = None
         self._has_owned = False
 
     def read_soon(self):
-        """Read the owner's row without delay, since it may be released."""
+        """Read the owner's row and claim it without delay, since it may be released."""
+        self._is_invited = True
         self._wake.set()
 
     async def accept_handover(self, epoch):
@@ -176,7 +89,7 @@
         if not await self.check_store(max_age=0.0):
             return False
         self._handover_epoch = epoch
-        self._wake.set()
+        self.read_soon()
         return True
 
     async def check_store(self, max_age=POLL_SECONDS):
@@ -199,12 +112,16 @@
             self._suspected_epoch = self.record.epoch
             self._wake.set()
 
-    def record_announcement(self, epoch, member, address):
-        """Record an announcement; it names the owner while the store is unavailable."""
-        if epoch >= self.record.epoch:
-            self._announced_at = asyncio.get_running_loop().time()
-        if epoch > self.record.epoch:
-            self._update_record(OwnerRecord(epoch, member, address, 0, 0))
+    def record_announcement(self, epoch, member, address, is_standby):
+        """Record an announcement of an owner that has loaded the cell.
+
+        It names the owner while the store is unavailable.
+        """
+        if epoch < self.record.epoch:
+            return
+        self._announced_at = asyncio.get_running_loop().time()
+        self._is_standby = is_standby
+        self._update_record(OwnerRecord(epoch, member, address, 0, 0, is_serving=True))
 
     async def wait_for_claim(self):
         """Return ``(OwnerRecord, version, now_ms)`` once this member owns the cell."""
@@ -223,7 +140,8 @@
         """Return whether to read the row now; else set the pause until it is due."""
         now = asyncio.get_running_loop().time()
         announcement_expires_at = self._announced_at + ANNOUNCEMENT_TIMEOUT_SECONDS
-        due_at = min(announcement_expires_at, self._read_at + ANNOUNCED_POLL_SECONDS)
+        poll = STANDBY_POLL_SECONDS if self._is_standby else ANNOUNCED_POLL_SECONDS
+        due_at = min(announcement_expires_at, self._read_at + poll)
         if self._wake.is_set() or self.unavailable_since is not None or now >= due_at:
             return True
         self._pause = max(MIN_PAUSE_SECONDS, due_at - now)
@@ -253,7 +171,7 @@
 
     async def _check_row(self):
         """Read the row and claim it if allowed; return the claim or None."""
-        is_notified = self._wake.is_set()
+        is_invited, self._is_invited = self._is_invited, False
         self._wake.clear()
         page = await self._read_row()
         if page is None:
@@ -280,16 +198,26 @@
             page.now_ms,
             now,
             self.read_seconds,
-            record.epoch == self._suspected_epoch,
+            record.epoch == self._suspected_epoch and self._is_standby is not False,
             MISSED_ANNOUNCEMENTS_SECONDS < now - self._announced_at < float("inf"),
         ):
             return None
-        if not is_notified and not is_vacant:
-            await asyncio.sleep(
-                self._claim_delay + self._random.uniform(0, MAX_CLAIM_JITTER_SECONDS)
-            )
+        if not is_invited and not is_vacant:
+            delay = choose_claim_delay(self._strength, self._is_standby)
+            jitter = self._random.uniform(0, MAX_CLAIM_JITTER_SECONDS)
+            await asyncio.sleep(delay + jitter)
+            if delay and not await self._is_unchanged(version):
+                return None
         return await self._claim(record, version, page.now_ms)
 
+    async def _is_unchanged(self, version):
+        """Return whether the row still has a version; the claim would fail if not."""
+        page = await self._read_row()
+        if page is None or not page.rows or page.rows[0].version != version:
+            self._wake.set()
+            return False
+        return True
+
     async def _claim(self, previous, version, now_ms):
         """Replace the row on condition of its version; return the claim or None."""
         record = OwnerRecord(
@@ -332,6 +260,9 @@
         """Keep the record with the highest epoch and log a change of owner."""
         if record.epoch < self.record.epoch:
             return
+        if record.epoch == self.record.epoch and self.record.is_serving:
+            # A read that was sent earlier than an announcement may be older.
+            record = record._replace(is_serving=True)
         if record[:3] != self.record[:3]:
             log_event(
                 Event.OWNER_CHANGED,
--- a/libs/cell/src/cactustiller/cell/followers.py
+++ b/libs/cell/src/cactustiller/cell/followers.py
@@ -180,6 +180,7 @@
 
     def __init__(self, store, own_address):
         self._addresses = []
+        self._strengths = []
         self._names = {}
         self._own_address = own_address
         # Membership changes rarely, so the periodic reread alone would be enough.
@@ -191,6 +192,10 @@
         """Return the peer addresses of the other members."""
         return self._addresses
 
+    def list_strengths(self):
+        """Return ``(address, strength)`` of the other members, in the same order."""
+        return self._strengths
+
     def find_name(self, address):
         """Return the key of the row of the member at an address, or None."""
         return self._names.get(address)
@@ -209,9 +214,12 @@
             self._names[member[0]] = key
             members.append(member)
         members.sort(key=lambda member: (-member[2], -member[1]))
-        self._addresses = [
-            member[0] for member in members if member[0] != self._own_address
+        self._strengths = [
+            (address, strength)
+            for address, _, strength in members
+            if address != self._own_address
         ]
+        self._addresses = [address for address, _ in self._strengths]
 
 
 def encode_member_row(address, started_ms, strength=1.0):
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -216,7 +216,7 @@
             self._owner.depose(f"{message.member} owns the cell")
         self.intake.mark_announced(message.address)
         self._election.record_announcement(
-            message.epoch, message.member, message.address
+            message.epoch, message.member, message.address, message.is_standby
         )
         if message.desired_version > self.desired_state.version:
             answer = await self.peers.call(
@@ -254,13 +254,15 @@
     def _find_owner(self):
         """Return this member's `Owner` or None, the owner's address and the epoch.
 
-        The address is empty if this member is the owner or the owner is unknown.
+        The address is empty if this member is the owner, or if no owner is known to
+        answer calls: one that still loads the jobs would only be delayed by them.
         """
         owner = self._owner
         record = self._election.record
         if owner is not None and owner.is_loaded:
             return owner, "", record.epoch
-        if record.is_released or record.address == self.settings.peer_address:
+        is_serving = record.is_serving and not record.is_released
+        if not is_serving or record.address == self.settings.peer_address:
             return None, "", record.epoch
         return None, record.address, record.epoch
 
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -206,7 +206,7 @@
         self.engine.update_workers(self._worker_registry.workers)
         self.engine.add_unlisted_workers()
         self._dispatcher.follow_workers()
-        self.is_loaded = True
+        self.is_loaded = self._writer.is_serving = True
         log_event(
             Event.STARTED,
             what="cell",
--- a/libs/model/src/cactustiller/model/messages.capnp
+++ b/libs/model/src/cactustiller/model/messages.capnp
@@ -281,6 +281,12 @@
 struct PendingCounted { count @0 :UInt32; }
 struct AskApproval { step @0 :Text; workers @1 :List(Text); }
 struct ApprovalGiven { tickets @0 :List(Label); validMs @1 :UInt32; }
-struct AnnounceOwner { epoch @0 :UInt64; member @1 :Text; address @2 :Text; desiredVersion @3 :UInt64; }
+struct AnnounceOwner {
+  epoch @0 :UInt64;
+  member @1 :Text;
+  address @2 :Text;
+  desiredVersion @3 :UInt64;
+  isStandby @4 :Bool;
+}
 struct DesiredText { text @0 :Text; }
 struct HandOver { epoch @0 :UInt64; }
--- a/libs/model/src/cactustiller/model/messages.py
+++ b/libs/model/src/cactustiller/model/messages.py
@@ -409,12 +409,16 @@
 
 
 class AnnounceOwner(Record):
-    """Announces a cell's owner and the version of its current desired state."""
+    """Announces a cell's owner and the version of its current desired state.
+
+    A standby claims the cell before other members if the owner is lost.
+    """
 
     epoch: Epoch
     member: MemberId
     address: str
     desired_version: int = 0
+    is_standby: bool = False
 
 
 class HandOver(Record):
--- a/standins/fleet/cell.py
+++ b/standins/fleet/cell.py
@@ -152,8 +152,11 @@
         """Remove a worker's entry."""
         self.store.remove(self._make_worker_key(worker_id))
 
-    async def add_member(self, name=None):
-        """Start one more member, or one again, and return its name."""
+    async def add_member(self, name=None, **settings):
+        """Start one more member, or one again, and return its name.
+
+        `settings` are further fields of its `MemberSettings`.
+        """
         name = name or f"m{next(self._numbers)}"
         store = self.stores[name] = StoreClient(self.store)
         calls = self.worker_clients[name] = WorkerClient(self.workers)
@@ -172,7 +175,8 @@
             wall_clock_ms=lambda: asyncio.get_running_loop().time() * 1000,
         )
         member = Member(
-            MemberSettings(MemberId(name), "z", name, PEER_PORT), dependencies
+            MemberSettings(MemberId(name), "z", name, PEER_PORT, **settings),
+            dependencies,
         )
         await member.start()
         self.members[name] = member
--- a/standins/fleet/peers.py
+++ b/standins/fleet/peers.py
@@ -1,6 +1,7 @@
 """Calls between members in one process."""
 
 import asyncio
+from collections import Counter
 
 from result import Err, Ok
 
@@ -14,6 +15,8 @@
 
     def __init__(self):
         self.cut = set()
+        # Messages carried, by the address of the receiver and their type.
+        self.carried = Counter()
         self._handlers = {}
         self._tasks = set()
 
@@ -23,6 +26,7 @@
 
     async def carry(self, sender, address, message, seconds):
         """Deliver a message and return its answer."""
+        self.carried[address, type(message)] += 1
         member, handle = self._handlers.get(address, (None, None))
         if handle is None or sender.member in self.cut or member in self.cut:
             await asyncio.sleep(seconds)
