Count suspensions in the loop's clock; accept work only under a confirmed desired state

Cause (operators' report: a paused process acted on a permission that had run out meanwhile): CLOCK_MONOTONIC stands still while a machine is suspended, so leases, permits and the age of the desired state looked valid afterwards. A member that woke up admitted the requests it held with the keys of before, although they may have been withdrawn; one cut off from store and owner reported not ready, but its open connections still admitted work under old keys.

Change: the daemons run on BootTimeLoop, whose clock counts suspensions.

--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -24,10 +24,10 @@
 )
 from cactustiller.peers import PeerClient, PeerServer, Traffic
 
-from .desired import DesiredState
+from .desired_replica import DesiredReplica
 from .election import Election
 from .events import Event, log_event
-from .followers import Follower, MemberRegistry, WorkerRegistry, encode_member_row
+from .followers import MemberRegistry, WorkerRegistry, encode_member_row
 from .gauges import read_cell_gauges
 from .intake import Intake, serve_owner_call
 from .loop_monitor import monitor_loop
@@ -42,9 +42,6 @@
 MEMBER_ROW_TIMEOUT_SECONDS = 1.5
 FAILED_TERM_PAUSE_SECONDS = 0.5
 DESIRED_CALL_TIMEOUT_SECONDS = 0.5
-# A member whose desired state was confirmed longer ago, by the store or by an
-# announcement of the owner, reports not ready.
-READY_MAX_AGE_SECONDS = 2.5
 
 
 class Member:
@@ -59,20 +56,14 @@
 
     def __init__(self, settings, dependencies):
         self.settings = settings
-        self.desired_state = DesiredState()
-        self._desired_value = b""
         self.metrics = Metrics(self._read_gauges)
         self.store = MeteredStore(dependencies.store, self.metrics)
         self.worker_calls = MeteredWorkerCalls(dependencies.worker_calls, self.metrics)
         self.approvals = MeteredApprovals(dependencies.approvals, self.metrics)
         self.wall_clock_ms = dependencies.wall_clock_ms
-        self._desired_follower = Follower(
-            self.store,
-            dependencies.desired_table,
-            dependencies.desired_part,
-            self._on_desired_rows,
+        self.desired_replica = DesiredReplica(
+            self.store, dependencies, self._on_desired_change
         )
-        self._announced_at = float("-inf")
         self._dependencies = dependencies
         self._owner = None
         self._stop = asyncio.Event()
@@ -100,7 +91,7 @@
     async def start(self):
         """Start the peer server and take part in the election."""
         await self._server.start(self.settings.host, self.settings.peer_port)
-        self._desired_follower.start()
+        self.desired_replica.start()
         self._tasks = [
             asyncio.create_task(keep_running("publish member", self._publish_row)),
             asyncio.create_task(keep_running("elect owner", self._run_terms)),
@@ -134,40 +125,25 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await self._desired_follower.stop()
+        await self.desired_replica.stop()
         await self._server.stop()
 
     async def stop(self):
         """Stop serving and close every connection."""
         self._loop_monitor.cancel()
-        await self._desired_follower.stop()
+        await self.desired_replica.stop()
         await self._server.stop()
         await self.peers.close()
         log_event(Event.STOPPED)
 
     def is_ready(self):
         """Return whether this member should receive new connections."""
-        now = asyncio.get_running_loop().time()
-        return (
-            not self._stop.is_set()
-            and self.desired_state.version > 0
-            and now - max(self._desired_follower.refreshed_at, self._announced_at)
-            <= READY_MAX_AGE_SECONDS
-        )
+        return not self._stop.is_set() and self.desired_replica.is_confirmed()
 
-    def apply_desired(self, desired):
-        """Apply a desired state if it is newer than the one in force."""
-        if desired.version > self.desired_state.version:
-            log_event(
-                Event.DESIRED_STATE_APPLIED,
-                version=desired.version,
-                before=self.desired_state.version,
-                queues=len(desired.queues),
-                keys=len(desired.keys),
-            )
-            self.desired_state = desired
-            if self._owner is not None:
-                self._owner.wake()
+    @property
+    def desired_state(self):
+        """Desired state in force."""
+        return self.desired_replica.state
 
     def record_answer(self, call, status, seconds):
         """Count an answer to a caller and its latency in seconds."""
@@ -195,35 +171,24 @@
         """Return a registry that follows the list of members."""
         return MemberRegistry(self.store, self.settings.peer_address)
 
-    def _on_desired_rows(self, rows):
-        value = rows.get(self._dependencies.desired_key)
-        if value is not None:
-            self._apply_desired_value(value)
-
-    def _apply_desired_value(self, value):
-        try:
-            desired = self._dependencies.decode_desired(value)
-        except ValueError as error:
-            log_event(Event.ENTRY_UNREADABLE, what="desired state", reason=str(error))
-            return
-        if desired.version > self.desired_state.version:
-            self._desired_value = value
-            self.apply_desired(desired)
+    def _on_desired_change(self):
+        if self._owner is not None:
+            self._owner.wake()
 
     async def _on_announcement(self, message):
-        self._announced_at = asyncio.get_running_loop().time()
+        is_outdated = self.desired_replica.mark_announced(message.desired_version)
         if self._owner is not None and message.epoch > self._owner.epoch:
             self._owner.depose(f"{message.member} owns the cell")
         self.intake.mark_announced(message.address)
         self._election.record_announcement(
             message.epoch, message.member, message.address, message.is_standby
         )
-        if message.desired_version > self.desired_state.version:
+        if is_outdated:
             answer = await self.peers.call(
                 message.address, GetDesired(), DESIRED_CALL_TIMEOUT_SECONDS
             )
             if answer.is_ok() and answer.unwrap().text:
-                self._apply_desired_value(answer.unwrap().text.encode())
+                self.desired_replica.apply_value(answer.unwrap().text.encode())
         return Done()
 
     async def _run_terms(self):
@@ -272,8 +237,7 @@
         yield Gauge.IS_OWNER, (), int(self.is_owner)
         yield Gauge.EPOCH, (), self._election.record.epoch
         yield Gauge.DESIRED_VERSION, (), self.desired_state.version
-        age = now - max(self._desired_follower.refreshed_at, self._announced_at)
-        yield Gauge.DESIRED_AGE, (), age
+        yield Gauge.DESIRED_AGE, (), self.desired_replica.age_seconds
         if self.is_owner:
             yield from read_cell_gauges(self._owner.engine, now)
             yield Gauge.PENDING_SUBMISSIONS, (), self._owner.pending_submissions
@@ -314,7 +278,7 @@
                 if await self._election.accept_handover(message.epoch):
                     return Done()
             case GetDesired():
-                return DesiredText(text=self._desired_value.decode())
+                return DesiredText(text=self.desired_replica.value.decode())
             case AnnounceOwnership():
                 self._election.read_soon()
                 return Done()
--- a/libs/cli/src/cactustiller/cli/daemons.py
+++ b/libs/cli/src/cactustiller/cli/daemons.py
@@ -10,6 +10,7 @@
 import typer
 
 from cactustiller.model import Role
+from cactustiller.model.loops import run_daemon_loop
 
 from .exits import Exit
 from .logs import configure_logs
@@ -34,7 +35,7 @@
     loaded = load_settings(settings, Role.GATEWAY)
     from cactustiller.gateway import serve_gateway
 
-    asyncio.run(serve_until_signal(serve_gateway, loaded))
+    run_daemon_loop(serve_until_signal(serve_gateway, loaded))
 
 
 def serve_scheduler_daemon(settings: SettingsOption):
@@ -42,7 +43,7 @@
     loaded = load_settings(settings, Role.SCHEDULER)
     from cactustiller.scheduler import serve_scheduler
 
-    asyncio.run(serve_until_signal(serve_scheduler, loaded))
+    run_daemon_loop(serve_until_signal(serve_scheduler, loaded))
 
 
 def load_settings(path, role):
