Place with an index of free capacity; benchmark of the cell's engine

Change: free_capacity.py keeps a round's workers by free CPU, so a step looks only at those with enough for one task and stops once the best ones suffice. Ends of workers are estimated and sorted once a round; victims are collected once for each worker. The order of choices is as before. placement.py (419 lines) becomes placement_round, placement, gang_placement and preemption, each with the load that it answers.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 MINUTES ?= 5
 
 .PHONY: setup test lint format demo demo-platform cell chaos soak soak-platform model bench-idle \
-	bench-control bench-decisions bench-dissemination bench-gateway bench-policy bench-recovery check-slots
+	bench-cell bench-control bench-decisions bench-dissemination bench-gateway bench-policy bench-recovery check-slots
 
 setup: $(VENV)/.ready
 
@@ -69,6 +69,9 @@
 bench-policy: setup
 	$(PYTHON) -m benchmarks.policy
 
+bench-cell: setup
+	$(PYTHON) -m benchmarks.cell
+
 bench-decisions: setup
 	$(PYTHON) -m benchmarks.decisions
 
--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -14,7 +14,8 @@
 from .events import Event, log_event
 from .ordering import find_start_limits, make_order_key
 from .pacing import FULL_PERCENT
-from .placement import Placement, PlacementRound, place_steps
+from .placement import place_steps
+from .placement_round import Placement, PlacementRound
 from .run_control import RunControl
 from .runs import JobRun, RunPhase, decode_progress, encode_progress
 from .shares import ShareMeter
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/gang_placement.py
@@ -0,0 +1,164 @@
+"""Placement of gangs, whose tasks start together: as a whole or not at all.
+
+Answers a full cell in which single tasks take each piece of capacity as it becomes
+free: workers are reserved for a gang that does not fit yet, those that become free
+first, and runs are preempted for one that would otherwise be late.
+"""
+
+from collections import Counter
+
+from .ordering import IN_TIME, LATE_URGENT, URGENT
+from .placement_round import cap_per_worker, has_valid_ticket, is_candidate
+
+# No further gang reserves workers once this fraction of them is reserved; a larger
+# fraction leaves too much capacity idle.
+MAX_RESERVED_FRACTION = 0.4
+# A batch gang with less time than this left to start on time preempts other runs; an
+# on-time urgent gang always may.
+CRITICAL_SLACK_SECONDS = 2.5
+URGENT_BANDS = (URGENT, LATE_URGENT)
+# A blocked gang requests tickets this long before its reserved workers become free.
+APPROVAL_LEAD_SECONDS = 0.8
+
+
+def place_gang(current_round, key, step, rules):
+    """Place all tasks of a gang, or reserve workers for it if they do not fit.
+
+    A critical gang preempts other runs. Nothing is done while tasks of the gang's
+    previous run may still be on workers, or if the team's limit is too low.
+    """
+    spec = step.spec
+    if step.pending_count < spec.count:
+        return
+    team = step.job.spec.team
+    if current_round.count_team_fits(team, spec.amounts, spec.count) < spec.count:
+        return
+    may_use_reserved = key.band in URGENT_BANDS
+    chosen = _choose_workers(current_round, step, rules, may_use_reserved)
+    if chosen is None:
+        if not _preempt(current_round, key, step, rules):
+            _reserve(current_round, step, rules)
+        current_round.request_more_approvals(step, rules)
+        return
+    if not all(has_valid_ticket(step, rules, w, current_round.now) for w, _ in chosen):
+        current_round.steps_needing_approval.append(step)
+        for worker, _ in chosen:
+            worker.reserved_for = step
+        return
+    tasks = iter(step.tasks)
+    for worker, count in chosen:
+        for _ in range(count):
+            current_round.assign(next(tasks), worker)
+
+
+def _choose_workers(current_round, step, rules, may_use_reserved):
+    """Return ``(worker, count)`` pairs that fit the whole gang now, or None."""
+    counts = Counter()
+    options = []
+    for worker in current_round.free.iterate_fitting(step.spec.counted[0]):
+        if worker.reserved_for is not None and not may_use_reserved:
+            continue
+        if not is_candidate(step, rules, worker):
+            continue
+        max_count = cap_per_worker(step, counts, worker, step.spec.count)
+        fit_count = worker.count_fits(step.spec.counted, max_count)
+        if fit_count:
+            has_failed = worker.info.worker in step.failed_on
+            order = (has_failed, -fit_count, worker.free_cpu, worker.info.worker)
+            options.append((order, fit_count, worker))
+    if step.spec.is_tightly_coupled:
+        options = _restrict_to_one_rack(options, step.spec.count)
+    options.sort(key=lambda entry: entry[0])
+    missing = step.spec.count
+    chosen = []
+    for _, fit_count, worker in options:
+        count = min(missing, fit_count)
+        chosen.append((worker, count))
+        missing -= count
+        if not missing:
+            return chosen
+    return None
+
+
+def _restrict_to_one_rack(options, count):
+    """Return the options on the rack with capacity for the most tasks.
+
+    Returns all options if even that rack does not fit `count` tasks.
+    """
+    by_rack = Counter()
+    for _, fit_count, worker in options:
+        by_rack[worker.info.rack] += fit_count
+    for rack, fit_count in by_rack.most_common(1):
+        if fit_count >= count:
+            return [entry for entry in options if entry[2].info.rack == rack]
+    return options
+
+
+def _preempt(current_round, key, step, rules):
+    """Preempt runs for a critical gang and reserve their workers; return whether so."""
+    is_critical = _is_critical(current_round, key)
+    if not is_critical or not current_round.claim_preemption_turn(step):
+        return False
+    open_workers = [
+        worker
+        for worker in current_round.workers
+        if worker.reserved_for is None and is_candidate(step, rules, worker)
+    ]
+    chosen = current_round.preemption.preempt_for_gang(step, open_workers)
+    for worker in chosen:
+        current_round.reserve(worker, step)
+    return bool(chosen)
+
+
+def _is_critical(current_round, key):
+    """Return whether a gang has little or no time left to start on time."""
+    if key.band == URGENT:
+        return True
+    slack = key.latest_start - current_round.wall_now
+    return key.band == IN_TIME and slack < CRITICAL_SLACK_SECONDS
+
+
+def _reserve(current_round, step, rules):
+    """Reserve workers for a gang that does not fit yet.
+
+    Requests approval shortly before all of them are free.
+    """
+    if current_round.reserved_count >= MAX_RESERVED_FRACTION * len(
+        current_round.workers
+    ):
+        return
+    amounts, counts = step.spec.counted, Counter()
+    missing = step.spec.count
+    selected = []
+    for free_at, worker in current_round.iterate_by_end(step):
+        if worker.reserved_for is not None or not is_candidate(step, rules, worker):
+            continue
+        max_count = cap_per_worker(step, counts, worker, step.spec.count)
+        fit_count = _count_fits_when_empty(worker, amounts, max_count)
+        if fit_count:
+            selected.append((free_at, worker))
+            missing -= fit_count
+            if missing <= 0:
+                break
+    if missing > 0:
+        return
+    for _, worker in selected:
+        current_round.reserve(worker, step)
+    soon = current_round.now + APPROVAL_LEAD_SECONDS
+    is_free_soon = max(free_at for free_at, _ in selected) <= soon
+    if is_free_soon and not all(
+        has_valid_ticket(step, rules, w, soon) for _, w in selected
+    ):
+        current_round.steps_needing_approval.append(step)
+
+
+def _count_fits_when_empty(worker, amounts, max_count):
+    """Return how many tasks would fit on the worker if it had no runs.
+
+    At most `max_count`; `amounts` are those of one task.
+    """
+    capacity = worker.info.capacity
+    for needed, available in zip(amounts, capacity, strict=True):
+        if needed:
+            max_count = min(max_count, available // needed)
+    return max_count
--- a/libs/cell/src/cactustiller/cell/placement.py
+++ b/libs/cell/src/cactustiller/cell/placement.py
@@ -1,98 +1,24 @@
-"""Assignment of the tasks of pending steps to workers.
+"""Assignment of the tasks of pending steps to workers; no I/O.
 
-The tasks of a gang start together, so a gang is placed as a whole or not at all. A
-queue's rules may require approval: a start then needs a ticket for its worker.
+A queue's rules may require approval: a start then needs a ticket for its worker.
+
+Answers bursts of small urgent work on a full cell: urgent tasks take the capacity that
+is free or reserved, the fullest workers first, and preempt runs that save their work.
 
 Changes the workers' free capacity and reservations, the teams' usage and the times at
 which steps may preempt again; the engine applies the outcome to the tasks.
 """
 
 from collections import Counter
-from dataclasses import dataclass, field
-from typing import NamedTuple
 
-from .ordering import IN_TIME, LATE_URGENT, URGENT
-from .preemption import preempt_for_gang, preempt_for_step
-from .runs import RunPhase, StepRun, TaskRun
-from .workers import Worker
+from .gang_placement import URGENT_BANDS, place_gang
+from .ordering import IN_TIME, URGENT
+from .placement_round import cap_per_worker, has_valid_ticket, is_candidate
+from .runs import RunPhase
 
-# No further gang reserves workers once this fraction of them is reserved; a larger
-# fraction leaves too much capacity idle.
-MAX_RESERVED_FRACTION = 0.4
-# A batch gang with less time than this left to start on time preempts other runs; an
-# on-time urgent gang always may.
-CRITICAL_SLACK_SECONDS = 2.5
-# Minimum remaining validity of an approval ticket, so that it is still valid when the
-# start reaches the worker.
-TICKET_MARGIN_SECONDS = 0.25
-URGENT_BANDS = (URGENT, LATE_URGENT)
-# Minimum interval between preemptions for the same step. A stop takes effect within 0.2
-# to 0.4 s, so a shorter interval finds no new capacity.
-PREEMPTION_INTERVAL_SECONDS = 0.15
 # Bands whose steps are considered even if no worker has enough free capacity for one
 # task, since workers may be reserved or runs preempted for them.
-ACTIVE_BANDS = (URGENT, LATE_URGENT, IN_TIME)
-# A blocked gang requests tickets this long before its reserved workers become free.
-APPROVAL_LEAD_SECONDS = 0.8
-
-
-class Placement(NamedTuple):
-    """Assignment of a task to a worker; `decided_at` is event loop time in seconds."""
-
-    task: TaskRun
-    worker: Worker
-    ticket: str
-    decided_at: float
-
-
-@dataclass(slots=True)
-class PlacementRound:
-    """Input and outcome of one scheduling round.
-
-    Attributes
-    ----------
-    now, wall_now : float
-        Event loop time and Unix time in seconds.
-    workers : list of Worker
-        Schedulable workers.
-    count_team_fits : callable
-        Maps ``(team, amounts, max_count)`` to the number of tasks that fit under the
-        team's limit.
-    add_team_usage : callable
-        Adds ``(team, amounts)`` to the team's usage.
-    steps_needing_approval : list of StepRun
-        Steps that need an approval call, in order.
-    preempted : list of (TaskRun, Worker)
-        Runs to stop in favour of urgent steps and critical gangs.
-    reserved : int
-        Number of workers reserved for gangs that do not fit yet.
-    max_free_cpu, max_free_memory : int
-        Largest free amounts of any worker.
-    """
-
-    now: float
-    workers: list[Worker]
-    count_team_fits: object
-    add_team_usage: object
-    placements: list[Placement] = field(default_factory=list)
-    steps_needing_approval: list[StepRun] = field(default_factory=list)
-    preempted: list = field(default_factory=list)
-    wall_now: float = 0.0
-    reserved: int = 0
-    max_free_cpu: int = 0
-    max_free_memory: int = 0
-
-    def __post_init__(self):
-        self.update_largest_free()
-
-    def update_largest_free(self):
-        """Update the largest free amounts, used to skip steps that cannot fit."""
-        self.max_free_cpu = max((w.free_cpu for w in self.workers), default=0)
-        self.max_free_memory = max((w.free_memory for w in self.workers), default=0)
-
-    def may_fit(self, amounts):
-        """Return whether one task may fit on some worker."""
-        return amounts[0] <= self.max_free_cpu and amounts[1] <= self.max_free_memory
+ACTIVE_BANDS = (*URGENT_BANDS, IN_TIME)
 
 
 def place_steps(current_round, ordered):
@@ -103,317 +29,95 @@
     current_round : PlacementRound
     ordered : list of (OrderKey, StepRun, QueueRules)
     """
-    previous_reservations = {
-        worker: worker.reserved_for for worker in current_round.workers
-    }
-    for worker in current_round.workers:
-        worker.reserved_for = None
     for key, step, rules in ordered:
         if step.retry_at > current_round.now:
             continue
         if rules.needs_approval and step.approved is None:
             current_round.steps_needing_approval.append(step)
             continue
-        fits = current_round.may_fit(step.spec.counted)
+        fits = step.spec.counted[0] <= current_round.free.max_cpu
         if not fits and key.band not in ACTIVE_BANDS:
             continue
-        placed_before = len(current_round.placements)
-        candidates = _find_candidates(current_round, step, rules)
         if step.spec.is_gang:
-            _place_gang(
-                current_round, key, step, rules, candidates, previous_reservations
-            )
+            place_gang(current_round, key, step, rules)
         else:
-            _place_tasks(current_round, key, step, rules, candidates)
-        if len(current_round.placements) > placed_before:
-            current_round.update_largest_free()
-
-
-def has_valid_ticket(step, rules, worker, now):
-    """Return whether the worker would accept a start of the step."""
-    if not rules.needs_approval:
-        return True
-    until = step.approved_until.get(worker.info.worker, 0.0)
-    return now + TICKET_MARGIN_SECONDS <= until
-
-
-def _find_candidates(current_round, step, rules):
-    """Return the workers that may run the step, whatever their free capacity.
-
-    They belong to the queue's service, have the required label and are approved.
-    """
-    label = step.spec.required_label
-    workers = [
-        worker
-        for worker in current_round.workers
-        if worker.info.service == rules.service
-        and (not label or label in worker.info.labels)
-    ]
-    if not rules.needs_approval:
-        return workers
-    return [worker for worker in workers if worker.info.worker in step.approved]
+            _place_tasks(current_round, key, step, rules)
 
 
-def _count_by_worker(step):
-    """Return the number of active tasks of a step by worker."""
-    return Counter(task.worker for task in step.tasks if task.holds_capacity)
-
-
-def _cap_per_worker(step, counts, worker, max_count):
-    """Return `max_count` lowered to the step's limit per worker."""
-    if step.spec.max_per_worker:
-        max_count = min(
-            max_count, step.spec.max_per_worker - counts[worker.info.worker]
-        )
-    return max_count
-
-
-def _place_tasks(current_round, key, step, rules, candidates):
+def _place_tasks(current_round, key, step, rules):
     """Place as many pending tasks of a step as fit, independently of each other.
 
     Urgent and filling steps may use reserved workers. An on-time urgent step of which
     no task fits preempts other runs.
     """
-    amounts = step.spec.counted
-    counts = _count_by_worker(step)
     wanted = current_round.count_team_fits(
         step.job.spec.team, step.spec.amounts, step.pending_count
     )
     if wanted <= 0:
         return
-    pending = [task for task in step.tasks if task.phase is RunPhase.WAITING]
     may_use_reserved = key.band in URGENT_BANDS or step.spec.fills
-    fits = []
-    for worker in candidates:
-        if worker.reserved_for is not None and not may_use_reserved:
-            continue
-        max_count = _cap_per_worker(step, counts, worker, wanted)
-        fit_count = worker.count_fits(amounts, max_count)
-        if fit_count:
-            is_off_rack = bool(step.spec.data_rack) and step.spec.data_rack != (
-                worker.info.rack
-            )
-            has_failed = worker.info.worker in step.failed_on
-            order = (has_failed, is_off_rack, worker.free_cpu, worker.info.worker)
-            fits.append((order, fit_count, worker))
+    fits = _find_fits(current_round, step, rules, wanted, may_use_reserved)
     if not fits:
-        if key.band == URGENT and _claim_preemption_turn(current_round, step):
-            preempt_for_step(current_round, step, candidates)
-        _request_more_approvals(current_round, step, rules)
+        if key.band == URGENT:
+            _preempt(current_round, step, rules)
+        current_round.request_more_approvals(step, rules)
         return
-    valid = [f for f in fits if has_valid_ticket(step, rules, f[2], current_round.now)]
-    if sum(fit_count for _, fit_count, _ in valid) < min(wanted, len(pending)):
+    valid = [fit for fit in fits if fit[3]]
+    if sum(fit_count for _, fit_count, *_ in valid) < wanted:
         if len(valid) < len(fits):
             current_round.steps_needing_approval.append(step)
         if not valid:
             return
-    fits = valid
     # Best fit: among equally suitable workers those with the least free CPU come first,
     # to keep large blocks free for gangs.
-    fits.sort(key=lambda fit: fit[0])
-    position = 0
-    for _, fit_count, worker in fits:
-        for _ in range(fit_count):
-            if position >= min(wanted, len(pending)):
-                return
-            _assign(current_round, pending[position], worker)
-            position += 1
-
-
-def _place_gang(current_round, key, step, rules, candidates, previous_reservations):
-    """Place all tasks of a gang, or reserve workers for it if they do not fit.
-
-    A critical gang preempts other runs. Nothing is done while tasks of the gang's
-    previous run may still be on workers, or if the team's limit is too low.
-    """
-    spec = step.spec
-    if step.pending_count < spec.count:
-        return
-    if (
-        current_round.count_team_fits(step.job.spec.team, spec.amounts, spec.count)
-        < spec.count
-    ):
-        return
-    open_workers = [worker for worker in candidates if worker.reserved_for is None]
-    may_use_reserved = key.band in URGENT_BANDS
-    chosen = _choose_for_gang(step, candidates if may_use_reserved else open_workers)
-    if chosen is None:
-        if _is_critical(current_round, key) and _claim_preemption_turn(
-            current_round, step
-        ):
-            for worker in preempt_for_gang(current_round, step, open_workers):
-                worker.reserved_for = step
-                current_round.reserved += 1
-        if not any(worker.reserved_for is step for worker in open_workers):
-            _reserve(current_round, step, rules, open_workers, previous_reservations)
-        _request_more_approvals(current_round, step, rules)
-        return
-    if not all(has_valid_ticket(step, rules, w, current_round.now) for w, _ in chosen):
-        current_round.steps_needing_approval.append(step)
-        for worker, _ in chosen:
-            worker.reserved_for = step
-        return
-    tasks = iter(step.tasks)
-    for worker, count in chosen:
-        for _ in range(count):
-            _assign(current_round, next(tasks), worker)
-
+    valid.sort(key=lambda fit: fit[0])
+    pending = (task for task in step.tasks if task.phase is RunPhase.WAITING)
+    for _, fit_count, worker, _ in valid:
+        for _ in range(min(fit_count, wanted)):
+            current_round.assign(next(pending), worker)
+            wanted -= 1
 
-def _request_more_approvals(current_round, step, rules):
-    """Request approval of more workers for a step that does not fit on approved ones.
-
-    In a large cell one approval call covers only some of the workers.
-    """
-    if not rules.needs_approval or len(step.asked_workers) >= len(
-        current_round.workers
-    ):
-        return
-    if any(
-        worker.info.worker not in step.asked_workers
-        and worker.info.service == rules.service
-        and worker.count_fits(step.spec.counted, 1)
-        for worker in current_round.workers
-    ):
-        current_round.steps_needing_approval.append(step)
 
+def _find_fits(current_round, step, rules, wanted, may_use_reserved):
+    """Return ``(order, fit_count, worker, has_ticket)`` of workers with free capacity.
 
-def _claim_preemption_turn(current_round, step):
-    """Return whether a step may preempt now, and start its next interval if so.
-
-    The interval bounds the time spent on the search for victims.
+    Stops once the best workers found, which come first in the order, suffice.
     """
-    if step.next_preemption_at > current_round.now:
-        return False
-    step.next_preemption_at = current_round.now + PREEMPTION_INTERVAL_SECONDS
-    return True
-
-
-def _is_critical(current_round, key):
-    """Return whether a gang has little or no time left to start on time."""
-    if key.band == URGENT:
-        return True
-    slack = key.latest_start - current_round.wall_now
-    return key.band == IN_TIME and slack < CRITICAL_SLACK_SECONDS
-
-
-def _choose_for_gang(step, workers):
-    """Return ``(worker, count)`` pairs that fit the whole gang now, or None."""
-    counts = Counter()
-    options = []
-    for worker in workers:
-        max_count = _cap_per_worker(step, counts, worker, step.spec.count)
-        fit_count = worker.count_fits(step.spec.counted, max_count)
-        if fit_count:
-            has_failed = worker.info.worker in step.failed_on
-            order = (has_failed, -fit_count, worker.free_cpu, worker.info.worker)
-            options.append((order, fit_count, worker))
-    if step.spec.is_tightly_coupled:
-        options = _restrict_to_one_rack(options, step.spec.count)
-    options.sort(key=lambda entry: entry[0])
-    missing = step.spec.count
-    chosen = []
-    for _, fit_count, worker in options:
-        count = min(missing, fit_count)
-        chosen.append((worker, count))
-        missing -= count
-        if not missing:
-            return chosen
-    return None
-
-
-def _restrict_to_one_rack(options, count):
-    """Return the options on the rack with capacity for the most tasks.
-
-    Returns all options if even that rack does not fit `count` tasks.
-    """
-    by_rack = Counter()
-    for _, fit_count, worker in options:
-        by_rack[worker.info.rack] += fit_count
-    for rack, fit_count in by_rack.most_common(1):
-        if fit_count >= count:
-            return [entry for entry in options if entry[2].info.rack == rack]
-    return options
-
-
-def _reserve(current_round, step, rules, workers, previous_reservations):
-    """Reserve workers for a gang that does not fit yet.
-
-    Prefers the workers reserved for it in the previous round, so that their runs end
-    without being replaced, then those that become free first. Requests approval shortly
-    before all are free.
-    """
-    if current_round.reserved >= MAX_RESERVED_FRACTION * len(current_round.workers):
-        return
     amounts = step.spec.counted
-    choices = []
-    for worker in workers:
-        max_count = _cap_per_worker(step, Counter(), worker, step.spec.count)
-        fit_count = _count_fits_when_empty(worker, amounts, max_count)
-        if fit_count:
-            free_at = _estimate_free_at(worker, current_round.now)
-            choices.append(
-                (
-                    previous_reservations.get(worker) is not step,
-                    free_at,
-                    fit_count,
-                    worker,
-                )
-            )
-    choices.sort(key=lambda choice: (choice[0], choice[1], choice[3].info.worker))
-    missing = step.spec.count
-    selected = []
-    for _, free_at, fit_count, worker in choices:
-        selected.append((free_at, worker))
-        missing -= fit_count
-        if missing <= 0:
-            break
-    if missing > 0:
-        return
-    current_round.reserved += len(selected)
-    for _, worker in selected:
-        worker.reserved_for = step
-    is_free_soon = (
-        max(free_at for free_at, _ in selected)
-        <= current_round.now + APPROVAL_LEAD_SECONDS
-    )
-    soon = current_round.now + APPROVAL_LEAD_SECONDS
-    if is_free_soon and not all(
-        has_valid_ticket(step, rules, w, soon) for _, w in selected
-    ):
-        current_round.steps_needing_approval.append(step)
-
-
-def _count_fits_when_empty(worker, amounts, max_count):
-    """Return how many tasks would fit on the worker if it had no runs.
-
-    At most `max_count`; `amounts` are those of one task.
-    """
-    capacity = worker.info.capacity
-    for needed, available in zip(amounts, capacity, strict=True):
-        if needed:
-            max_count = min(max_count, available // needed)
-    return max_count
-
-
-def _estimate_free_at(worker, now):
-    """Return the time by which the worker's runs are expected to end.
-
-    Ignores service tasks, which have no expected end.
-    """
-    latest = now
-    for task, _ in worker.runs.values():
-        if task.step.spec.is_service:
+    counts = Counter()
+    if step.spec.max_per_worker:
+        counts.update(task.worker for task in step.tasks if task.holds_capacity)
+    fits = []
+    missing = wanted
+    for worker in current_round.free.iterate_fitting(amounts[0]):
+        if worker.reserved_for is not None and not may_use_reserved:
             continue
-        estimate = task.step.spec.estimate_ms / 1000
-        ends_at = (task.started_at or now) + estimate
-        latest = max(latest, ends_at)
-    return latest
-
-
-def _assign(current_round, task, worker):
-    """Add a placement and count the task's amounts for its worker and team."""
-    step = task.step
-    ticket = (step.approved or {}).get(worker.info.worker, "")
-    worker.take_capacity(step.spec.counted)
-    current_round.add_team_usage(step.job.spec.team, step.spec.amounts)
-    current_round.placements.append(Placement(task, worker, ticket, current_round.now))
+        if not is_candidate(step, rules, worker):
+            continue
+        max_count = cap_per_worker(step, counts, worker, wanted)
+        fit_count = worker.count_fits(amounts, max_count)
+        if not fit_count:
+            continue
+        info = worker.info
+        is_off_rack = bool(step.spec.data_rack) and step.spec.data_rack != info.rack
+        has_failed = info.worker in step.failed_on
+        has_ticket = has_valid_ticket(step, rules, worker, current_round.now)
+        order = (has_failed, is_off_rack, worker.free_cpu, info.worker)
+        fits.append((order, fit_count, worker, has_ticket))
+        if has_ticket and not has_failed and not is_off_rack:
+            missing -= fit_count
+            if missing <= 0:
+                break
+    return fits
+
+
+def _preempt(current_round, step, rules):
+    if current_round.preemption.is_exhausted:
+        return
+    if current_round.claim_preemption_turn(step):
+        candidates = [
+            worker
+            for worker in current_round.workers
+            if is_candidate(step, rules, worker)
+        ]
+        current_round.preemption.preempt_for_step(step, candidates)
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/placement_round.py
@@ -0,0 +1,180 @@
+"""Input, intermediate state and outcome of one scheduling round; no I/O."""
+
+from typing import NamedTuple
+
+from .free_capacity import FreeCapacity
+from .preemption import PreemptionSearch
+from .runs import TaskRun
+from .workers import Worker
+
+# Minimum remaining validity of an approval ticket, so that it is still valid when the
+# start reaches the worker.
+TICKET_MARGIN_SECONDS = 0.25
+# Minimum interval between preemptions for the same step. A stop takes effect within 0.2
+# to 0.4 s, so a shorter interval finds no new capacity.
+PREEMPTION_INTERVAL_SECONDS = 0.15
+
+
+class Placement(NamedTuple):
+    """Assignment of a task to a worker; `decided_at` is event loop time in seconds."""
+
+    task: TaskRun
+    worker: Worker
+    ticket: str
+    decided_at: float
+
+
+class PlacementRound:
+    """Input and outcome of one scheduling round.
+
+    Parameters
+    ----------
+    now : float
+        Event loop time in seconds.
+    workers : list of Worker
+        Schedulable workers.
+    count_team_fits : callable
+        Maps ``(team, amounts, max_count)`` to the number of tasks that fit under the
+        team's limit.
+    add_team_usage : callable
+        Adds ``(team, amounts)`` to the team's usage.
+    wall_now : float
+        Unix time in seconds.
+
+    Attributes
+    ----------
+    placements : list of Placement
+    steps_needing_approval : list of StepRun
+        Steps that need an approval call, in order.
+    free : FreeCapacity
+        Workers by free CPU.
+    preemption : PreemptionSearch
+        Runs to stop in favour of urgent steps and critical gangs.
+    reserved_count : int
+        Number of workers reserved for gangs that do not fit yet.
+    """
+
+    def __init__(self, now, workers, count_team_fits, add_team_usage, wall_now=0.0):
+        self.now = now
+        self.wall_now = wall_now
+        self.workers = workers
+        self.count_team_fits = count_team_fits
+        self.placements = []
+        self.steps_needing_approval = []
+        self.free = FreeCapacity(workers)
+        self.preemption = PreemptionSearch(now)
+        self.reserved_count = 0
+        self._add_team_usage = add_team_usage
+        self._previous_reservations = {}
+        self._ends = None
+        for worker in workers:
+            if worker.reserved_for is not None:
+                reserved = self._previous_reservations.setdefault(
+                    worker.reserved_for, []
+                )
+                reserved.append(worker)
+                worker.reserved_for = None
+
+    @property
+    def preempted(self):
+        """Runs to stop, as list of (TaskRun, Worker)."""
+        return self.preemption.preempted
+
+    def iterate_by_end(self, step):
+        """Yield ``(free_at, worker)`` in the order in which a gang reserves workers.
+
+        Workers reserved for the step in the previous round come first, so that their
+        runs end without being replaced, then those that become free first.
+        """
+        if self._ends is None:
+            ends = [
+                (_estimate_free_at(worker, self.now), worker.info.worker, worker)
+                for worker in self.workers
+            ]
+            self._ends = sorted(ends)
+        previous = set(self._previous_reservations.get(step, ()))
+        for is_previous in (True, False) if previous else (False,):
+            for free_at, _, worker in self._ends:
+                if (worker in previous) == is_previous:
+                    yield free_at, worker
+
+    def reserve(self, worker, step):
+        """Reserve a worker for a gang that does not fit yet."""
+        worker.reserved_for = step
+        self.reserved_count += 1
+
+    def assign(self, task, worker):
+        """Add a placement and count the task's amounts for its worker and team."""
+        step = task.step
+        ticket = (step.approved or {}).get(worker.info.worker, "")
+        self.free.take(worker, step.spec.counted)
+        self._add_team_usage(step.job.spec.team, step.spec.amounts)
+        self.placements.append(Placement(task, worker, ticket, self.now))
+
+    def request_more_approvals(self, step, rules):
+        """Request approval of more workers for a step that fits on no approved one.
+
+        In a large cell one approval call covers only some of the workers.
+        """
+        if not rules.needs_approval or len(step.asked_workers) >= len(self.workers):
+            return
+        amounts = step.spec.counted
+        if any(
+            worker.info.worker not in step.asked_workers
+            and worker.info.service == rules.service
+            and worker.count_fits(amounts, 1)
+            for worker in self.free.iterate_fitting(amounts[0])
+        ):
+            self.steps_needing_approval.append(step)
+
+    def claim_preemption_turn(self, step):
+        """Return whether a step may preempt now, and start its next interval if so.
+
+        The interval bounds the time spent on the search for victims.
+        """
+        if step.next_preemption_at > self.now:
+            return False
+        step.next_preemption_at = self.now + PREEMPTION_INTERVAL_SECONDS
+        return True
+
+
+def has_valid_ticket(step, rules, worker, now):
+    """Return whether the worker would accept a start of the step."""
+    if not rules.needs_approval:
+        return True
+    until = step.approved_until.get(worker.info.worker, 0.0)
+    return now + TICKET_MARGIN_SECONDS <= until
+
+
+def is_candidate(step, rules, worker):
+    """Return whether a worker may run the step, whatever its free capacity.
+
+    It belongs to the queue's service, has the required label and is approved.
+    """
+    info = worker.info
+    label = step.spec.required_label
+    return (
+        info.service == rules.service
+        and (not label or label in info.labels)
+        and (not rules.needs_approval or info.worker in step.approved)
+    )
+
+
+def cap_per_worker(step, counts, worker, max_count):
+    """Return `max_count` lowered to the step's limit per worker."""
+    if step.spec.max_per_worker:
+        return min(max_count, step.spec.max_per_worker - counts[worker.info.worker])
+    return max_count
+
+
+def _estimate_free_at(worker, now):
+    """Return the time by which the worker's runs are expected to end.
+
+    Ignores service tasks, which have no expected end.
+    """
+    latest = now
+    for task, _ in worker.runs.values():
+        spec = task.step.spec
+        if not spec.is_service:
+            latest = max(latest, (task.started_at or now) + spec.estimate_ms / 1000)
+    return latest
--- a/libs/cell/src/cactustiller/cell/preemption.py
+++ b/libs/cell/src/cactustiller/cell/preemption.py
@@ -1,9 +1,12 @@
-"""Choice of the runs to preempt for urgent steps and critical gangs.
+"""Choice of the runs to preempt for urgent steps and critical gangs; no I/O.
 
-Only runs that save a checkpoint when stopped are preempted, whatever their priority, so
-that a preemption costs a restart but no work.
+Answers urgent work on a cell full of batch runs. Only runs that save a checkpoint when
+stopped are preempted, whatever their priority, so that a preemption costs a restart but
+no work.
 """
 
+from typing import NamedTuple
+
 # Maximum number of runs preempted in a round, including those for gangs, beyond which
 # none is preempted for single tasks. Later rounds count the capacity being freed before
 # they preempt more.
@@ -14,111 +17,152 @@
 MIN_RUN_SECONDS = 0.4
 
 
-def preempt_for_step(current_round, step, workers):
-    """Choose runs to preempt so that tasks of an urgent step fit.
-
-    Capacity of runs that are already being stopped is counted first.
+class Victims(NamedTuple):
+    """Capacity that a worker has free or is about to free, and runs to preempt.
 
-    Parameters
-    ----------
-    current_round : PlacementRound
-        Collects the choice.
-    step : StepRun
-        Urgent step that fits on no worker.
-    workers : list of Worker
-        Workers that may run it.
+    `candidates` are tasks, those with the largest CPU amounts first.
     """
-    amounts = step.spec.counted
-    wanted = step.pending_count
-    stopping_ids = {id(task) for task, _ in current_round.preempted}
-    options = []
-    for worker in workers:
-        candidates = []
-        cpu, memory = worker.free_cpu, worker.free_memory
-        for task, run in worker.runs.values():
-            if task.is_stopping or id(task) in stopping_ids:
-                cpu += task.step.spec.counted[0]
-                memory += task.step.spec.counted[1]
-            elif task.run == run and _is_preemptible(task, current_round.now):
-                candidates.append(task)
-        if cpu >= amounts[0] and memory >= amounts[1]:
-            wanted -= 1
-            continue
-        victims = _choose_victims(candidates, amounts[0] - cpu, amounts[1] - memory)
-        if victims is not None:
-            options.append((len(victims), worker.info.worker, worker, victims))
-    options.sort(key=lambda option: option[:2])
-    for count, _, worker, victims in options:
-        if wanted <= 0 or len(current_round.preempted) + count > MAX_VICTIMS:
-            return
-        current_round.preempted += [(task, worker) for task in victims]
-        wanted -= 1
+
+    cpu: int
+    memory: int
+    candidates: list
 
 
-def preempt_for_gang(current_round, step, workers):
-    """Choose runs to preempt so that a whole gang fits; return its workers.
+class PreemptionSearch:
+    """Runs that a round preempts.
 
     Parameters
     ----------
-    current_round : PlacementRound
-        Collects the choice.
-    step : StepRun
-    workers : list of Worker
-        Workers that may run it and are not reserved for another gang.
-
-    Returns
-    -------
-    list of Worker
-        Empty if the gang does not fit even with preemption, or only with more than
-        `MAX_GANG_VICTIMS` preempted runs.
+    now : float
+        Event loop time in seconds.
+
+    Attributes
+    ----------
+    preempted : list of (TaskRun, Worker)
     """
-    amounts = step.spec.counted
-    stopping_ids = {id(task) for task, _ in current_round.preempted}
-    options = []
-    for worker in workers:
-        cpu, memory = worker.free_cpu, worker.free_memory
+
+    def __init__(self, now):
+        self.preempted = []
+        self._now = now
+        self._candidates = {}
+        self._stopping = {}
+
+    @property
+    def is_exhausted(self):
+        """Whether no more runs are preempted for single tasks in this round."""
+        return len(self.preempted) >= MAX_VICTIMS
+
+    def preempt_for_step(self, step, workers):
+        """Choose runs to preempt so that tasks of an urgent step fit.
+
+        Capacity of runs that are already being stopped is counted first.
+
+        Parameters
+        ----------
+        step : StepRun
+            Urgent step that fits on no worker.
+        workers : list of Worker
+            Workers that may run it.
+        """
+        amounts = step.spec.counted
+        wanted = step.pending_count
+        options = []
+        for worker in workers:
+            cpu, memory, candidates = self._find_victims(worker)
+            if cpu >= amounts[0] and memory >= amounts[1]:
+                wanted -= 1
+                continue
+            victims = _choose_victims(candidates, amounts[0] - cpu, amounts[1] - memory)
+            if victims is not None:
+                options.append((len(victims), worker.info.worker, worker, victims))
+        options.sort(key=lambda option: option[:2])
+        for count, _, worker, victims in options:
+            if wanted <= 0 or len(self.preempted) + count > MAX_VICTIMS:
+                return
+            self._preempt(victims, worker)
+            wanted -= 1
+
+    def preempt_for_gang(self, step, workers):
+        """Choose runs to preempt so that a whole gang fits; return its workers.
+
+        Parameters
+        ----------
+        step : StepRun
+        workers : list of Worker
+            Workers that may run it and are not reserved for another gang.
+
+        Returns
+        -------
+        list of Worker
+            Empty if the gang does not fit even with preemption, or only with more than
+            `MAX_GANG_VICTIMS` preempted runs.
+        """
+        amounts = step.spec.counted
+        options = []
+        for worker in workers:
+            found = self._find_victims(worker)
+            fits_now = _count_fits(found.cpu, found.memory, amounts)
+            fits_after_stops = _count_fits(
+                found.cpu + sum(task.step.spec.counted[0] for task in found.candidates),
+                found.memory
+                + sum(task.step.spec.counted[1] for task in found.candidates),
+                amounts,
+            )
+            if fits_after_stops:
+                order = (-fits_now, -fits_after_stops, worker.info.worker)
+                options.append((order, worker, found))
+        options.sort(key=lambda option: option[0])
+        missing = step.spec.count
+        stops, chosen_workers = [], []
+        for (_, negated_fits, _), worker, found in options:
+            count = min(missing, -negated_fits)
+            victims = _choose_victims(
+                found.candidates,
+                count * amounts[0] - found.cpu,
+                count * amounts[1] - found.memory,
+            )
+            stops.append((victims or [], worker))
+            chosen_workers.append(worker)
+            missing -= count
+            if not missing:
+                break
+        if missing or sum(len(victims) for victims, _ in stops) > MAX_GANG_VICTIMS:
+            return []
+        for victims, worker in stops:
+            self._preempt(victims, worker)
+        return chosen_workers
+
+    def _preempt(self, victims, worker):
+        for task in victims:
+            self.preempted.append((task, worker))
+            self._candidates[worker].remove(task)
+            cpu, memory = self._stopping[worker]
+            amounts = task.step.spec.counted
+            self._stopping[worker] = (cpu + amounts[0], memory + amounts[1])
+
+    def _find_victims(self, worker):
+        """Return the `Victims` of a worker as they are now in this round."""
+        if worker not in self._candidates:
+            self._inspect(worker)
+        cpu, memory = self._stopping[worker]
+        return Victims(
+            worker.free_cpu + cpu,
+            worker.free_memory + memory,
+            self._candidates[worker],
+        )
+
+    def _inspect(self, worker):
+        cpu = memory = 0
         candidates = []
         for task, run in worker.runs.values():
-            if task.is_stopping or id(task) in stopping_ids:
+            if task.is_stopping:
                 cpu += task.step.spec.counted[0]
                 memory += task.step.spec.counted[1]
-            elif task.run == run and _is_preemptible(task, current_round.now):
+            elif task.run == run and _is_preemptible(task, self._now):
                 candidates.append(task)
-        fits_now = _count_fits(cpu, memory, amounts)
-        fits_after_stops = _count_fits(
-            cpu + sum(task.step.spec.counted[0] for task in candidates),
-            memory + sum(task.step.spec.counted[1] for task in candidates),
-            amounts,
-        )
-        if fits_after_stops:
-            options.append(
-                (
-                    -fits_now,
-                    -fits_after_stops,
-                    worker.info.worker,
-                    worker,
-                    candidates,
-                    cpu,
-                    memory,
-                )
-            )
-    options.sort(key=lambda option: option[:3])
-    missing = step.spec.count
-    stops, chosen_workers = [], []
-    for _, negated_fits, _, worker, candidates, cpu, memory in options:
-        count = min(missing, -negated_fits)
-        victims = _choose_victims(
-            candidates, count * amounts[0] - cpu, count * amounts[1] - memory
-        )
-        stops += [(task, worker) for task in victims or ()]
-        chosen_workers.append(worker)
-        missing -= count
-        if not missing:
-            break
-    if missing or len(stops) > MAX_GANG_VICTIMS:
-        return []
-    current_round.preempted += stops
-    return chosen_workers
+        candidates.sort(key=lambda task: -task.step.spec.counted[0])
+        self._stopping[worker] = (cpu, memory)
+        self._candidates[worker] = candidates
 
 
 def _count_fits(cpu, memory, amounts):
@@ -145,10 +189,10 @@
 def _choose_victims(candidates, cpu, memory):
     """Return the runs to stop to free the CPU and memory; None if they free too little.
 
-    Takes the candidates with the largest CPU amounts first.
+    Takes the first candidates, which have the largest CPU amounts.
     """
     victims = []
-    for task in sorted(candidates, key=lambda task: -task.step.spec.counted[0]):
+    for task in candidates:
         if cpu <= 0 and memory <= 0:
             break
         victims.append(task)
--- a/tests/cell/builders.py
+++ b/tests/cell/builders.py
@@ -1,6 +1,6 @@
 """Builders of workers, steps and scheduling rounds."""
 
-from cactustiller.cell.placement import PlacementRound
+from cactustiller.cell.placement_round import PlacementRound
 from cactustiller.cell.runs import JobRun
 from cactustiller.cell.workers import Worker, WorkerInfo
 from cactustiller.model import Amounts, WorkerId
