Refuse at once while the store is known to be away

Cause: a member without a confirmed desired state waited 0.5 s before each POST and DELETE, also where no confirmation could come: before its first read, and while its calls to the store fail.

Change: it waits only if its latest call succeeded, as after a pause of the process.

--- a/libs/cell/src/cactustiller/cell/desired_replica.py
+++ b/libs/cell/src/cactustiller/cell/desired_replica.py
@@ -64,13 +64,18 @@
         """Wait briefly for a confirmation if it is overdue; return whether it came.
 
         A process that was paused holds requests and a state from before the pause.
+        Returns at once if there is no state yet or the store is known not to answer.
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + CONFIRM_TIMEOUT_SECONDS
-        while not self.is_confirmed() and loop.time() < deadline:
+        while not self.is_confirmed() and self._is_confirmation_due(deadline):
             await asyncio.sleep(CONFIRM_CHECK_SECONDS)
         return self.is_confirmed()
 
+    def _is_confirmation_due(self, deadline):
+        has_state = self.state.version > 0 and not self._follower.is_unavailable
+        return has_state and asyncio.get_running_loop().time() < deadline
+
     def mark_announced(self, version):
         """Record an owner's announcement; return whether its version is newer."""
         self._announced_at = asyncio.get_running_loop().time()
--- a/libs/cell/src/cactustiller/cell/followers.py
+++ b/libs/cell/src/cactustiller/cell/followers.py
@@ -23,7 +23,8 @@
 class Follower:
     """Keeps a copy of the rows in one part of a table.
 
-    `refreshed_at` is the time of the latest successful call, in loop time.
+    `refreshed_at` is the time of the latest successful call, in loop time, and
+    `is_unavailable` tells whether calls fail since then.
 
     Parameters
     ----------
@@ -44,7 +45,7 @@
         self._wait_seconds = wait_seconds
         self._rows = {}
         self._version = None
-        self._is_unavailable = False
+        self.is_unavailable = False
         self._read_at = 0.0
         self._first_read = asyncio.Event()
         self._task = None
@@ -79,8 +80,8 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             self.refreshed_at = loop.time()
-            if self._is_unavailable:
-                self._is_unavailable = False
+            if self.is_unavailable:
+                self.is_unavailable = False
                 log_event(Event.DEPENDENCY_RECOVERED, dependency=f"table {self._table}")
             await asyncio.sleep(FEED_PAUSE_SECONDS)
 
@@ -119,9 +120,9 @@
         return answer
 
     def _record_failure(self, failure):
-        if self._is_unavailable:
+        if self.is_unavailable:
             return
-        self._is_unavailable = True
+        self.is_unavailable = True
         log_event(
             Event.DEPENDENCY_LOST,
             dependency=f"table {self._table}",
--- a/tests/cell/test_desired_replica.py
+++ b/tests/cell/test_desired_replica.py
@@ -28,7 +28,7 @@
         assert replica.state.version == 9
 
 
-async def test_wait_for_a_confirmation_that_does_not_come_is_bounded():
+async def test_work_is_refused_at_once_while_the_store_is_known_to_be_away():
     async with FleetCell() as cell:
         await asyncio.sleep(2.0)
         for store in cell.stores.values():
@@ -39,6 +39,19 @@
         loop = asyncio.get_running_loop()
         called_at = loop.time()
         assert not await replica.wait_until_confirmed()
+        assert loop.time() == called_at
+
+
+async def test_wait_for_a_confirmation_that_does_not_come_is_bounded():
+    async with FleetCell() as cell:
+        await asyncio.sleep(2.0)
+        replica = next(iter(cell.members.values())).desired_replica
+        await replica.stop()
+        cell.network.cut |= set(cell.members)
+        await asyncio.sleep(MAX_AGE_SECONDS + 1.0)
+        loop = asyncio.get_running_loop()
+        called_at = loop.time()
+        assert not await replica.wait_until_confirmed()
         assert loop.time() - called_at < CONFIRM_TIMEOUT_SECONDS + 0.1
 
 
