Decode peers' frames without the library's packed reader, which can end the process

Cause (operators' report: one malformed message takes a process down), found by changing single bytes of valid frames: a packed frame that announces more bytes than it has makes the reader's destructor throw, and the process aborts (kj/io.c++: Premature EOF). A union without a member raised RuntimeError past the decoder.

Weighed: a checksum (does not help against a faulty peer), checking the packing first (a parser of our own). Taken: frames that are not packed, all errors as CodecError.

--- a/libs/model/src/cactustiller/model/codec.py
+++ b/libs/model/src/cactustiller/model/codec.py
@@ -1,4 +1,8 @@
-"""Codec of messages as packed Cap'n Proto frames."""
+"""Codec of messages as Cap'n Proto frames.
+
+The frames are not packed: the library's reader of packed messages ends the process when
+the bytes are too short for the length that they announce.
+"""
 
 from pathlib import Path
 from typing import NamedTuple
@@ -13,6 +17,17 @@
 _SCHEMA = capnp.load(str(Path(__file__).with_name("messages.capnp")))
 
 
+# The library raises `RuntimeError` for a union without a member.
+MALFORMED_ERRORS = (
+    capnp.KjException,
+    ValidationError,
+    KeyError,
+    TypeError,
+    ValueError,
+    RuntimeError,
+)
+
+
 def _name_field(message_class):
     name = message_class.__name__
     return name[0].lower() + name[1:]
@@ -39,14 +54,12 @@
 
 
 def encode_frame(frame):
-    """Return the packed bytes of a `Frame`."""
+    """Return the bytes of a `Frame`."""
     message = frame.message
     fields = message.model_dump(by_alias=True, mode="json", context=CAPNP_CONTEXT)
     body = {_FIELD_BY_CLASS[type(message)]: fields or None}
     kind = "reply" if frame.is_reply else "request"
-    return _SCHEMA.Frame.new_message(
-        id=frame.id, kind=kind, body=body
-    ).to_bytes_packed()
+    return _SCHEMA.Frame.new_message(id=frame.id, kind=kind, body=body).to_bytes()
 
 
 def decode_frame(data):
@@ -58,10 +71,11 @@
         If the bytes are malformed or a field is out of range.
     """
     try:
-        fields = _SCHEMA.Frame.from_bytes_packed(data).to_dict()
+        with _SCHEMA.Frame.from_bytes(data) as reader:
+            fields = reader.to_dict()
         ((name, body),) = fields["body"].items()
         message = _CLASS_BY_FIELD[name].model_validate(body or {})
-    except (capnp.KjException, ValidationError, KeyError, ValueError) as error:
-        reason = str(error).splitlines()[0]
+    except MALFORMED_ERRORS as error:
+        reason = (str(error) or type(error).__name__).splitlines()[0]
         raise CodecError(f"malformed frame: {reason}") from error
     return Frame(fields["id"], fields["kind"] == "reply", message)
