Fail the calls that wait at a home when it is handed over

Its recorder was cancelled, but the futures of the reports were left. A call to a partition of the same instance has no timeout, so the report never ended, and the shard sends one report to a home at a time: all later reports to home-14 waited behind it.

Ruled out: lost starts (Dispatcher.resume sends them again) and a fence (other homes' runs on the same shard went on).

Two new cases, both fail without the change.

--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -119,6 +119,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._recorder.stop()
 
     async def release(self):
         """Stop placement; wait until no submission is being committed."""
--- a/libs/scheduler/src/cactustiller/scheduler/recorder.py
+++ b/libs/scheduler/src/cactustiller/scheduler/recorder.py
@@ -15,6 +15,7 @@
     TABLE_PEER,
     ErrorCode,
     Failure,
+    FailureError,
     JobState,
     Outcome,
     PartitionId,
@@ -23,6 +24,7 @@
 from cactustiller.model.messages import RunReport
 from cactustiller.ports import Put, Write
 
+from .failures import fail_handed_over
 from .jobs import end_task, find_restart_delay, finish_job
 from .runs import run_row_key
 
@@ -116,12 +118,33 @@
         self._cancels = {}
         self._closes = {}
         self._wake = asyncio.Event()
+        self._futures = set()
+
+    def stop(self):
+        """Fail everything that waits for a commit, once `run` has been cancelled.
+
+        The callers then try again at the new owner of the home; a commit in flight may
+        still take effect.
+        """
+        failure = fail_handed_over(self._home, "record").with_changes(
+            outcome=Outcome.UNKNOWN
+        )
+        for future in list(self._futures):
+            if not future.done():
+                future.set_exception(FailureError(failure))
+                # Marks the exception as retrieved where nobody waits any more.
+                future.exception()
 
     async def record_ends(self, reports, shard, epoch):
         """Commit reported ends; return the keys of the runs that are recorded.
 
         Reports of a previous owner of the shard are not recorded, since the new owner
         may have started the runs or renewed their leases.
+
+        Raises
+        ------
+        FailureError
+            If the home is stopped meanwhile.
         """
         waiting = []
         for report in reports:
@@ -280,7 +303,10 @@
         return task_row_key(self._home, job, index)
 
     def _make_future(self):
-        return asyncio.get_running_loop().create_future()
+        future = asyncio.get_running_loop().create_future()
+        self._futures.add(future)
+        future.add_done_callback(self._futures.discard)
+        return future
 
 
 def task_row_key(home, job, index):
--- a/tests/scheduler/test_ends.py
+++ b/tests/scheduler/test_ends.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cactustiller.model import JobState, RunState
+from cactustiller.model import FailureError, JobState, Outcome, RunState
 from cactustiller.model.messages import ReportRuns, RunReport, SubmitJob
 from cactustiller.scheduler.clock import WallClock
 from cactustiller.scheduler.home import Home
@@ -69,3 +69,27 @@
     await home.record_reports(report("shard-b", unseen, run_seconds=4.0))
     assert [wait[:3] for wait in waits] == [("batch", "t", "q")] * 2
     assert [wait[3] for wait in waits] == pytest.approx([10.0, 6.0], abs=0.1)
+
+
+@pytest.mark.parametrize("is_written", [False, True])
+async def test_report_to_a_home_that_is_handed_over_fails_and_is_sent_again(
+    home, is_written
+):
+    # The report loop of a shard on the same instance waits for the local home, so a
+    # call without an end would hold up all later reports to the home's new owner.
+    async def commit_for_ever(*arguments):
+        await asyncio.Event().wait()
+
+    _, runs = await start_job(home, ["shard-a"])
+    home._recorder._commit = commit_for_ever
+    if not is_written:
+        home._recorder._wake = asyncio.Event()
+    message = report("shard-a", runs["shard-a"][0])
+    call = asyncio.create_task(home.record_reports(message))
+    await asyncio.sleep(1.0)
+    assert not call.done()
+    await home.stop()
+    with pytest.raises(FailureError) as failed:
+        async with asyncio.timeout(1.0):
+            await call
+    assert failed.value.failure.outcome is Outcome.UNKNOWN
