--- a/libs/scheduler/src/cactustiller/scheduler/pools.py
+++ b/libs/scheduler/src/cactustiller/scheduler/pools.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 from collections import Counter
-from dataclasses import dataclass, field
 
 import structlog
 
@@ -18,9 +17,15 @@
 
 from .ballots import CONFIRMED_SECONDS, Ballots
 from .fairness import find_fair_share
+from .grants import (
+    EXPIRY_MARGIN_SECONDS,
+    PERMIT_LIFETIME_SECONDS,
+    Grant,
+    Holder,
+    Release,
+    find_expiry,
+)
 
-PERMIT_LIFETIME_SECONDS = 4.0
-EXPIRY_MARGIN_SECONDS = 0.5
 WAITING_TTL_SECONDS = 0.5
 CHECK_INTERVAL_SECONDS = 0.5
 HOLDER_TTL_SECONDS = 60.0
@@ -31,45 +36,6 @@
 log = structlog.get_logger(__name__)
 
 
-@dataclass(slots=True)
-class Grant:
-    """Permit of a gateway; occupies its slot until freed, even once expired."""
-
-    executor: str
-    gateway: str
-    renewed_until: float
-
-
-@dataclass(slots=True)
-class Holder:
-    """Permits and demand of one gateway incarnation, as of its last request.
-
-    Parameters
-    ----------
-    sequence : int
-        Sequence number of the request.
-    numbers : set of int
-        Numbers of the permits that it holds.
-    waiting : int
-        Slots that it requested and did not get.
-    last_seen_at : float
-        Loop time of the request.
-    """
-
-    sequence: int = 0
-    numbers: set = field(default_factory=set)
-    waiting: int = 0
-    last_seen_at: float = float("-inf")
-
-
-@dataclass(slots=True)
-class Release:
-    """Scheduled release, at time `at`, of grants expired before `expired_before`."""
-
-    at: float
-    expired_before: float
-
-
 class Pool:
     """Slots of the executors of one service.
 
@@ -304,7 +270,7 @@
         lost = []
         for permit in message.held:
             if permit.number in holder.numbers:
-                self._grants[permit.number].renewed_until = _find_expiry(now)
+                self._grants[permit.number].renewed_until = find_expiry(now)
             elif not self._adopt(permit, message.gateway, holder, now):
                 lost.append(permit.number)
         return lost
@@ -349,7 +315,7 @@
         )
 
     def _add_grant(self, number, executor, gateway, now):
-        self._grants[number] = Grant(executor, gateway, _find_expiry(now))
+        self._grants[number] = Grant(executor, gateway, find_expiry(now))
         self._holders[gateway].numbers.add(number)
         self._used[executor] += 1
 
@@ -389,7 +355,3 @@
         return sum(
             self._get_unmet_demand(holder, now) for holder in self._holders.values()
         )
-
-
-def _find_expiry(now):
-    return now + PERMIT_LIFETIME_SECONDS + EXPIRY_MARGIN_SECONDS
