--- a/tests/model/test_loops.py
+++ b/tests/model/test_loops.py
@@ -31,6 +31,16 @@
     assert isinstance(run_daemon_loop(find_loop()), BootTimeLoop)
 
 
+def test_time_of_a_suspension_has_passed_on_the_loop(machine):
+    async def measure_a_suspension():
+        loop = asyncio.get_running_loop()
+        before = loop.time()
+        machine.suspended_seconds = 61.0
+        return loop.time() - before
+
+    assert run_daemon_loop(measure_a_suspension()) >= 61.0
+
+
 def test_timeout_passes_while_the_machine_is_suspended(machine):
     async def wait_over_a_suspension():
         async with asyncio.timeout(60.0):
