Log each run that is lost with its worker, and what the loss looked like

Change: a run_lost line for each run, sampled by job like run_ended, with the loss as the owner can tell it: restarted, left, gone or silent.

--- a/libs/cell/src/cactustiller/cell/capacity.py
+++ b/libs/cell/src/cactustiller/cell/capacity.py
@@ -9,7 +9,7 @@
 from .desired import Team
 from .events import Event, log_event
 from .runs import RunPhase
-from .workers import CLOCK_DRIFT, Worker, WorkerInfo
+from .workers import CLOCK_DRIFT, Worker, WorkerInfo, WorkerLoss
 
 # Maximum time for which an owner that cannot reach the store keeps renewing leases.
 MAX_OWNER_SECONDS_WITHOUT_STORE = 10.0
@@ -117,21 +117,35 @@
                 and worker.refuses_connections
             )
             if has_left or now > worker.lease_ends_at:
+                loss = WorkerLoss.LEFT if has_left else _classify_silence(worker)
                 log_event(
                     Event.LEASE_EXPIRED,
                     worker=worker.info.worker,
+                    loss=loss.value,
                     runs=len(worker.runs),
                     late_seconds=round(now - worker.lease_ends_at, 3),
                 )
-                self._drop_all_runs(worker)
+                self._drop_all_runs(worker, loss)
 
-    def _drop_all_runs(self, worker):
+    def _drop_all_runs(self, worker, loss):
         """Release all runs of a worker and make their tasks pending again."""
         for key in list(worker.orphaned_runs):
             self._drop_orphaned_run(worker, key)
+        now = self._clock()
         for task, run in list(worker.runs.values()):
             self._remove_run(worker, task)
             if task.run == run and task.phase is not RunPhase.SUCCEEDED:
+                log_event(
+                    Event.RUN_LOST,
+                    job=task.step.job.spec.job,
+                    task=task.name,
+                    run=run,
+                    worker=worker.info.worker,
+                    loss=loss.value,
+                    seconds=round(now - task.started_at, 3)
+                    if task.started_at
+                    else None,
+                )
                 self._requeue(task)
 
     def _end_incarnation(self, worker, born_ms):
@@ -144,7 +158,7 @@
         )
         worker.born_ms = born_ms
         worker.reset_incarnation()
-        self._drop_all_runs(worker)
+        self._drop_all_runs(worker, WorkerLoss.RESTARTED)
 
     def _restore_run(self, task):
         """Count a run that a previous owner stored, for its worker and team."""
@@ -217,3 +231,10 @@
     def _requeue(self, task):
         """Make a task pending again after its run has certainly ended."""
         raise NotImplementedError
+
+
+def _classify_silence(worker):
+    """Return the loss of a worker that has not answered for as long as its lease."""
+    if worker.refuses_connections or not worker.is_listed:
+        return WorkerLoss.GONE
+    return WorkerLoss.SILENT
--- a/libs/cell/src/cactustiller/cell/events.py
+++ b/libs/cell/src/cactustiller/cell/events.py
@@ -39,6 +39,7 @@
     RUN_UNANSWERED = "run_unanswered"
     RUN_ENDED = "run_ended"
     RUN_SETTLED = "run_settled"
+    RUN_LOST = "run_lost"
     RUN_STALLED = "run_stalled"
     RUN_PREEMPTED = "run_preempted"
     RUN_EVACUATED = "run_evacuated"
@@ -66,6 +67,7 @@
         Event.APPROVAL,
         Event.RUN_STARTED,
         Event.RUN_ENDED,
+        Event.RUN_LOST,
         Event.RUN_STOPPED,
         Event.RUN_PACED,
         Event.CALL_REFUSED,
--- a/libs/cell/src/cactustiller/cell/workers.py
+++ b/libs/cell/src/cactustiller/cell/workers.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from enum import Enum
 
 from cactustiller.model import Amounts, ServiceName, WorkerId
 
@@ -12,6 +13,20 @@
 LEASE_MARGIN_SECONDS = 0.3
 
 
+class WorkerLoss(Enum):
+    """How the runs of a worker were lost, as far as the owner can tell.
+
+    The first two are certain: the process that had the runs is gone. `GONE` means that
+    nothing listens at the worker's address, or that its entry has been removed;
+    `SILENT` that the worker is still listed and does not answer.
+    """
+
+    RESTARTED = "restarted"
+    LEFT = "left"
+    GONE = "gone"
+    SILENT = "silent"
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerInfo:
     """Entry of a worker in the list of workers.
