--- a/standins/fleet/audit.py
+++ b/standins/fleet/audit.py
@@ -3,6 +3,11 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+# Crashes of workers under one task after which it may be started again only
+# `MAX_STARTS_AFTER_CRASHES` times.
+CRASHES_BEFORE_LIMIT = 3
+MAX_STARTS_AFTER_CRASHES = 2
+
 
 @dataclass
 class Audit:
@@ -13,12 +18,16 @@
     violations : list of str
     starts : list of (str, int, str)
         Task, run and worker of each start, in order.
+    crashes : dict of str to int
+        Workers that each task has crashed.
     """
 
     violations: list[str] = field(default_factory=list)
     starts: list = field(default_factory=list)
     running: dict = field(default_factory=lambda: defaultdict(set))
     succeeded: set = field(default_factory=set)
+    crashes: dict = field(default_factory=lambda: defaultdict(int))
+    starts_after_crashes: dict = field(default_factory=lambda: defaultdict(int))
 
     def note_start(self, worker, task, run):
         """Note that a worker began a run."""
@@ -26,6 +35,10 @@
             self.violations.append(f"{task} runs twice: {self.running[task]}")
         if task in self.succeeded:
             self.violations.append(f"{task} started again after it was done")
+        if self.crashes[task] >= CRASHES_BEFORE_LIMIT:
+            self.starts_after_crashes[task] += 1
+            if self.starts_after_crashes[task] > MAX_STARTS_AFTER_CRASHES:
+                self.violations.append(f"{task} is started after it crashed workers")
         self.running[task].add((worker, run))
         self.starts.append((task, run, worker))
 
@@ -33,6 +46,10 @@
         """Note that a run is over."""
         self.running[task].discard((worker, run))
 
+    def note_crash(self, task):
+        """Note that a task has crashed the worker that started it."""
+        self.crashes[task] += 1
+
     def note_acknowledged(self, task):
         """Note that a successful end was acknowledged."""
         self.succeeded.add(task)
--- a/standins/fleet/cell.py
+++ b/standins/fleet/cell.py
@@ -22,7 +22,7 @@
 from .audit import Audit
 from .peers import PeerNetwork
 from .store import Store, StoreClient
-from .workers import FleetApprovals, FleetWorker, WorkerClient
+from .workers import FleetApprovals, FleetWorker, WorkerClient, WorkerTrouble
 
 SERVICE = "recon"
 WORKER_TABLE = "workers"
@@ -30,6 +30,10 @@
 CONFIG_KEY = "config"
 CAPACITY = Amounts(32_000, 65_536, 0)
 PEER_PORT = 7000
+# Time after which a crashed worker is replaced, and that after which the entry of a
+# silent one is removed.
+CRASH_DOWN_SECONDS = 3.0
+ENTRY_LIFETIME_SECONDS = 4.5
 
 
 def make_queue(name="urgent", **rules):
@@ -65,6 +69,13 @@
     members, workers : int
     approves : callable
         Step name and worker to whether the worker may run the step.
+
+    Attributes
+    ----------
+    deadly_tasks : set of str
+        Names of the tasks that crash each worker that starts them.
+    keeps_ids : bool
+        A crashed worker comes back under its id, else under a new one.
     """
 
     def __init__(
@@ -77,6 +88,8 @@
         limit=(0, 0, 0),
     ):
         self.audit = Audit()
+        self.deadly_tasks = set()
+        self.keeps_ids = False
         self.store = Store()
         self.network = PeerNetwork()
         self.seconds = {}
@@ -99,7 +112,7 @@
                 ("a", f"r{index % 2}"),
                 born_ms=1,
             )
-            self.workers[info.worker] = FleetWorker(info, self.audit, self._describe)
+            self.workers[info.worker] = self._make_worker(info)
         self.members = {}
         self.stores = {}
         self.worker_clients = {}
@@ -131,6 +144,38 @@
         for worker in self.workers.values():
             await worker.stop()
 
+    def _make_worker(self, info):
+        return FleetWorker(
+            info,
+            self.audit,
+            self._describe,
+            crashes_on=self.deadly_tasks.__contains__,
+            on_crash=self._plan_replacement,
+        )
+
+    def _plan_replacement(self, worker):
+        loop = asyncio.get_running_loop()
+        loop.call_later(CRASH_DOWN_SECONDS, self._replace_worker, worker)
+        if not self.keeps_ids:
+            loop.call_later(
+                ENTRY_LIFETIME_SECONDS, self.remove_entry, worker.info.worker
+            )
+
+    def _replace_worker(self, worker):
+        """Start the process that replaces a crashed worker at its address."""
+        born_ms = int(asyncio.get_running_loop().time() * 1000)
+        if self.keeps_ids:
+            worker.trouble = WorkerTrouble.NONE
+            worker.be_reborn(born_ms)
+            self.list_worker(worker)
+            return
+        worker.trouble = WorkerTrouble.REPLACED
+        worker_id = WorkerId(f"{worker.info.worker}+")
+        info = replace(worker.info, worker=worker_id, born_ms=born_ms)
+        self.workers[worker_id] = self._make_worker(info)
+        self.workers[worker_id].start()
+        self.list_worker(self.workers[worker_id])
+
     def list_worker(self, worker, **changes):
         """Write a worker's entry."""
         self.store.put(self._make_worker_key(worker.info.worker), b"%d" % id(worker))
--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -22,6 +22,8 @@
 STOP_SECONDS = 0.2
 TICK_SECONDS = 0.01
 GANG_SECONDS = 3.0
+# Time from the start of a task that crashes its worker to the crash.
+CRASH_SECONDS = 0.01
 
 
 class WorkerTrouble(Enum):
@@ -32,6 +34,8 @@
     ORDERS_LATE = "ordersLate"
     FAILING = "failing"
     STANDING_STILL = "standingStill"
+    CRASHED = "crashed"
+    REPLACED = "replaced"
 
 
 @dataclass
@@ -55,11 +59,17 @@
     ----------
     describe : callable
         Task name to its amounts and seconds of work.
+    crashes_on : callable
+        Task name to whether the task crashes each worker that starts it.
+    on_crash : callable
+        Called with this worker after its crash.
     """
 
     info: WorkerInfo
     audit: object
     describe: object
+    crashes_on: object = lambda task: False
+    on_crash: object = lambda worker: None
     trouble: WorkerTrouble = WorkerTrouble.NONE
     late_seconds: float = 3.0
     # Tail latency in milliseconds of the serving runs, from the runs at work here.
@@ -98,6 +108,18 @@
         self.fence = self.ends_count = 0
         self.lease_until = 0.0
 
+    def crash(self, cause=None):
+        """Lose everything and refuse connections; `cause` is the task at fault."""
+        if self.trouble is WorkerTrouble.CRASHED:
+            return
+        if cause is not None:
+            self.audit.note_crash(cause)
+        self.be_reborn(self.info.born_ms)
+        self.trouble = WorkerTrouble.CRASHED
+        self.changed.set()
+        self.changed = asyncio.Event()
+        self.on_crash(self)
+
     def take_start(self, order):
         """Carry out a start."""
         now = asyncio.get_running_loop().time()
@@ -122,6 +144,9 @@
         ]
         if min(free) < 0:
             self.audit.note_overload(self.info.worker, free)
+        if self.crashes_on(order.task):
+            loop = asyncio.get_running_loop()
+            loop.call_later(CRASH_SECONDS, self.crash, order.task)
         return StartAnswer.STARTED
 
     def take_stop(self, task, run, fence):
@@ -212,6 +237,10 @@
         found = self._workers[worker.worker]
         if await self._lose(found, lambda: found.take_start(order)):
             return StartAnswer.UNANSWERED
+        if found.trouble is WorkerTrouble.CRASHED:
+            return StartAnswer.UNHEALTHY
+        if found.trouble is WorkerTrouble.REPLACED:
+            return StartAnswer.OTHER_INCARNATION
         return found.take_start(order)
 
     async def stop(self, worker, task, run, fence):
@@ -219,6 +248,8 @@
         found = self._workers[worker.worker]
         if await self._lose(found, lambda: found.take_stop(task, run, fence)):
             return _fail(ErrorCode.TIMEOUT, "no answer")
+        if found.trouble in ABSENT_FAILURES:
+            return _fail(*ABSENT_FAILURES[found.trouble])
         found.take_stop(task, run, fence)
         return Ok(None)
 
@@ -227,6 +258,8 @@
         found = self._workers[worker.worker]
         if await self._lose(found, lambda: found.take_pace(task, run, percent, fence)):
             return _fail(ErrorCode.TIMEOUT, "no answer")
+        if found.trouble in ABSENT_FAILURES:
+            return _fail(*ABSENT_FAILURES[found.trouble])
         if not found.take_pace(task, run, percent, fence):
             return _fail(ErrorCode.FENCED, "a lower fence")
         return Ok(None)
@@ -236,6 +269,8 @@
         found = self._workers[worker.worker]
         if await self._lose(found, None):
             return _fail(ErrorCode.TIMEOUT, "no answer")
+        if found.trouble in ABSENT_FAILURES:
+            return _fail(*ABSENT_FAILURES[found.trouble])
         listing = found.take_hold(fence, acked_through, deadline_ms)
         if listing is None:
             return _fail(ErrorCode.FENCED, "a lower fence")
@@ -245,6 +280,8 @@
                     await found.changed.wait()
             except TimeoutError:
                 pass
+            if found.trouble is WorkerTrouble.CRASHED:
+                return _fail(ErrorCode.UNAVAILABLE, "server disconnected")
             listing = found.list_runs()
         return Ok(listing)
 
@@ -297,13 +334,28 @@
         return Ok(Approval(tickets, self._valid_seconds))
 
 
-def _fail(code, reason):
+def _fail(code, reason, outcome=Outcome.UNKNOWN):
     return Err(
         Failure(
             code=code,
             step="call worker",
             peer="worker",
             reason=reason,
-            outcome=Outcome.UNKNOWN,
+            outcome=outcome,
         )
     )
+
+
+# Failures of calls to a worker that is not there, by its trouble.
+ABSENT_FAILURES = {
+    WorkerTrouble.CRASHED: (
+        ErrorCode.UNAVAILABLE,
+        "connection refused",
+        Outcome.NOT_RUN,
+    ),
+    WorkerTrouble.REPLACED: (
+        ErrorCode.PROTOCOL,
+        "status 421",
+        Outcome.NOT_RUN,
+    ),
+}
