Ask for approval of workers that replaced those asked for

Cause: a step asked for more approvals only while it had asked for fewer workers than the cell has. A crashed worker comes back under another id, so a step that had asked for all 24 of the cell, and whose approved ones were gone, counted as answered. A worker that restarts under its id kept its old answer, although its next incarnation may be of another kind.

Change: the ids of the current workers are compared with those asked for, and a restart forgets the answers about the worker.

--- a/libs/cell/src/cactustiller/cell/capacity.py
+++ b/libs/cell/src/cactustiller/cell/capacity.py
@@ -158,6 +158,9 @@
         )
         worker.born_ms = born_ms
         worker.reset_incarnation()
+        for job in self.jobs.values():
+            for step in job.iterate_steps():
+                step.forget_approval(worker.info.worker)
         self._drop_all_runs(worker, WorkerLoss.RESTARTED)
 
     def _restore_run(self, task):
--- a/libs/cell/src/cactustiller/cell/placement_round.py
+++ b/libs/cell/src/cactustiller/cell/placement_round.py
@@ -67,6 +67,7 @@
         self._add_team_usage = add_team_usage
         self._previous_reservations = {}
         self._ends = None
+        self._workers_by_id = None
         for worker in workers:
             if worker.reserved_for is not None:
                 reserved = self._previous_reservations.setdefault(
@@ -114,16 +115,20 @@
     def request_more_approvals(self, step, rules):
         """Request approval of more workers for a step that fits on no approved one.
 
-        In a large cell one approval call covers only some of the workers.
+        In a large cell one approval call covers only some of the workers, and workers
+        that were asked for may have been replaced since.
         """
-        if not rules.needs_approval or len(step.asked_workers) >= len(self.workers):
+        if not rules.needs_approval:
             return
-        amounts = step.spec.counted
+        if self._workers_by_id is None:
+            self._workers_by_id = {
+                worker.info.worker: worker for worker in self.workers
+            }
+        unasked = self._workers_by_id.keys() - step.asked_workers
         if any(
-            worker.info.worker not in step.asked_workers
-            and worker.info.service == rules.service
-            and worker.count_fits(amounts, 1)
-            for worker in self.free.iterate_fitting(amounts[0])
+            self._workers_by_id[worker_id].info.service == rules.service
+            and self._workers_by_id[worker_id].count_fits(step.spec.counted, 1)
+            for worker_id in unasked
         ):
             self.steps_needing_approval.append(step)
 
--- a/libs/cell/src/cactustiller/cell/runs.py
+++ b/libs/cell/src/cactustiller/cell/runs.py
@@ -156,6 +156,13 @@
         """Whether all tasks have succeeded."""
         return self.succeeded_count == self.spec.count
 
+    def forget_approval(self, worker):
+        """Forget what was answered for a worker, whose next incarnation may differ."""
+        self.asked_workers.discard(worker)
+        self.approved_until.pop(worker, None)
+        if self.approved is not None:
+            self.approved.pop(worker, None)
+
 
 @dataclass(slots=True, eq=False)
 class JobRun:
--- a/tests/cell/test_approvals.py
+++ b/tests/cell/test_approvals.py
@@ -6,6 +6,7 @@
 
 from cactustiller.cell.approvals import MAX_WORKERS_PER_CALL, ApprovalDispatcher
 from cactustiller.cell.engine import Engine
+from cactustiller.cell.listings import Listing
 from cactustiller.cell.placement import place_steps
 from cactustiller.cell.runs import JobRun
 from standins.fleet import FleetCell, make_job, make_queue
@@ -86,6 +87,28 @@
     assert current.placements == []
 
 
+@pytest.mark.parametrize("is_gang", [True, False])
+def test_a_step_requests_approval_of_workers_that_replaced_others(is_gang):
+    # As many workers were asked for as the cell has, and all of them are gone.
+    step = JobRun(make_job(1, QUEUE, is_gang=is_gang)).open_occurrence(0)[0]
+    step.approved, step.asked_workers = {"w0": "ticket"}, {"w0", "w1"}
+    step.approved_until = {"w0": 1000.0}
+    current = make_round([make_worker("w2"), make_worker("w3")])
+    place_steps(current, [(make_key(step), step, QUEUE.rules)])
+    assert current.steps_needing_approval == [step]
+
+
+def test_a_restarted_worker_is_asked_for_again():
+    # Its next incarnation may be of another kind, and its tickets are void.
+    worker = make_worker("w0")
+    worker.born_ms = 1
+    dispatcher, _, (step,) = make_dispatcher([worker], 1)
+    step.approved, step.asked_workers = {}, {"w0"}
+    assert dispatcher._choose_workers(step) == []
+    dispatcher._engine.apply_listing(worker, Listing(0, 2, (), ()), 100.0, 100.0)
+    assert dispatcher._choose_workers(step) == ["w0"]
+
+
 def test_expired_tickets_are_not_used():
     old, new = make_worker("w0"), make_worker("w1")
     step = JobRun(make_job(1, QUEUE, count=2)).open_occurrence(0)[0]
