--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -16,8 +16,9 @@
 from .pacing import FULL_PERCENT
 from .placement import place_steps
 from .placement_round import Placement, PlacementRound
+from .progress import decode_progress, encode_progress
 from .run_control import RunControl
-from .runs import JobRun, RunPhase, decode_progress, encode_progress
+from .runs import JobRun, RunPhase
 from .shares import ShareMeter
 
 # A placement that is older than this when its batch is stored is discarded, and its
--- a/libs/cell/src/cactustiller/cell/intake.py
+++ b/libs/cell/src/cactustiller/cell/intake.py
@@ -30,7 +30,7 @@
     make_job_key,
     split_job_key,
 )
-from .runs import decode_state
+from .progress import decode_state
 from .specs import encode_job
 
 # A longer call to the store would leave no time for a second try.
--- a/tests/cell/test_engine.py
+++ b/tests/cell/test_engine.py
@@ -2,7 +2,8 @@
 
 from cactustiller.cell import ListedEnd, Listing, RunEnd
 from cactustiller.cell.engine import Engine
-from cactustiller.cell.runs import JobRun, RunPhase, encode_progress
+from cactustiller.cell.progress import encode_progress
+from cactustiller.cell.runs import JobRun, RunPhase
 from cactustiller.cell.workers import WorkerInfo
 from cactustiller.model import Amounts, WorkerId
 from standins.fleet import make_job
--- a/tests/cell/test_rows.py
+++ b/tests/cell/test_rows.py
@@ -8,13 +8,8 @@
 
 from cactustiller.cell.engine import Engine
 from cactustiller.cell.loading import JobLoader
-from cactustiller.cell.runs import (
-    JobRun,
-    RunPhase,
-    decode_progress,
-    decode_state,
-    encode_progress,
-)
+from cactustiller.cell.progress import decode_progress, decode_state, encode_progress
+from cactustiller.cell.runs import JobRun, RunPhase
 from cactustiller.cell.specs import (
     JobSpec,
     QueueRules,
