Give up jobs whose tasks crash the workers that start them

Cause: a run that is lost with its worker was made pending again like one whose lease expired behind a cut, without limit, and started beside the same runs. Nothing told a crash from a cut, and nothing told the task that caused it from those beside it. The class: a retry without a limit and without a look at what the last try did to its server.

Change: crashes are charged to the runs (crashes.py), counted in the progress row before the next start, also across a takeover; suspects start one at a time for each step, and nothing starts beside them for 0.5 s (suspect_placement.py), so the next crash has one cause. Given up at the second crash of its own or the fourth of any cause. An answer of another process at the address (421) ends the wait for the lease at once.

Why it works: of runs started within 0.5 s only one can be the cause; an innocent suspect is cleared by the first report past its probation.

--- a/libs/cell/src/cactustiller/cell/capacity.py
+++ b/libs/cell/src/cactustiller/cell/capacity.py
@@ -6,6 +6,7 @@
 
 from cactustiller.model import Amounts
 
+from .crashes import charge_crash, is_crash
 from .desired import Team
 from .events import Event, log_event
 from .runs import RunPhase
@@ -17,6 +18,8 @@
 # 3 s) and is short enough that the tasks of a lost worker can run elsewhere within
 # their objectives.
 LEASE_SECONDS = 6.0
+# Suspects named in the log line of a crash.
+MAX_LOGGED_TASKS = 10
 # Time after which every lease of a previous owner has expired, clock drift included.
 PREVIOUS_OWNER_LEASE_SECONDS = MAX_OWNER_SECONDS_WITHOUT_STORE + LEASE_SECONDS * (
     1 + 2 * CLOCK_DRIFT
@@ -41,6 +44,8 @@
         self._clock = clock
         self._used = {}
         self._runs_of_unknown_workers = {}
+        # Tasks that may have crashed their workers; includes some that are cleared.
+        self._suspects = set()
 
     def update_workers(self, infos):
         """Apply the list of workers: add, update and remove workers.
@@ -131,8 +136,21 @@
         """Release all runs of a worker and make their tasks pending again."""
         for key in list(worker.orphaned_runs):
             self._drop_orphaned_run(worker, key)
+        self._drop_runs(worker, list(worker.runs.values()), loss)
+
+    def _drop_runs(self, worker, runs, loss):
+        """Release some runs of a worker and make their tasks pending again.
+
+        `runs` are pairs of a task and a run number.
+        """
         now = self._clock()
-        for task, run in list(worker.runs.values()):
+        lost = [
+            task
+            for task, run in runs
+            if task.run == run and task.phase is not RunPhase.SUCCEEDED
+        ]
+        failed_jobs = self._charge_loss(worker, lost, loss)
+        for task, run in runs:
             self._remove_run(worker, task)
             if task.run == run and task.phase is not RunPhase.SUCCEEDED:
                 log_event(
@@ -147,6 +165,28 @@
                     else None,
                 )
                 self._requeue(task)
+        for job in failed_jobs:
+            self._give_up(job)
+
+    def _charge_loss(self, worker, tasks, loss):
+        """Charge a crash of a worker to the tasks; return the jobs to give up."""
+        if not tasks or not is_crash(worker, loss):
+            return []
+        report = charge_crash(worker, tasks)
+        self._suspects.update(report.suspects)
+        log_event(
+            Event.WORKER_CRASHED,
+            worker=worker.info.worker,
+            loss=loss.value,
+            runs=len(tasks),
+            suspects=[task.name for task in report.suspects][:MAX_LOGGED_TASKS],
+            culprit=report.culprit.name if report.culprit else None,
+        )
+        return report.failed_jobs
+
+    def _give_up(self, job):
+        """Fail a job with a task that crashes its workers."""
+        raise NotImplementedError
 
     def _end_incarnation(self, worker, born_ms):
         """Handle a worker's restart, which ended all its runs."""
@@ -163,6 +203,25 @@
                 step.forget_approval(worker.info.worker)
         self._drop_all_runs(worker, WorkerLoss.RESTARTED)
 
+    def end_replaced_worker(self, worker):
+        """Release the runs of a worker whose process has been replaced by another."""
+        if worker.runs or worker.orphaned_runs:
+            log_event(
+                Event.WORKER_RESTARTED,
+                worker=worker.info.worker,
+                runs=len(worker.runs),
+            )
+            self._drop_all_runs(worker, WorkerLoss.RESTARTED)
+
+    def _find_isolated_workers(self):
+        """Return the ids of the workers on which a suspect is on probation."""
+        self._suspects = {
+            task
+            for task in self._suspects
+            if task in task.step.suspects and not task.step.job.state.is_final
+        }
+        return {task.worker for task in self._suspects if task.is_isolated}
+
     def _restore_run(self, task):
         """Count a run that a previous owner stored, for its worker and team."""
         worker = self.workers.get(task.worker)
--- a/libs/cell/src/cactustiller/cell/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/dispatch.py
@@ -11,6 +11,7 @@
 from cactustiller.model import ErrorCode, Outcome
 
 from .capacity import LEASE_SECONDS
+from .crashes import PROBATION_SECONDS
 from .events import Event, log_event
 from .metrics import Count, Latency
 from .polling import choose_wait_ms
@@ -145,6 +146,9 @@
     def _mark_unreachable(self, worker, failure):
         if worker.is_reachable:
             worker.is_reachable = False
+            if failure.code is ErrorCode.UNAVAILABLE:
+                # A connection breaks at the moment of a crash.
+                worker.alive_at = asyncio.get_running_loop().time()
             log_event(
                 Event.WORKER_LOST,
                 worker=worker.info.worker,
@@ -152,6 +156,8 @@
                 reason=failure.reason,
                 runs=len(worker.runs),
             )
+        if failure.code is ErrorCode.REPLACED:
+            self._engine.end_replaced_worker(worker)
         # The connection was refused: no process listens at the worker's address.
         worker.refuses_connections = (
             failure.code is ErrorCode.UNAVAILABLE and failure.outcome is Outcome.NOT_RUN
@@ -215,6 +221,8 @@
                 ticket_left=round(self._find_ticket_left(placement, sent_at), 3),
             )
             self._engine.confirm_start(task, run, now)
+            if task.is_isolated:
+                self._start_task(self._check_after_probation(worker))
             priority = self._engine.find_rules(step.job).priority
             self._metrics.record(
                 Latency.START_WAIT, sent_at - step.eligible_at, str(priority)
@@ -290,6 +298,11 @@
         if answer.is_ok():
             self._engine.confirm_pace(order)
 
+    async def _check_after_probation(self, worker):
+        """Fetch the listing that shows whether a suspect has crashed its worker."""
+        await asyncio.sleep(PROBATION_SECONDS)
+        await self._fetch_listing(worker)
+
     async def _fetch_listing(self, worker):
         """Fetch a worker's listing by a second call while its hold call is waiting.
 
--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -94,6 +94,7 @@
         if spec.repeat_count:
             self._recurring_jobs.add(spec.job)
         for step in job.iterate_steps():
+            self._suspects |= step.suspects
             for task in step.tasks:
                 if task.holds_capacity:
                     self._restore_run(task)
@@ -170,8 +171,11 @@
         """
         now, now_ms = self._clock(), self._wall_clock_ms()
         self._open_due_occurrences(now_ms)
+        isolated = self._find_isolated_workers() if self._suspects else ()
         schedulable = [
-            worker for worker in self.workers.values() if worker.is_schedulable(now)
+            worker
+            for worker in self.workers.values()
+            if worker.is_schedulable(now) and worker.info.worker not in isolated
         ]
         ordered = self._compute_order_keys(self._eligible, now_ms)
         ordered.sort(key=lambda entry: entry[0])
@@ -181,6 +185,7 @@
             self._count_team_fits,
             self._add_team_usage,
             wall_now=now_ms / 1000,
+            isolated_count=len(isolated),
         )
         place_steps(current_round, ordered)
         for placement in current_round.placements:
@@ -261,6 +266,9 @@
         task.run = run
         task.phase = RunPhase.ASSIGNED
         task.worker = worker.info.worker
+        task.incarnation = worker.born_ms
+        task.start_sent_at = 0.0
+        worker.last_placement_at = self._clock()
         task.ticket = ticket
         task.is_start_sent = task.is_stopping = task.is_start_unanswered = False
         task.started_at = task.stop_acked_at = 0.0
@@ -340,6 +348,7 @@
                 self.reject_start(worker, task, task.run, 0.0)
                 continue
             task.is_start_sent = True
+            task.start_sent_at = now
             starts.append(placement)
         return starts
 
--- a/libs/cell/src/cactustiller/cell/events.py
+++ b/libs/cell/src/cactustiller/cell/events.py
@@ -49,6 +49,7 @@
     WORKER_RECOVERED = "worker_back"
     WORKER_RESTARTED = "worker_reborn"
     WORKER_AVOIDED = "worker_avoided"
+    WORKER_CRASHED = "worker_crashed"
     LEASE_EXPIRED = "lease_lapsed"
     ENTRY_UNREADABLE = "entry_unreadable"
     CALL_REFUSED = "call_refused"
--- a/libs/cell/src/cactustiller/cell/free_capacity.py
+++ b/libs/cell/src/cactustiller/cell/free_capacity.py
@@ -32,9 +32,13 @@
         for _, _, worker in self._entries[first:]:
             yield worker
 
+    def remove(self, worker):
+        """Remove a worker from the index."""
+        del self._entries[bisect_left(self._entries, _make_entry(worker))]
+
     def take(self, worker, amounts):
         """Take capacity of a worker and update its position."""
-        del self._entries[bisect_left(self._entries, _make_entry(worker))]
+        self.remove(worker)
         worker.take_capacity(amounts)
         insort(self._entries, _make_entry(worker))
 
--- a/libs/cell/src/cactustiller/cell/gang_placement.py
+++ b/libs/cell/src/cactustiller/cell/gang_placement.py
@@ -6,9 +6,11 @@
 """
 
 from collections import Counter
+from itertools import islice
 
 from .ordering import IN_TIME, LATE_URGENT, URGENT
 from .placement_round import cap_per_worker, has_valid_ticket, is_candidate
+from .suspect_placement import may_isolate
 
 # No further gang reserves workers once this fraction of them is reserved; a larger
 # fraction leaves too much capacity idle.
@@ -47,8 +49,11 @@
         return
     tasks = iter(step.tasks)
     for worker, count in chosen:
-        for _ in range(count):
-            current_round.assign(next(tasks), worker)
+        placed = list(islice(tasks, count))
+        for task in placed:
+            current_round.assign(task, worker)
+        if not step.suspects.isdisjoint(placed):
+            current_round.isolate(worker)
 
 
 def _choose_workers(current_round, step, rules, may_use_reserved):
@@ -60,6 +65,8 @@
             continue
         if not is_candidate(step, rules, worker):
             continue
+        if step.suspects and not may_isolate(current_round, step, worker):
+            continue
         max_count = cap_per_worker(step, counts, worker, step.spec.count)
         fit_count = worker.count_fits(step.spec.counted, max_count)
         if fit_count:
--- a/libs/cell/src/cactustiller/cell/placement.py
+++ b/libs/cell/src/cactustiller/cell/placement.py
@@ -9,12 +9,16 @@
 which steps may preempt again; the engine applies the outcome to the tasks.
 """
 
-from collections import Counter
-
 from .gang_placement import URGENT_BANDS, place_gang
 from .ordering import IN_TIME, URGENT
-from .placement_round import cap_per_worker, has_valid_ticket, is_candidate
+from .placement_round import (
+    cap_per_worker,
+    count_tasks_by_worker,
+    has_valid_ticket,
+    is_candidate,
+)
 from .runs import RunPhase
+from .suspect_placement import place_suspect
 
 # Bands whose steps are considered even if no worker has enough free capacity for one
 # task, since workers may be reserved or runs preempted for them.
@@ -56,6 +60,8 @@
     if wanted <= 0:
         return
     may_use_reserved = key.band in URGENT_BANDS or step.spec.fills
+    if step.suspects and place_suspect(current_round, step, rules, may_use_reserved):
+        return
     fits = _find_fits(current_round, step, rules, wanted, may_use_reserved)
     if not fits:
         if key.band == URGENT:
@@ -84,9 +90,7 @@
     Stops once the best workers found, which come first in the order, suffice.
     """
     amounts = step.spec.counted
-    counts = Counter()
-    if step.spec.max_per_worker:
-        counts.update(task.worker for task in step.tasks if task.holds_capacity)
+    counts = count_tasks_by_worker(step)
     fits = []
     missing = wanted
     for worker in current_round.free.iterate_fitting(amounts[0]):
--- a/libs/cell/src/cactustiller/cell/placement_round.py
+++ b/libs/cell/src/cactustiller/cell/placement_round.py
@@ -1,5 +1,6 @@
 """Input, intermediate state and outcome of one scheduling round; no I/O."""
 
+from collections import Counter
 from typing import NamedTuple
 
 from .free_capacity import FreeCapacity
@@ -40,6 +41,8 @@
         Adds ``(team, amounts)`` to the team's usage.
     wall_now : float
         Unix time in seconds.
+    isolated_count : int
+        Number of workers on which a suspect is on probation; not in `workers`.
 
     Attributes
     ----------
@@ -52,9 +55,19 @@
         Runs to stop in favour of urgent steps and critical gangs.
     reserved_count : int
         Number of workers reserved for gangs that do not fit yet.
+    used_workers : set of WorkerId
+        Workers with a placement in this round.
     """
 
-    def __init__(self, now, workers, count_team_fits, add_team_usage, wall_now=0.0):
+    def __init__(
+        self,
+        now,
+        workers,
+        count_team_fits,
+        add_team_usage,
+        wall_now=0.0,
+        isolated_count=0,
+    ):
         self.now = now
         self.wall_now = wall_now
         self.workers = workers
@@ -64,6 +77,9 @@
         self.free = FreeCapacity(workers)
         self.preemption = PreemptionSearch(now)
         self.reserved_count = 0
+        self.isolated_count = isolated_count
+        self.worker_count = len(workers) + isolated_count
+        self.used_workers = set()
         self._add_team_usage = add_team_usage
         self._previous_reservations = {}
         self._ends = None
@@ -111,6 +127,12 @@
         self.free.take(worker, step.spec.counted)
         self._add_team_usage(step.job.spec.team, step.spec.amounts)
         self.placements.append(Placement(task, worker, ticket, self.now))
+        self.used_workers.add(worker.info.worker)
+
+    def isolate(self, worker):
+        """Place nothing else on a worker in this round."""
+        self.free.remove(worker)
+        self.isolated_count += 1
 
     def request_more_approvals(self, step, rules):
         """Request approval of more workers for a step that fits on no approved one.
@@ -165,6 +187,14 @@
     )
 
 
+def count_tasks_by_worker(step):
+    """Return the tasks of a step by worker, if their number there is limited."""
+    counts = Counter()
+    if step.spec.max_per_worker:
+        counts.update(task.worker for task in step.tasks if task.holds_capacity)
+    return counts
+
+
 def cap_per_worker(step, counts, worker, max_count):
     """Return `max_count` lowered to the step's limit per worker."""
     if step.spec.max_per_worker:
--- a/libs/cell/src/cactustiller/cell/progress.py
+++ b/libs/cell/src/cactustiller/cell/progress.py
@@ -6,6 +6,8 @@
 
 from .runs import JobRun, RunPhase
 
+# Rows of earlier releases, and of jobs that need no more, end after these fields.
+FIELDS_WITHOUT_CRASHES = 5
 # Progress rows hold the position of the state in this tuple.
 _STATES = (
     JobState.WAITING,
@@ -27,8 +29,39 @@
         [number, [[step.last_failed_run, _encode_tasks(step)] for step in steps]]
         for number, steps in job.occurrences.items()
     ]
-    fields = [_STATES.index(job.state), job.ended_ms, job.finished_occurrences]
-    return orjson.dumps([*fields, int(job.has_started), occurrences])
+    fields = [
+        _STATES.index(job.state),
+        job.ended_ms,
+        job.finished_occurrences,
+        int(job.has_started),
+        occurrences,
+    ]
+    crashes, incarnations = _encode_crashes(job), _encode_incarnations(job)
+    if crashes or incarnations:
+        # Earlier releases ignore these fields.
+        fields += [crashes, incarnations]
+    return orjson.dumps(fields)
+
+
+def _encode_crashes(job):
+    """Encode the tasks that met crashes as position and counts."""
+    return [
+        [number, position, task.index, task.crashes, task.start_crashes]
+        for number, steps in job.occurrences.items()
+        for position, step in enumerate(steps)
+        for task in step.tasks
+        if task.crashes and task.phase is not RunPhase.SUCCEEDED
+    ]
+
+
+def _encode_incarnations(job):
+    """Encode the start of each worker process that may have runs of the job."""
+    return {
+        task.worker: task.incarnation
+        for step in job.iterate_steps()
+        for task in step.tasks
+        if task.holds_capacity and task.incarnation
+    }
 
 
 def _encode_tasks(step):
@@ -69,11 +102,24 @@
         job.has_started = bool(fields[3])
         for number, steps in fields[4]:
             _decode_steps(job.open_occurrence(number), steps)
+        if len(fields) > FIELDS_WITHOUT_CRASHES:
+            _decode_crashes(job, *fields[FIELDS_WITHOUT_CRASHES:])
         return job
-    except (TypeError, ValueError, IndexError) as error:
+    except (TypeError, ValueError, LookupError, AttributeError) as error:
         raise ValueError(f"invalid progress of job {spec.job}: {error}") from error
 
 
+def _decode_crashes(job, crashes, incarnations):
+    for number, position, index, count, start_count in crashes:
+        task = job.occurrences[number][position].tasks[index]
+        task.crashes, task.start_crashes = count, start_count
+        if start_count:
+            task.step.suspects.add(task)
+    for step in job.iterate_steps():
+        for task in step.tasks:
+            task.incarnation = incarnations.get(task.worker, 0)
+
+
 def _decode_steps(steps, rows):
     for step, (last_failed_run, tasks) in zip(steps, rows, strict=True):
         step.last_failed_run = last_failed_run
--- a/libs/cell/src/cactustiller/cell/run_tracking.py
+++ b/libs/cell/src/cactustiller/cell/run_tracking.py
@@ -3,10 +3,12 @@
 from cactustiller.model import JobState, WorkerId
 
 from .capacity import LEASE_SECONDS, CapacityTracker
+from .crashes import prove_run
 from .desired import DesiredState
 from .events import Event, log_event
 from .health import record_failure, record_success
 from .runs import RunEnd, RunPhase
+from .workers import WorkerLoss
 
 
 class RunTracker(CapacityTracker):
@@ -54,7 +56,10 @@
             self._end_incarnation(worker, listing.born_ms)
         elif listing.born_ms and listing.born_ms < worker.born_ms:
             return
+        if not worker.born_ms:
+            self._drop_runs_of_earlier_incarnations(worker, listing.born_ms)
         worker.born_ms = listing.born_ms
+        worker.alive_at = max(worker.alive_at, received_at)
         worker.update_clock_offset(listing.clock_ms, received_at)
         worker.listed_at = max(worker.listed_at, sent_at)
         for end in listing.ended:
@@ -64,7 +69,7 @@
         listed = {run.task: run for run in listing.active}
         self._update_orphaned_runs(worker, listing.active)
         for run in listing.active:
-            self._apply_listed_run(worker, run, received_at)
+            self._apply_listed_run(worker, run, sent_at, received_at)
         for name, (task, run) in list(worker.runs.items()):
             if name not in listed or listed[name].run < run:
                 self._check_missing(worker, task, sent_at)
@@ -115,6 +120,7 @@
             if member.phase is not RunPhase.SUCCEEDED:
                 member.phase = RunPhase.SUCCEEDED
                 step.succeeded_count += 1
+                step.suspects.discard(member)
         job = step.job
         job.close_finished()
         if job.is_complete():
@@ -132,11 +138,14 @@
             for member in step.tasks:
                 member.failures += 1
         limit = self.find_rules(step.job).max_attempts
+        self._requeue(task)
         if task.failures >= limit and not step.spec.is_service:
-            self._requeue(task)
-            self._finish(step.job, JobState.FAILED)
-        else:
-            self._requeue(task)
+            self._finish(step.job, JobState.FAILED, "attempts used up")
+
+    def _give_up(self, job):
+        """Fail a job with a task that crashes its workers."""
+        if not job.state.is_final:
+            self._finish(job, JobState.FAILED, "crashed its workers")
 
     def _requeue(self, task):
         """Make a task pending again after its run has certainly ended.
@@ -156,7 +165,17 @@
                 member.is_stopping = member.holds_capacity
         self._update_eligible(step.job)
 
-    def _apply_listed_run(self, worker, listed, now):
+    def _drop_runs_of_earlier_incarnations(self, worker, born_ms):
+        """Release the runs that a previous owner placed before the worker restarted."""
+        runs = [
+            (task, run)
+            for task, run in worker.runs.values()
+            if task.run == run and 0 < task.incarnation < born_ms
+        ]
+        if runs:
+            self._drop_runs(worker, runs, WorkerLoss.RESTARTED)
+
+    def _apply_listed_run(self, worker, listed, sent_at, now):
         """Update a task from the report of its active run."""
         tracked = worker.runs.get(listed.task)
         if tracked is None or tracked[1] != listed.run:
@@ -168,6 +187,8 @@
             task.phase = RunPhase.RUNNING
             task.started_at = task.started_at or now
             self._mark_started(task.step.job)
+        if task in task.step.suspects:
+            prove_run(task, sent_at)
         target_ms = task.step.spec.latency_target_ms
         if target_ms:
             task.latency_ratio = listed.load / target_ms
@@ -241,12 +262,12 @@
                 step.eligible_at = self._clock()
                 self._eligible[step] = True
 
-    def _finish(self, job, state):
+    def _finish(self, job, state, reason=None):
         """Set the final state of a job and mark its active runs to be stopped."""
         job.state = state
         job.ended_ms = int(self._wall_clock_ms())
         self._dirty.add(job.spec.job)
-        log_event(Event.JOB_ENDED, job=job.spec.job, state=state.value)
+        log_event(Event.JOB_ENDED, job=job.spec.job, state=state.value, reason=reason)
         for step in job.iterate_steps():
             self._eligible.pop(step, None)
             for task in step.tasks:
--- a/libs/cell/src/cactustiller/cell/runs.py
+++ b/libs/cell/src/cactustiller/cell/runs.py
@@ -50,8 +50,16 @@
         Worker where the latest run may be; empty if it is certainly on none.
     checkpoint : str
         Latest checkpoint reported, from which the next run resumes.
+    incarnation : int
+        Start of the worker process that the latest run was placed on, in Unix
+        milliseconds; 0 if unknown.
+    crashes, start_crashes : int
+        Workers that crashed while they had a run of the task, and those of them that
+        crashed shortly after its start.
     is_start_sent : bool
         The start was sent and may be unanswered.
+    start_sent_at : float
+        When the start was sent; 0 if a previous owner sent it.
     is_start_unanswered : bool
         The start got no answer, so it may still be carried out.
     is_stopping : bool
@@ -81,7 +89,11 @@
     failures: int = 0
     worker: WorkerId = WorkerId("")
     checkpoint: str = ""
+    incarnation: int = 0
+    crashes: int = 0
+    start_crashes: int = 0
     is_start_sent: bool = False
+    start_sent_at: float = 0.0
     is_start_unanswered: bool = False
     is_stopping: bool = False
     stop_acked_at: float = 0.0
@@ -98,6 +110,11 @@
         """Whether a run may use capacity on a worker."""
         return self.phase in (RunPhase.ASSIGNED, RunPhase.RUNNING)
 
+    @property
+    def is_isolated(self):
+        """Whether nothing else is started on the worker of the run for now."""
+        return self.holds_capacity and self in self.step.suspects
+
 
 @dataclass(slots=True, eq=False)
 class StepRun:
@@ -125,6 +142,8 @@
         Workers on which a run of the step failed or stalled; others are preferred.
     next_preemption_at : float
         Event loop time before which no other runs are preempted for the step.
+    suspects : set of TaskRun
+        Tasks that may have crashed their workers and are started apart.
     """
 
     job: "JobRun"
@@ -143,6 +162,7 @@
     retry_at: float = 0.0
     failed_on: set = field(default_factory=set)
     next_preemption_at: float = 0.0
+    suspects: set = field(default_factory=set)
 
     @property
     def name(self):
--- a/libs/cell/src/cactustiller/cell/workers.py
+++ b/libs/cell/src/cactustiller/cell/workers.py
@@ -83,6 +83,10 @@
         Time by which every lease granted so far has certainly expired.
     listed_at : float
         When the call was sent whose answer last reported the runs.
+    alive_at : float
+        Latest time at which the worker was certainly alive.
+    last_placement_at : float
+        When a run was last placed on the worker.
     draining_since : float
         Time from which the announced remaining time counts.
     refuses_connections : bool
@@ -114,6 +118,8 @@
     clock_offset: float | None = None
     lease_ends_at: float = 0.0
     listed_at: float = 0.0
+    alive_at: float = 0.0
+    last_placement_at: float = 0.0
     draining_since: float = 0.0
     refuses_connections: bool = False
     avoided_until: float = 0.0
--- a/libs/model/src/cactustiller/model/states.py
+++ b/libs/model/src/cactustiller/model/states.py
@@ -114,3 +114,4 @@
     NEVER_RUNNABLE = "neverRunnable"
     UPSTREAM = "upstream"
     HISTORY_LOST = "historyLost"
+    REPLACED = "replaced"
--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -354,8 +354,8 @@
         Outcome.NOT_RUN,
     ),
     WorkerTrouble.REPLACED: (
-        ErrorCode.PROTOCOL,
-        "status 421",
+        ErrorCode.REPLACED,
+        "another process listens at the address",
         Outcome.NOT_RUN,
     ),
 }
--- a/tests/fleet/test_client.py
+++ b/tests/fleet/test_client.py
@@ -141,11 +141,15 @@
     assert headers["X-Expect-Instance"] == "i-1"
 
 
-async def test_fenced_hold_has_its_own_code():
-    async with Peer(409, {"Reason": "fence"}) as peer:
+@pytest.mark.parametrize(
+    ("status", "content", "code"),
+    [(409, {"Reason": "fence"}, ErrorCode.FENCED), (421, {}, ErrorCode.REPLACED)],
+)
+async def test_refused_hold_has_its_own_code(status, content, code):
+    async with Peer(status, content) as peer:
         calls = HttpWorkerCalls()
         worker = WorkerInfo("i-1", peer.address, "recon", "z", Amounts())
         answer = await calls.hold(worker, 3, 7, 9000, 0)
         await calls.close()
-    assert answer.unwrap_err().code is ErrorCode.FENCED
+    assert answer.unwrap_err().code is code
     assert peer.requests[0][2]["AckedThrough"] == 7
