Use a restarted worker only by the entry of its new process

And a worker whose time of day was set back between two starts was ignored until its lease expired.

Cause: a report of the new process made the worker schedulable although the entry was that of the process before; restarts were told by a later start time only.

Change: placement waits while entry and report name different starts; a different start in the answer to a call sent after the last answer is a restart, whatever the time of day.

--- a/libs/cell/src/cactustiller/cell/capacity.py
+++ b/libs/cell/src/cactustiller/cell/capacity.py
@@ -202,6 +202,8 @@
             for step in job.iterate_steps():
                 step.forget_approval(worker.info.worker)
         self._drop_all_runs(worker, WorkerLoss.RESTARTED)
+        # Answers to calls sent before are those of the previous incarnation.
+        worker.alive_at = self._clock()
 
     def end_replaced_worker(self, worker):
         """Release the runs of a worker whose process has been replaced by another."""
--- a/libs/cell/src/cactustiller/cell/run_tracking.py
+++ b/libs/cell/src/cactustiller/cell/run_tracking.py
@@ -52,13 +52,16 @@
         sent_at, received_at : float
             Event loop times at which the call was sent and its answer received.
         """
-        if worker.born_ms and listing.born_ms > worker.born_ms:
+        if worker.born_ms and listing.born_ms not in (0, worker.born_ms):
+            # Answers may overtake each other, and the time of day may be set back
+            # between two starts.
+            is_later = sent_at >= worker.alive_at
+            if listing.born_ms < worker.born_ms and not is_later:
+                return
             self._end_incarnation(worker, listing.born_ms)
-        elif listing.born_ms and listing.born_ms < worker.born_ms:
-            return
         if not worker.born_ms:
             self._drop_runs_of_earlier_incarnations(worker, listing.born_ms)
-        worker.born_ms = listing.born_ms
+        worker.born_ms = listing.born_ms or worker.born_ms
         worker.alive_at = max(worker.alive_at, received_at)
         worker.update_clock_offset(listing.clock_ms, received_at)
         worker.listed_at = max(worker.listed_at, sent_at)
--- a/libs/cell/src/cactustiller/cell/workers.py
+++ b/libs/cell/src/cactustiller/cell/workers.py
@@ -161,8 +161,18 @@
             and self.is_synchronized
             and not self.info.is_draining
             and now >= self.avoided_until
+            and not self._has_outdated_info
         )
 
+    @property
+    def _has_outdated_info(self):
+        """Whether the entry is that of another incarnation than the one that answers.
+
+        The next one may have another capacity and other labels.
+        """
+        born_ms = self.info.born_ms
+        return bool(born_ms and self.born_ms) and born_ms != self.born_ms
+
     def update_clock_offset(self, clock_ms, received_at):
         """Update the clock offset from a reading of the worker's clock in an answer.
 
--- a/standins/fleet/cell.py
+++ b/standins/fleet/cell.py
@@ -76,6 +76,8 @@
         Names of the tasks that crash each worker that starts them.
     keeps_ids : bool
         A crashed worker comes back under its id, else under a new one.
+    entries : dict of WorkerId to WorkerInfo
+        Entries of workers that differ from what these are.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         self.audit = Audit()
         self.deadly_tasks = set()
         self.keeps_ids = False
+        self.entries = {}
         self.store = Store()
         self.network = PeerNetwork()
         self.seconds = {}
@@ -193,6 +196,13 @@
         worker.info = replace(worker.info, is_draining=True, remaining_ms=remaining_ms)
         self.list_worker(worker)
 
+    def resize_worker(self, worker_id, capacity):
+        """Change a worker's capacity and its entry."""
+        worker = self.workers[worker_id]
+        worker.info = replace(worker.info, capacity=capacity)
+        self.entries.pop(worker_id, None)
+        self.list_worker(worker)
+
     def remove_entry(self, worker_id):
         """Remove a worker's entry."""
         self.store.remove(self._make_worker_key(worker_id))
@@ -275,7 +285,7 @@
         return self.jobs[job].steps[int(step)].amounts, self.seconds[job]
 
     def _decode_worker(self, key, value):
-        return self.workers[key].info
+        return self.entries.get(key, self.workers[key].info)
 
     def _make_worker_key(self, worker_id):
         return RowKey(WORKER_TABLE, "", worker_id)
