Send a request to three executors at most that break the connection

Cause: retries were limited for a gateway, not for a request.

Change: a request whose third executor broke the connection fails with an unknown outcome. Test: test_request_that_crashes_executors_is_not_sent_to_all_of_them, 11 instead of 3 before.

--- a/libs/gateway/src/cactustiller/gateway/routing.py
+++ b/libs/gateway/src/cactustiller/gateway/routing.py
@@ -18,6 +18,9 @@
 MAX_RETRY_TOKENS = 10.0
 RETRY_DELAY_SECONDS = 0.05
 SERVICE_POLL_INTERVAL_SECONDS = 1.0
+# A request may crash the executors that run it, so it is sent to no more once this many
+# broke the connection instead of answering.
+MAX_BROKEN_ATTEMPTS = 3
 
 log = structlog.get_logger(__name__)
 
@@ -85,7 +88,8 @@
         """Return the `ServiceResponse` to a request.
 
         A request is retried only if the attempt did not run or the request is
-        idempotent, and if the retry budget allows it.
+        idempotent, if the retry budget allows it, and if not too many executors broke
+        the connection.
 
         Raises
         ------
@@ -105,6 +109,7 @@
             )
         health = self._health[request.service]
         tried = []
+        broken_attempts = 0
         failure = None
         while True:
             slot = store.take_idle(tried)
@@ -115,9 +120,13 @@
             answer = await self._send(store, health, slot, request, deadline, tried)
             if answer.is_ok():
                 return answer.unwrap()
-            failure = _choose_less_certain(failure, answer.unwrap_err())
+            latest = answer.unwrap_err()
+            failure = _choose_less_certain(failure, latest)
             tried.append(slot.executor)
-            if not self._may_retry(request, answer.unwrap_err(), deadline):
+            broken_attempts += _has_broken_connection(latest)
+            if broken_attempts >= MAX_BROKEN_ATTEMPTS or not self._may_retry(
+                request, latest, deadline
+            ):
                 raise FailureError(failure)
             self._metrics.count("request_retries")
             await self._delay_if_all_tried(request, tried)
@@ -249,6 +258,12 @@
     )
 
 
+def _has_broken_connection(failure):
+    """Return whether an executor may have crashed while it ran the request."""
+    is_upstream = failure.code is ErrorCode.UPSTREAM
+    return is_upstream and failure.outcome is Outcome.UNKNOWN
+
+
 def _choose_less_certain(earlier, later):
     """Return the earlier failure if its outcome is unknown, else the later one."""
     if earlier is not None and earlier.outcome is Outcome.UNKNOWN:
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -34,6 +34,15 @@
     assert cell.executors["x1"].requests and cell.executors["x2"].requests
 
 
+async def test_request_that_crashes_executors_is_not_sent_to_all_of_them(cell):
+    for executor in cell.executors.values():
+        executor.aborts = 99
+    response, body = await cell.call("POST", PATH, headers=IDEMPOTENT)
+    assert response.status == 504
+    assert body["error"]["outcome"] == "unknown"
+    assert len(list_runs(cell)) == 3
+
+
 async def test_request_that_did_not_run_is_retried_elsewhere(cell):
     for executor in cell.executors.values():
         executor.refusals = 1
