Count worker restarts under a task in our own deployment, and fail it at the fourth

A start that had crashed its worker before it was answered was even sent to the same worker again, as the same attempt.

Cause: an attempt that ended with its worker counted as lapsed, which is no failure; reconciliation with a restarted worker sent every pending start again.

Change: such an attempt ends as crashed, a state of its own, and is counted in the task's row; at four the task fails, a service is delayed as by failures. A start that was sent before the restart ends the attempt once it can take no effect any more.

--- a/libs/model/src/cactustiller/model/jobs.py
+++ b/libs/model/src/cactustiller/model/jobs.py
@@ -85,6 +85,7 @@
     state: TaskState = TaskState.WAITING
     attempt: Attempt = Attempt(0)
     failures: int = 0
+    crashes: int = 0
     preemptions: int = 0
     run_seconds: float = 0.0
     worker: WorkerId = WorkerId("")
--- a/libs/model/src/cactustiller/model/states.py
+++ b/libs/model/src/cactustiller/model/states.py
@@ -68,13 +68,17 @@
 
 
 class RunState(StrEnum):
-    """State of one attempt; `LAPSED` after an expired lease or a worker restart."""
+    """State of one attempt.
+
+    `LAPSED` after an expired lease, `CRASHED` after a restart of its worker.
+    """
 
     RUNNING = "running"
     SUCCEEDED = "succeeded"
     FAILED = "failed"
     STOPPED = "stopped"
     LAPSED = "lapsed"
+    CRASHED = "crashed"
 
     @property
     def has_ended(self):
--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -363,6 +363,7 @@
             state=TaskState.ASSIGNED,
             attempt=run.attempt,
             failures=previous.failures if previous else 0,
+            crashes=previous.crashes if previous else 0,
             preemptions=previous.preemptions if previous else 0,
             worker=run.worker,
             shard=shard,
--- a/libs/scheduler/src/cactustiller/scheduler/jobs.py
+++ b/libs/scheduler/src/cactustiller/scheduler/jobs.py
@@ -20,6 +20,9 @@
 
 MIN_RESTART_DELAY_SECONDS = 0.5
 MAX_RESTART_DELAY_SECONDS = 60.0
+# A task may crash the workers that start it, so it fails once this many restarted while
+# they had it. Most tasks on a restarted worker did not cause that.
+MAX_WORKER_CRASHES = 4
 
 
 @dataclass
@@ -215,17 +218,21 @@
 
     An attempt that was stopped or whose lease expired is repeated and does not count
     as a failure. A service is always restarted. A failed attempt of any other job is
-    repeated until the job's limit of failures is reached.
+    repeated until the job's limit of failures is reached, and one whose worker
+    restarted until that limit is.
     """
     spec = record.spec
     failures = task.failures + (report.state is RunState.FAILED)
+    crashes = task.crashes + (report.state is RunState.CRASHED)
     if record.state is JobState.CANCELLED:
         state = TaskState.CANCELLED
     elif spec.kind is WorkloadKind.SERVICE:
         state = TaskState.WAITING
     elif report.state is RunState.SUCCEEDED:
         state = TaskState.SUCCEEDED
-    elif report.state is RunState.FAILED and failures >= spec.max_attempts:
+    elif (report.state is RunState.FAILED and failures >= spec.max_attempts) or (
+        report.state is RunState.CRASHED and crashes >= MAX_WORKER_CRASHES
+    ):
         state = TaskState.FAILED
     else:
         state = TaskState.WAITING
@@ -233,6 +240,7 @@
     return task.with_changes(
         state=state,
         failures=failures,
+        crashes=crashes,
         preemptions=task.preemptions + (report.state is RunState.STOPPED),
         run_seconds=report.run_seconds if has_succeeded else 0.0,
         changed_at=now,
--- a/libs/scheduler/src/cactustiller/scheduler/recorder.py
+++ b/libs/scheduler/src/cactustiller/scheduler/recorder.py
@@ -289,7 +289,7 @@
         for index, task in tasks.items():
             entry.set_task(task)
             if task.state is TaskState.WAITING and not entry.record.state.is_final:
-                pause = find_restart_delay(task.failures)
+                pause = find_restart_delay(task.failures + task.crashes)
                 entry.restart_at[index] = self._clock.now() + pause
                 entry.requeue(index)
 
--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -62,6 +62,7 @@
         self._clock = WorkerClock()
         self._sequence = 0
         self._boot = ""
+        self._has_restarted = False
         self._wake = asyncio.Event()
         self._random = random.Random(info.worker)
         self._needs_full_watch = False
@@ -283,6 +284,7 @@
         if self._boot and reply.boot != self._boot:
             # The worker has restarted and lost its runs: request its full state.
             self._boot = ""
+            self._has_restarted = True
             self.is_reconciled = False
             return
         self._boot = reply.boot
@@ -348,13 +350,19 @@
                 continue
             if entry.phase is RunPhase.RECOVERED:
                 self._start_recovered(entry)
-            elif entry.phase is RunPhase.RUNNING:
+            elif entry.phase is RunPhase.STARTING and not self._may_have_crashed(entry):
+                self.request_start(entry)
+            elif entry.phase in (RunPhase.STARTING, RunPhase.RUNNING):
                 if self._may_start_take_effect(entry, answered_at):
                     self._needs_full_watch = True
                     continue
-                self.end(entry, RunState.LAPSED, "the worker has restarted")
-            elif entry.phase is RunPhase.STARTING:
-                self.request_start(entry)
+                self.end(entry, RunState.CRASHED, "the worker has restarted")
+        if not self._needs_full_watch:
+            self._has_restarted = False
+
+    def _may_have_crashed(self, entry):
+        """Return whether the worker restarted after a start of the run was sent."""
+        return self._has_restarted and entry.start_before > 0.0
 
     def _start_recovered(self, entry):
         """Start a run that is missing from the worker, if its capacity suffices.
--- a/tests/scheduler/test_attempts.py
+++ b/tests/scheduler/test_attempts.py
@@ -4,6 +4,7 @@
 
 from cactustiller.model import (
     ErrorCode,
+    JobState,
     TaskState,
 )
 from cactustiller.model.messages import ReportRuns, RunKey, RunReport, SubmitJob
@@ -11,6 +12,7 @@
 from cactustiller.ports import Put, Write
 from cactustiller.scheduler.clock import WallClock
 from cactustiller.scheduler.home import Home
+from cactustiller.scheduler.jobs import MAX_WORKER_CRASHES
 from cactustiller.settings import TimingSettings
 from tests.scheduler.memory import SPEC, MemoryTable, build_record, refuse_all
 
@@ -83,6 +85,22 @@
     assert answer.recorded == [first]
 
 
+async def test_a_task_that_crashes_its_workers_fails(home):
+    for number in range(1, MAX_WORKER_CRASHES + 1):
+        key = await assign(home, f"w{number}")
+        await home.record_reports(report(key, "crashed"))
+        if number < MAX_WORKER_CRASHES:
+            assert home.jobs["j1"].tasks[0].state is TaskState.WAITING
+    assert home.jobs["j1"].record.state is JobState.FAILED
+
+
+async def test_leases_that_expire_fail_no_task(home):
+    for number in range(1, 2 * MAX_WORKER_CRASHES):
+        key = await assign(home, f"w{number}")
+        await home.record_reports(report(key, "lapsed"))
+        assert home.jobs["j1"].tasks[0].state is TaskState.WAITING
+
+
 async def test_home_that_has_another_owner_records_nothing(home):
     first = await assign(home, "w1")
     await assign_owners(home._member, home=build_record("m2"))
