--- a/tests/scheduler/test_previous_owners.py
+++ b/tests/scheduler/test_previous_owners.py
@@ -160,15 +160,17 @@
     assert entry.report.state is RunState.CRASHED
 
 
-async def test_a_start_that_crashed_its_worker_is_not_sent_again(build):
+@pytest.mark.parametrize("is_answered", [True, False])
+async def test_a_start_that_crashed_its_worker_is_not_sent_again(build, is_answered):
     worker = Worker()
     session = build(worker, [])
     await asyncio.sleep(0.1)
     entry = build_entry(0, RunPhase.RESERVED)
     session.add(entry)
+    worker.is_down = not is_answered
     session.request_start(entry)
-    await asyncio.sleep(0.1)
-    worker.boot = "b"
+    await asyncio.sleep(0.01)
+    worker.is_down, worker.boot = False, "b"
     await check_until(session, TIMING.start_window_seconds + 2.0)
     assert entry.report.state is RunState.CRASHED
     starts = [apply for apply in worker.applied if apply.starts]
