Remedy for replaced peers; the stand-in's restarted worker registers itself

Cause: the new error code had no remedy (test_every_code_has_a_remedy failed), and test_tasks_of_a_restarted_worker_are_run_again restarted a worker without its new entry, which the platform's workers write at each start. Since placement waits for that entry, the task ran elsewhere only after 8 s, over the test's 6 s.

Change: the remedy; the test writes the entry, its bound stays.

--- a/libs/cli/src/cactustiller/cli/exits.py
+++ b/libs/cli/src/cactustiller/cli/exits.py
@@ -55,6 +55,7 @@
     ErrorCode.NEVER_RUNNABLE: "ask for less, or for attributes that workers have",
     ErrorCode.UPSTREAM: "check the backend server",
     ErrorCode.HISTORY_LOST: "read the rows anew and follow them from there",
+    ErrorCode.REPLACED: "look the peer up again, its process has been replaced",
 }
 UNKNOWN_REMEDY = "find out whether it took effect before you repeat it"
 
--- a/tests/cell/test_failures.py
+++ b/tests/cell/test_failures.py
@@ -93,6 +93,8 @@
         loop = asyncio.get_running_loop()
         restarted_at = loop.time()
         cell.workers["w0"].be_reborn(2)
+        # The new process registers itself.
+        cell.list_worker(cell.workers["w0"])
         await cell.wait_for_state(spec, JobState.SUCCEEDED)
         # The next call reports the new incarnation, well before the lease expires.
         assert loop.time() - restarted_at < LEASE_SECONDS
