Repeat an unanswered start only at a worker that has not restarted

Callers would see (own deployment): a task that crashes its worker before the start is answered was started there again and again, as the same attempt.

Cause: the loop that sends changes retried as soon as the worker answered anything, before the watch told of the restart; and a reconciled entry that still waited for its start window kept its pending start.

Change: before a start without an answer is repeated, the worker is asked for changes without waiting; an entry that may have crashed its worker sends nothing more.

--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -9,6 +9,7 @@
 import random
 
 import structlog
+from result import Ok
 
 from cactustiller.model import (
     NO_RESOURCES,
@@ -355,6 +356,7 @@
             elif entry.phase in (RunPhase.STARTING, RunPhase.RUNNING):
                 if self._may_start_take_effect(entry, answered_at):
                     self._needs_full_watch = True
+                    entry.needs_apply = entry.is_stopping
                     continue
                 self.end(entry, RunState.CRASHED, "the worker has restarted")
         if not self._needs_full_watch:
@@ -384,13 +386,9 @@
                 await asyncio.sleep(MIN_RETRY_SECONDS)
                 self._wake.set()
                 continue
-            apply = self._build_apply()
-            if apply is None:
-                continue
-            answer = await self._port.apply(self.info, apply)
+            answer = await self._send_changes()
             if answer.is_ok():
                 retry_seconds = MIN_RETRY_SECONDS
-                self._handle_apply_reply(apply, answer.unwrap())
             elif self._handle_failure(answer.unwrap_err()):
                 return
             else:
@@ -399,6 +397,48 @@
                 retry_seconds = min(2 * retry_seconds, MAX_RETRY_SECONDS)
                 self._wake.set()
 
+    async def _send_changes(self):
+        """Send all pending changes; return ``Ok`` or the ``Err`` of a failed call.
+
+        A start without an answer may have crashed the worker. It is repeated only if
+        the worker has not restarted since.
+        """
+        if self._has_unanswered_starts():
+            answer = await self._check_worker()
+            if answer.is_err():
+                return answer
+            if not self.is_reconciled:
+                self.wake()
+                return Ok(None)
+        apply = self._build_apply()
+        if apply is None:
+            return Ok(None)
+        answer = await self._port.apply(self.info, apply)
+        if answer.is_ok():
+            self._handle_apply_reply(apply, answer.unwrap())
+        return answer
+
+    def _has_unanswered_starts(self):
+        return any(
+            entry.phase is RunPhase.STARTING
+            and entry.needs_apply
+            and entry.unanswered_starts
+            for entry in self.entries.values()
+        )
+
+    async def _check_worker(self):
+        """Ask for changes without waiting, which shows whether the worker restarted."""
+        watch = Watch(
+            shard=self._authority.shard,
+            epoch=self._authority.epoch,
+            after=self._sequence,
+            wait_ms=0,
+        )
+        answer = await self._port.watch(self.info, watch)
+        if answer.is_ok():
+            self._handle_watch_reply(answer.unwrap(), False)
+        return answer
+
     def _build_apply(self):
         """Return an `Apply` with all pending changes; None if there are none.
 
