--- a/libs/cell/src/cactustiller/cell/crashes.py
+++ b/libs/cell/src/cactustiller/cell/crashes.py
@@ -1,10 +1,10 @@
 """Attribution of worker crashes to tasks, and what follows for them; no I/O.
 
-Answers tasks that crash each worker that starts them: after two crashes the job is
-given up, and its other starts cost one more worker at most. Most runs on a crashed
-worker are innocent. Those started shortly before the crash become suspects, which are
-started again one at a time, on workers where nothing else starts meanwhile. So the next
-crash has one cause, and suspects that are innocent go on.
+Answers tasks that crash each worker that starts them, beside many that do not. The runs
+started shortly before a crash become suspects. Suspects are started again one at a time
+for each step, on workers where nothing else starts meanwhile, so that the next crash has
+one cause. The job of a task that caused two crashes is given up; the other suspects are
+cleared as soon as they run for longer than the probation.
 """
 
 from typing import NamedTuple
@@ -63,7 +63,7 @@
     """
     isolated = [task for task in tasks if task.is_isolated and task.start_sent_at]
     if isolated:
-        # Nothing was started on the worker after these.
+        # Nothing was started on the worker after these, so one of them is the cause.
         suspects, charged = isolated, isolated
     else:
         suspects = [task for task in tasks if _is_fresh(task, worker)]
--- a/libs/cell/src/cactustiller/cell/suspect_placement.py
+++ b/libs/cell/src/cactustiller/cell/suspect_placement.py
@@ -1,8 +1,8 @@
 """Placement of suspects, tasks that may have crashed the workers that started them.
 
-Answers a cell in which every crash kills a worker full of innocent runs: suspects start
-one at a time for each step, on the workers with the fewest runs at risk, and nothing
-else starts beside them until they are proven or have crashed the worker.
+Answers a cell in which each crash ends all runs of a worker: suspects start one at a
+time for each step, on the workers with the fewest runs, and nothing else starts there
+until they are proven or have crashed the worker.
 """
 
 from .placement_round import (
