--- a/libs/cell/src/cactustiller/cell/crashes.py
+++ b/libs/cell/src/cactustiller/cell/crashes.py
@@ -2,9 +2,9 @@
 
 Answers tasks that crash each worker that starts them, beside many that do not. The runs
 started shortly before a crash become suspects. Suspects are started again one at a time
-for each step, on workers where nothing else starts meanwhile, so that the next crash has
-one cause. The job of a task that caused two crashes is given up; the other suspects are
-cleared as soon as they run for longer than the probation.
+for each step, on workers where nothing else starts meanwhile, so that the next crash
+has one cause. The job of a task that caused two crashes is given up; the other suspects
+are cleared as soon as they run for longer than the probation.
 """
 
 from typing import NamedTuple
