Move the stand-in's approval service into a module of its own

Change: FleetApprovals moves to approvals.py as it is. tests/standins, test_approvals.py and test_capacity.py pass.

--- a/standins/fleet/cell.py
+++ b/standins/fleet/cell.py
@@ -19,10 +19,11 @@
 )
 from cactustiller.model import Amounts, JobId, MemberId, QueueName, TeamId, WorkerId
 
+from .approvals import FleetApprovals
 from .audit import Audit
 from .peers import PeerNetwork
 from .store import Store, StoreClient
-from .workers import FleetApprovals, FleetWorker, WorkerClient, WorkerTrouble
+from .workers import FleetWorker, WorkerClient, WorkerTrouble
 
 SERVICE = "recon"
 WORKER_TABLE = "workers"
--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -1,4 +1,4 @@
-"""Workers that run tasks under leases and fences, and the approval service."""
+"""Workers that run tasks under leases and fences."""
 
 import asyncio
 from dataclasses import dataclass, field
@@ -7,7 +7,6 @@
 from result import Err, Ok
 
 from cactustiller.cell import (
-    Approval,
     ListedEnd,
     ListedRun,
     Listing,
@@ -305,35 +304,6 @@
     carry_out()
 
 
-class FleetApprovals:
-    """Approval service of one calling member.
-
-    Parameters
-    ----------
-    decide : callable
-        Step name and worker to whether the worker may run the step.
-    """
-
-    def __init__(self, decide, seconds=0.01, valid_seconds=2.0):
-        self.calls = 0
-        self._decide = decide
-        self._seconds = seconds
-        self._valid_seconds = valid_seconds
-        self._lock = asyncio.Lock()
-
-    async def ask(self, step, workers):
-        """Return the approval for the workers named."""
-        self.calls += 1
-        async with self._lock:
-            await asyncio.sleep(self._seconds)
-        tickets = {
-            worker: f"{step}/{worker}"
-            for worker in workers
-            if self._decide(step, worker)
-        }
-        return Ok(Approval(tickets, self._valid_seconds))
-
-
 def _fail(code, reason, outcome=Outcome.UNKNOWN):
     return Err(
         Failure(
