Make the test of silent workers fail if silence counts as a crash

Cause: four mechanisms were taken away one by one; three tests failed, this one passed. Its workers came back before the owner gave their runs up, so no loss was ever classified.

Change: the worker stays silent for 10 s instead of 7.5 s, and no crash may be charged. With silence classified as gone the test fails now (1 crash), without it passes.

--- a/tests/cell/test_crashes.py
+++ b/tests/cell/test_crashes.py
@@ -111,8 +111,10 @@
         for _ in range(3):
             worker = await wait_for_run(cell)
             worker.trouble = WorkerTrouble.CUT_OFF
-            await asyncio.sleep(7.5)
+            await asyncio.sleep(10.0)
             worker.trouble = WorkerTrouble.NONE
+            (step,) = cell.find_engine().jobs[spec.job].iterate_steps()
+            assert step.tasks[0].crashes == 0
         await cell.wait_for_state(spec, JobState.SUCCEEDED, seconds=60.0)
 
 
