Start nothing in availability zones that the operator evacuates

Change: the replica of the desired state also keeps the evacuated zones, the owner excludes their workers, and a new owner places nothing before it has read them. One method, Worker.find_exclusion, says why a worker gets no new tasks. Workers that are cold after a start come after the others. Observers of runs and rankers of workers are interfaces for what the scheduler learns; the cold workers are their first user.

--- a/libs/cell/src/cactustiller/cell/approvals.py
+++ b/libs/cell/src/cactustiller/cell/approvals.py
@@ -40,6 +40,7 @@
         info.service == rules.service
         and worker.is_listed
         and not info.is_draining
+        and not worker.is_evacuated
         and not is_refused
         and (not label or label in info.labels)
         and step.spec.counted.fits_within(info.capacity)
--- a/libs/cell/src/cactustiller/cell/capacity.py
+++ b/libs/cell/src/cactustiller/cell/capacity.py
@@ -11,6 +11,7 @@
 from .events import Event, log_event
 from .runs import RunPhase
 from .workers import CLOCK_DRIFT, Worker, WorkerInfo, WorkerLoss
+from .zones import ZoneEvacuations
 
 # Maximum time for which an owner that cannot reach the store keeps renewing leases.
 MAX_OWNER_SECONDS_WITHOUT_STORE = 10.0
@@ -44,6 +45,7 @@
         self._clock = clock
         self._used = {}
         self._runs_of_unknown_workers = {}
+        self._evacuations = ZoneEvacuations()
         # Tasks that may have crashed their workers; includes some that are cleared.
         self._suspects = set()
 
@@ -63,8 +65,11 @@
                 worker = Worker(info, draining_since=self._clock())
                 self.workers[worker_id] = worker
                 self._adopt_runs(worker)
-            else:
+                self._apply_entry(worker)
+            elif info is not worker.info:
+                previous = worker.info
                 self._update_info(worker, info)
+                self._apply_entry(worker, previous.cold_ms)
             worker.is_listed = True
         for worker_id, worker in list(self.workers.items()):
             if worker_id in infos:
@@ -73,6 +78,17 @@
             if not (worker.runs or worker.orphaned_runs or worker.is_reachable):
                 del self.workers[worker_id]
 
+    def evacuate_zones(self, zones):
+        """Place no new tasks on the workers of the given zones, a frozenset of str."""
+        self._evacuations.apply(zones, self.workers.values())
+
+    def _apply_entry(self, worker, previous_cold_ms=0):
+        """Apply what a new entry says of a worker's zone and of its start."""
+        self._evacuations.mark(worker)
+        # Entries are decoded anew whenever one of the list changes.
+        if worker.info.cold_ms != previous_cold_ms:
+            worker.cold_until = self._clock() + worker.info.cold_ms / 1000
+
     def _update_info(self, worker, info):
         """Apply a changed list entry; a newer start time means a restart."""
         previous = worker.info
--- a/libs/cell/src/cactustiller/cell/configuration.py
+++ b/libs/cell/src/cactustiller/cell/configuration.py
@@ -62,6 +62,9 @@
         Converts the value of that row to a `DesiredState`; raises ValueError.
     decode_worker : callable
         Converts key and value of a worker's row to a `WorkerInfo`, or None.
+    decode_evacuation : callable, optional
+        Returns the availability zone that a row beside the desired state evacuates, or
+        None for other rows; takes the row's key.
     make_peers : callable, optional
         Returns a peer client and a peer server for an identity and a message handler;
         by default over TCP.
@@ -79,5 +82,6 @@
     desired_part: str
     desired_key: str
     decode_desired: object
+    decode_evacuation: object = lambda key: None
     make_peers: object = None
     wall_clock_ms: object = lambda: time.time() * 1000
--- a/libs/cell/src/cactustiller/cell/desired_replica.py
+++ b/libs/cell/src/cactustiller/cell/desired_replica.py
@@ -32,13 +32,17 @@
         State in force; its version is 0 before the first read.
     value : bytes
         Row from which it was decoded.
+    evacuated_zones : frozenset of str
+        Availability zones that the operator has evacuated.
     """
 
     def __init__(self, store, dependencies, on_change):
         self.state = DesiredState()
         self.value = b""
+        self.evacuated_zones = frozenset()
         self._key = dependencies.desired_key
         self._decode = dependencies.decode_desired
+        self._decode_evacuation = dependencies.decode_evacuation
         self._on_change = on_change
         self._announced_at = float("-inf")
         self._follower = Follower(
@@ -49,6 +53,7 @@
         )
         self.start = self._follower.start
         self.stop = self._follower.stop
+        self.wait_until_read = self._follower.wait_until_read
 
     @property
     def age_seconds(self):
@@ -104,3 +109,7 @@
         value = rows.get(self._key)
         if value is not None:
             self.apply_value(value)
+        zones = frozenset(filter(None, map(self._decode_evacuation, rows)))
+        if zones != self.evacuated_zones:
+            self.evacuated_zones = zones
+            self._on_change()
--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -11,6 +11,7 @@
 
 from cactustiller.model import JobState
 
+from .cold_workers import ColdWorkerRanker
 from .events import Event, log_event
 from .ordering import find_start_limits, make_order_key
 from .pacing import FULL_PERCENT
@@ -69,6 +70,7 @@
         super().__init__(clock, wall_clock_ms)
         self._shares = ShareMeter()
         self._recurring_jobs = set()
+        self._rankers = [ColdWorkerRanker(clock)]
         self._start_limits = {}
         self._start_limits_version = 0
         self._unstored_placements = []
@@ -186,6 +188,7 @@
             self._add_team_usage,
             wall_now=now_ms / 1000,
             isolated_count=len(isolated),
+            rankers=self._rankers,
         )
         place_steps(current_round, ordered)
         for placement in current_round.placements:
--- a/libs/cell/src/cactustiller/cell/events.py
+++ b/libs/cell/src/cactustiller/cell/events.py
@@ -43,6 +43,8 @@
     RUN_STALLED = "run_stalled"
     RUN_PREEMPTED = "run_preempted"
     RUN_EVACUATED = "run_evacuated"
+    ZONE_EVACUATED = "zone_evacuated"
+    ZONE_RESTORED = "zone_restored"
     RUN_STOPPED = "run_stopped"
     RUN_PACED = "run_paced"
     WORKER_LOST = "worker_lost"
--- a/libs/cell/src/cactustiller/cell/gang_placement.py
+++ b/libs/cell/src/cactustiller/cell/gang_placement.py
@@ -71,7 +71,8 @@
         fit_count = worker.count_fits(step.spec.counted, max_count)
         if fit_count:
             has_failed = worker.info.worker in step.failed_on
-            order = (has_failed, -fit_count, worker.free_cpu, worker.info.worker)
+            rank = current_round.rank(step, worker)
+            order = (has_failed, rank, -fit_count, worker.free_cpu, worker.info.worker)
             options.append((order, fit_count, worker))
     if step.spec.is_tightly_coupled:
         options = _restrict_to_one_rack(options, step.spec.count)
--- a/libs/cell/src/cactustiller/cell/gauges.py
+++ b/libs/cell/src/cactustiller/cell/gauges.py
@@ -36,13 +36,8 @@
 
 
 def _name_state(worker, now):
-    if worker.info.is_draining:
-        return "draining"
-    if not worker.is_listed:
-        return "unlisted"
-    if not worker.is_reachable:
-        return "unreachable"
-    return "usable" if worker.is_schedulable(now) else "avoided"
+    exclusion = worker.find_exclusion(now)
+    return exclusion.value if exclusion else "usable"
 
 
 def _sum_cores(engine, now):
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -156,6 +156,10 @@
         """Return the desired state in force."""
         return self.desired_state
 
+    def evacuated_zones(self):
+        """Return the availability zones that the operator has evacuated."""
+        return self.desired_replica.evacuated_zones
+
     def make_worker_registry(self, on_change):
         """Return a registry that follows the platform's list of workers."""
         dependencies = self._dependencies
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -203,6 +203,9 @@
         self._member_registry.start()
         await self._renew_during(self._loader.load())
         await self._worker_registry.wait_until_read()
+        # Evacuations are not announced; they have to be known before the first start.
+        await self._renew_during(self._ports.desired_replica.wait_until_read())
+        self.engine.evacuate_zones(self._ports.evacuated_zones())
         self.engine.update_workers(self._worker_registry.workers)
         self.engine.add_unlisted_workers()
         self._dispatcher.follow_workers()
@@ -263,6 +266,7 @@
         """
         engine = self.engine
         engine.apply_desired(self._ports.desired())
+        engine.evacuate_zones(self._ports.evacuated_zones())
         engine.update_workers(self._worker_registry.workers)
         self._dispatcher.follow_workers()
         engine.expire_leases()
--- a/libs/cell/src/cactustiller/cell/placement.py
+++ b/libs/cell/src/cactustiller/cell/placement.py
@@ -106,9 +106,10 @@
         is_off_rack = bool(step.spec.data_rack) and step.spec.data_rack != info.rack
         has_failed = info.worker in step.failed_on
         has_ticket = has_valid_ticket(step, rules, worker, current_round.now)
-        order = (has_failed, is_off_rack, worker.free_cpu, info.worker)
+        rank = current_round.rank(step, worker)
+        order = (has_failed, is_off_rack, rank, worker.free_cpu, info.worker)
         fits.append((order, fit_count, worker, has_ticket))
-        if has_ticket and not has_failed and not is_off_rack:
+        if has_ticket and not (has_failed or is_off_rack or rank):
             missing -= fit_count
             if missing <= 0:
                 break
--- a/libs/cell/src/cactustiller/cell/placement_round.py
+++ b/libs/cell/src/cactustiller/cell/placement_round.py
@@ -43,6 +43,8 @@
         Unix time in seconds.
     isolated_count : int
         Number of workers on which a suspect is on probation; not in `workers`.
+    rankers : sequence of WorkerRanker
+        Preferences among the workers on which a task fits.
 
     Attributes
     ----------
@@ -67,6 +69,7 @@
         add_team_usage,
         wall_now=0.0,
         isolated_count=0,
+        rankers=(),
     ):
         self.now = now
         self.wall_now = wall_now
@@ -81,6 +84,7 @@
         self.worker_count = len(workers) + isolated_count
         self.used_workers = set()
         self._add_team_usage = add_team_usage
+        self._rankers = rankers
         self._previous_reservations = {}
         self._ends = None
         self._workers_by_id = None
@@ -97,6 +101,10 @@
         """Runs to stop, as list of (TaskRun, Worker)."""
         return self.preemption.preempted
 
+    def rank(self, step, worker):
+        """Return how unsuitable a worker is for a step, 0 if nothing is against it."""
+        return sum(ranker.rank(step, worker) for ranker in self._rankers)
+
     def iterate_by_end(self, step):
         """Yield ``(free_at, worker)`` in the order in which a gang reserves workers.
 
--- a/libs/cell/src/cactustiller/cell/run_tracking.py
+++ b/libs/cell/src/cactustiller/cell/run_tracking.py
@@ -27,6 +27,8 @@
         Called with the task and the `RunEnd` of each run, before the task changes.
     published_states : dict of JobId to JobState
         States that callers may see.
+    observers : list of RunObserver
+        Learn from the reported ends and the progress of runs.
     """
 
     def __init__(self, clock, wall_clock_ms):
@@ -34,6 +36,7 @@
         self.published_states = {}
         self.desired = DesiredState()
         self.on_run_ended = _ignore_run_end
+        self.observers = []
         self._wall_clock_ms = wall_clock_ms
         # Ids of the jobs whose latest progress is not part of a batch yet.
         self._dirty = set()
@@ -103,12 +106,15 @@
             end=end.end.value,
         )
         self.on_run_ended(task, end.end)
+        now = self._clock()
+        for observer in self.observers:
+            observer.record_run_end(task, worker, end.end, now)
         if end.end is RunEnd.DONE and not task.step.spec.is_service:
             record_success(worker)
             self._succeed(task)
         elif end.end is RunEnd.FAILED:
             task.step.failed_on.add(worker.info.worker)
-            record_failure(worker, task, self.workers.values(), self._clock())
+            record_failure(worker, task, self.workers.values(), now)
             self._fail(task)
         else:
             self._requeue(task)
@@ -184,6 +190,8 @@
         if tracked is None or tracked[1] != listed.run:
             return
         task = tracked[0]
+        for observer in self.observers:
+            observer.record_progress(task, worker, listed, now)
         if listed.checkpoint:
             task.checkpoint = listed.checkpoint
         if task.phase is RunPhase.ASSIGNED:
--- a/libs/cell/src/cactustiller/cell/workers.py
+++ b/libs/cell/src/cactustiller/cell/workers.py
@@ -27,6 +27,18 @@
     SILENT = "silent"
 
 
+class Exclusion(Enum):
+    """Why no new tasks are placed on a worker."""
+
+    UNLISTED = "unlisted"
+    UNREACHABLE = "unreachable"
+    NOT_SYNCHRONIZED = "not synchronized"
+    DRAINING = "draining"
+    EVACUATED = "evacuated"
+    AVOIDED = "avoided"
+    OUTDATED_ENTRY = "outdated entry"
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerInfo:
     """Entry of a worker in the list of workers.
@@ -38,6 +50,8 @@
     born_ms : int
         Unix milliseconds of the worker's start; identifies its incarnation, the time
         from one start to the next.
+    cold_ms : int
+        How much longer the worker is slow after its start.
     """
 
     worker: WorkerId
@@ -49,6 +63,7 @@
     is_draining: bool = False
     remaining_ms: int = 0
     born_ms: int = 0
+    cold_ms: int = 0
 
     @property
     def rack(self):
@@ -96,6 +111,10 @@
     failures, failed_jobs : int, set of JobId
         Number of failed or stalled runs since the last success, and the jobs of those
         that failed.
+    is_evacuated : bool
+        The operator has its availability zone evacuated.
+    cold_until : float
+        Time until which the worker is slow after its start.
     reserved_for : StepRun or None
         Gang for which its free capacity is reserved.
     pace : Pace
@@ -125,6 +144,8 @@
     avoided_until: float = 0.0
     failures: int = 0
     failed_jobs: set = field(default_factory=set)
+    is_evacuated: bool = False
+    cold_until: float = 0.0
     reserved_for: object = None
     pace: Pace = field(default_factory=Pace)
 
@@ -155,14 +176,23 @@
 
     def is_schedulable(self, now):
         """Return whether new tasks may be placed on the worker."""
-        return (
-            self.is_listed
-            and self.is_reachable
-            and self.is_synchronized
-            and not self.info.is_draining
-            and now >= self.avoided_until
-            and not self._has_outdated_info
-        )
+        return self.find_exclusion(now) is None
+
+    def find_exclusion(self, now):
+        """Return the first `Exclusion` that holds for the worker, or None."""
+        if not self.is_listed:
+            return Exclusion.UNLISTED
+        if not self.is_reachable:
+            return Exclusion.UNREACHABLE
+        if not self.is_synchronized:
+            return Exclusion.NOT_SYNCHRONIZED
+        if self.info.is_draining:
+            return Exclusion.DRAINING
+        if self.is_evacuated:
+            return Exclusion.EVACUATED
+        if now < self.avoided_until:
+            return Exclusion.AVOIDED
+        return Exclusion.OUTDATED_ENTRY if self._has_outdated_info else None
 
     @property
     def _has_outdated_info(self):
--- a/standins/fleet/cell.py
+++ b/standins/fleet/cell.py
@@ -29,6 +29,7 @@
 WORKER_TABLE = "workers"
 CONFIG_TABLE = "settings"
 CONFIG_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 CAPACITY = Amounts(32_000, 65_536, 0)
 PEER_PORT = 7000
 # Time after which a crashed worker is replaced, and that after which the entry of a
@@ -87,6 +88,7 @@
         workers=4,
         queues=None,
         capacity=CAPACITY,
+        zones=("z",),
         approves=lambda step, worker: True,
         limit=(0, 0, 0),
     ):
@@ -111,7 +113,7 @@
                 WorkerId(f"w{index}"),
                 f"w{index}:1",
                 SERVICE,
-                "z",
+                zones[index % len(zones)],
                 capacity,
                 ("a", f"r{index % 2}"),
                 born_ms=1,
@@ -191,6 +193,14 @@
         self.versions[value] = desired
         self.store.put(RowKey(CONFIG_TABLE, "", CONFIG_KEY), value)
 
+    def evacuate_zone(self, zone):
+        """Evacuate an availability zone as the operator does."""
+        self.store.put(RowKey(CONFIG_TABLE, "", EVACUATION_PREFIX + zone), b"{}")
+
+    def restore_zone(self, zone):
+        """Take the evacuation of a zone back."""
+        self.store.remove(RowKey(CONFIG_TABLE, "", EVACUATION_PREFIX + zone))
+
     def drain_worker(self, worker_id, remaining_ms):
         """Let a worker announce its leave."""
         worker = self.workers[worker_id]
@@ -227,6 +237,7 @@
             desired_part="",
             desired_key=CONFIG_KEY,
             decode_desired=lambda value: self.versions[value],
+            decode_evacuation=_decode_evacuation,
             make_peers=self.network.make_peers,
             wall_clock_ms=lambda: asyncio.get_running_loop().time() * 1000,
         )
@@ -290,3 +301,8 @@
 
     def _make_worker_key(self, worker_id):
         return RowKey(WORKER_TABLE, "", worker_id)
+
+
+def _decode_evacuation(key):
+    is_evacuation = key.startswith(EVACUATION_PREFIX)
+    return key.removeprefix(EVACUATION_PREFIX) if is_evacuation else None
--- a/tests/cell/builders.py
+++ b/tests/cell/builders.py
@@ -1,5 +1,6 @@
 """Builders of workers, steps and scheduling rounds."""
 
+from cactustiller.cell.ordering import IN_TIME, OrderKey
 from cactustiller.cell.placement_round import PlacementRound
 from cactustiller.cell.runs import JobRun
 from cactustiller.cell.workers import Worker, WorkerInfo
@@ -9,10 +10,15 @@
 SERVICE = "recon"
 
 
-def make_worker(name="w0", cpu=32_000, memory=65_536, **changes):
+def make_order_key(band=IN_TIME):
+    """Return the order key of a step without any slack."""
+    return OrderKey(band, 0, 0.0, 0.0)
+
+
+def make_worker(name="w0", cpu=32_000, memory=65_536, zone="z", **changes):
     """Return a schedulable worker."""
     info = WorkerInfo(
-        WorkerId(name), f"{name}:1", SERVICE, "z", Amounts(cpu, memory, 0), ("a", "r0")
+        WorkerId(name), f"{name}:1", SERVICE, zone, Amounts(cpu, memory, 0), ("a", "r0")
     )
     return Worker(info, is_reachable=True, is_synchronized=True, **changes)
 
