Count a step as late before it only just misses; defer work without value

Cause: steps of a band start with the least slack first, so in a lasting backlog each starts when it can only just end in time, and the store's transaction, the call and unequal tasks make all of them late. After a burst, gangs of jobs without value take the capacity of new callers for seconds and can't be preempted.

Change: a step is late 0.1 s and a tenth of its run time before its latest start. Work without value is placed while less than 0.6 of the cell's CPU is in use, or 60 s after its latest start. The test of the bands names the new boundary, as strictly as before.

--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -16,7 +16,7 @@
 from .ordering import find_start_limits, make_order_key
 from .pacing import FULL_PERCENT
 from .placement import place_steps
-from .placement_round import Placement, PlacementRound
+from .placement_round import Placement, PlacementRound, is_cell_busy
 from .progress import decode_progress, encode_progress
 from .run_control import RunControl
 from .runs import JobRun, RunPhase
@@ -188,6 +188,7 @@
             self._add_team_usage,
             wall_now=now_ms / 1000,
             isolated_count=len(isolated),
+            is_busy=is_cell_busy(self.workers.values()),
             rankers=self._rankers,
         )
         place_steps(current_round, ordered)
--- a/libs/cell/src/cactustiller/cell/ordering.py
+++ b/libs/cell/src/cactustiller/cell/ordering.py
@@ -7,6 +7,12 @@
 
 from typing import NamedTuple
 
+# Time from a decision to the start of a run: one transaction of the store and one call
+# to the worker.
+START_DELAY_MS = 100.0
+# Tasks of a step differ, and the last one ends it. A step counts as late once this
+# fraction of its remaining run time is missing.
+RUN_TIME_MARGIN = 0.1
 # A job that takes longer than this many times its objective has no value left.
 WORTHLESS_AFTER_OBJECTIVES = 3.0
 
@@ -33,6 +39,10 @@
     accepted: float
 
 
+# Work without value is deferred for at most this long after its latest start, so that
+# it ends also in a cell that is always busy.
+MAX_DEFERRAL_SECONDS = 60.0
+
 # Late urgent work still precedes batch work: it is small, and callers block on it.
 URGENT, LATE_URGENT, IN_TIME, LATE, WORTHLESS = range(5)
 # Added to the band of a job that exceeded its team's share; moves it behind all jobs
@@ -47,11 +57,15 @@
     ----------
     latest_on_time : float
         Latest start with which the job can meet its objective.
+    latest_safe : float
+        Latest decision with which it meets the objective although the start takes its
+        time and some of its tasks take longer than others.
     latest_useful : float
         Latest start with which the job still has value.
     """
 
     latest_on_time: float
+    latest_safe: float
     latest_useful: float
 
 
@@ -87,19 +101,39 @@
     due = find_due_ms(spec, step.occurrence)
     objective = rules.slack_factor * find_critical_path_ms(spec) + rules.objective_ms
     remaining = find_critical_path_ms(spec, step.number) or step.spec.estimate_ms
+    latest_on_time = due + objective - remaining
     return StartLimits(
-        due + objective - remaining,
+        latest_on_time,
+        latest_on_time - START_DELAY_MS - RUN_TIME_MARGIN * remaining,
         due + WORTHLESS_AFTER_OBJECTIVES * objective - remaining,
     )
 
 
+def may_be_deferred(key, wall_now):
+    """Return whether a step may wait until the cell is less busy.
+
+    Work without value may, for a limited time, since each of its runs would take the
+    capacity of jobs whose callers still wait.
+
+    Parameters
+    ----------
+    key : OrderKey
+    wall_now : float
+        Unix time in seconds.
+    """
+    is_worthless = key.band % OVER_SHARE_OFFSET == WORTHLESS
+    return is_worthless and wall_now - key.latest_start < MAX_DEFERRAL_SECONDS
+
+
 def make_order_key(step, rules, limits, now_ms):
     """Return the `OrderKey` of a step with pending tasks.
 
     Urgent work precedes batch work, even if it is late. Otherwise work that can still
     meet its objective precedes late work. Work without value comes last, urgent or not.
-    Service steps are never late. Least slack goes first within a band or, for late
-    batch work and work without value, within a priority. Jobs that exceeded their
+    Service steps are never late. A step that would only just miss its objective counts
+    as late: with least slack first, each of a lasting backlog would start at the last
+    moment, and all of them would miss. Least slack goes first within a band or, for
+    late batch work and work without value, within a priority. Jobs that exceeded their
     team's share come after all others.
 
     Parameters
@@ -112,7 +146,7 @@
         Unix milliseconds.
     """
     is_urgent = rules.priority == 0
-    if step.spec.is_service or now_ms <= limits.latest_on_time:
+    if step.spec.is_service or now_ms <= limits.latest_safe:
         band = URGENT if is_urgent else IN_TIME
     elif now_ms <= limits.latest_useful:
         band = LATE_URGENT if is_urgent else LATE
--- a/libs/cell/src/cactustiller/cell/placement.py
+++ b/libs/cell/src/cactustiller/cell/placement.py
@@ -4,13 +4,14 @@
 
 Answers bursts of small urgent work on a full cell: urgent tasks take the capacity that
 is free or reserved, the fullest workers first, and preempt runs that save their work.
+After a burst, jobs that have lost their value wait until the others are served.
 
 Changes the workers' free capacity and reservations, the teams' usage and the times at
 which steps may preempt again; the engine applies the outcome to the tasks.
 """
 
 from .gang_placement import URGENT_BANDS, place_gang
-from .ordering import IN_TIME, URGENT
+from .ordering import IN_TIME, URGENT, may_be_deferred
 from .placement_round import (
     cap_per_worker,
     count_tasks_by_worker,
@@ -36,6 +37,8 @@
     for key, step, rules in ordered:
         if step.retry_at > current_round.now:
             continue
+        if current_round.is_busy and may_be_deferred(key, current_round.wall_now):
+            continue
         if rules.needs_approval and step.approved is None:
             current_round.steps_needing_approval.append(step)
             continue
--- a/libs/cell/src/cactustiller/cell/placement_round.py
+++ b/libs/cell/src/cactustiller/cell/placement_round.py
@@ -16,6 +16,12 @@
 PREEMPTION_INTERVAL_SECONDS = 0.15
 
 
+# Work without value is placed only while less than this fraction of the cell's CPU is
+# in use. The rest is for jobs that are still to come, and a cell that is half used
+# finishes everything.
+MAX_USED_BY_DEFERRED = 0.6
+
+
 class Placement(NamedTuple):
     """Assignment of a task to a worker; `decided_at` is event loop time in seconds."""
 
@@ -43,6 +49,8 @@
         Unix time in seconds.
     isolated_count : int
         Number of workers on which a suspect is on probation; not in `workers`.
+    is_busy : bool
+        More than `MAX_USED_BY_DEFERRED` of the cell is in use.
     rankers : sequence of WorkerRanker
         Preferences among the workers on which a task fits.
 
@@ -69,10 +77,12 @@
         add_team_usage,
         wall_now=0.0,
         isolated_count=0,
+        is_busy=False,
         rankers=(),
     ):
         self.now = now
         self.wall_now = wall_now
+        self.is_busy = is_busy
         self.workers = workers
         self.count_team_fits = count_team_fits
         self.placements = []
@@ -173,6 +183,22 @@
         return True
 
 
+def is_cell_busy(workers):
+    """Return whether deferred work has to wait.
+
+    All workers count, also those that get no new tasks, since their runs hold capacity.
+
+    Parameters
+    ----------
+    workers : iterable of Worker
+    """
+    total = free = 0
+    for worker in workers:
+        total += worker.info.capacity[0]
+        free += max(0, worker.free_cpu)
+    return total - free > MAX_USED_BY_DEFERRED * total
+
+
 def has_valid_ticket(step, rules, worker, now):
     """Return whether the worker would accept a start of the step."""
     if not rules.needs_approval:
--- a/tests/cell/test_ordering.py
+++ b/tests/cell/test_ordering.py
@@ -25,8 +25,10 @@
 
 def test_the_band_drops_from_in_time_to_late_to_worthless():
     step = make_step(estimate_ms=1000)
-    # The objective is 3 s, so the latest start on time is 2 s after acceptance.
-    assert make_key(step, RULES, 1900).band == IN_TIME
+    # The objective is 3 s, so the latest start on time is 2 s after acceptance. A start
+    # takes 0.1 s, and a tenth of the run time is kept as a margin.
+    assert make_key(step, RULES, 1790).band == IN_TIME
+    assert make_key(step, RULES, 1810).band == LATE
     assert make_key(step, RULES, 2100).band == LATE
     assert make_key(step, RULES, 8100).band == WORTHLESS
 
