Check settings trees before their submission in libs/settings

Cause: a tree can hold entries without effect and limits that contradict each other, and nothing reports them; errors of a submission name a path but no line.

Rejections of a gateway and their text are unchanged; warnings reject nothing.

--- a/libs/gateway/src/cactustiller/gateway/routes/settings.py
+++ b/libs/gateway/src/cactustiller/gateway/routes/settings.py
@@ -1,19 +1,16 @@
 """Settings tree: reading, changes, origins of values and version history."""
 
 import asyncio
-import json
 
 from aiohttp import web
-from result import Err
 
 from cactustiller.model import ErrorCode, FailureError
 from cactustiller.model.messages import GetSettings, SettingsBody
 from cactustiller.settings import (
-    SettingsError,
     diff_trees,
-    parse_tree,
     set_value,
     show_origin,
+    validate_submission,
 )
 
 from ..bodies import Rollback, TreeChange, ValueChange, read_body
@@ -23,7 +20,6 @@
 STATUS_TIMEOUT_SECONDS = 1.0
 HIGHEST_VERSION = 2**62
 MAX_AGE_SECONDS = 1e9  # JSON has no infinity
-KEYS_REASON = "keys are changed at /v1/keys, not with the tree"
 
 
 async def show_tree(request):
@@ -39,11 +35,8 @@
     body = await read_body(request, TreeChange)
 
     def edit(tree):
-        if body.tree.get("keys"):
-            error = SettingsError(file="body", path="tree.keys", reason=KEYS_REASON)
-            return Err([error])
-        keys = tree.model_dump(mode="json", include={"keys"})
-        return parse_tree(json.dumps({**body.tree, **keys}), "body")
+        keys = tree.model_dump(mode="json", include={"keys"})["keys"]
+        return validate_submission(body.tree, keys, "body", "tree.")
 
     return await commit_edit(request, edit, body.note, body.expected_version)
 
--- a/libs/settings/src/cactustiller/settings/instance.py
+++ b/libs/settings/src/cactustiller/settings/instance.py
@@ -1,15 +1,14 @@
 """Settings file of one entry instance."""
 
 import ipaddress
-from pathlib import Path
 from typing import Annotated, Literal, Self
 
 from pydantic import AfterValidator, Field, model_validator
-from result import Err, Result
+from result import Result
 
 from cactustiller.model.jobs import NAME_PATTERN
 
-from .parsing import SettingsError, StrictRecord, parse_json, validate
+from .parsing import SettingsError, StrictRecord, parse_json, read_text, validate
 
 HEARTBEATS_PER_LEASE = 2
 
@@ -127,11 +126,8 @@
 def load_instance(path) -> Result[InstanceSettings, list[SettingsError]]:
     """Return the validated settings in the file at `path`, or every problem."""
     file = str(path)
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        reason = f"cannot be read: {getattr(error, 'strerror', None) or error}"
-        return Err([SettingsError(file=file, path="", reason=reason)])
-    return parse_json(text, file).and_then(
-        lambda data: validate(InstanceSettings, data, file)
+    return (
+        read_text(path)
+        .and_then(lambda text: parse_json(text, file))
+        .and_then(lambda data: validate(InstanceSettings, data, file))
     )
--- a/libs/settings/src/cactustiller/settings/parsing.py
+++ b/libs/settings/src/cactustiller/settings/parsing.py
@@ -3,6 +3,7 @@
 import json
 import re
 from difflib import get_close_matches
+from pathlib import Path
 from types import UnionType
 from typing import Any, Union, get_args, get_origin
 
@@ -33,6 +34,15 @@
         return f"{place}: {self.reason}"
 
 
+def read_text(path) -> Result[str, list[SettingsError]]:
+    """Return the text of the file at `path`, or why it cannot be read."""
+    try:
+        return Ok(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        reason = f"cannot be read: {getattr(error, 'strerror', None) or error}"
+        return Err([SettingsError(file=str(path), path="", reason=reason)])
+
+
 def parse_json(text: str, file: str) -> Result[Any, list[SettingsError]]:
     """Return the parsed JSON with comments, or a syntax error with line and column."""
     try:
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -1,4 +1,6 @@
-from cactustiller.settings import set_value
+import json
+
+from cactustiller.settings import find_warnings, parse_tree, set_value
 
 
 async def test_conflict_names_the_other_change(cell):
@@ -48,3 +50,18 @@
     )
     assert result.unwrap() == cell.gateway.replica.version
     assert cell.gateway.replica.tree.values == {"share_weight": 5.0}
+
+
+async def test_tree_with_keys_is_rejected_and_one_with_warnings_is_not(cell):
+    """Guards against checks of `check-config` that change what is accepted."""
+    _, read = await cell.call("GET", "/v1/settings", "operator")
+    tree = read["tree"]
+    body = {"expected_version": read["version"], "tree": tree | {"keys": {"k": {}}}}
+    response, answer = await cell.call("PUT", "/v1/settings", "operator", body)
+    assert response.status == 400
+    assert "body:tree.keys: keys are changed at /v1/keys" in answer["error"]["reason"]
+    tree["sites"]["spare"] = {"values": {"kind": "batch"}}
+    assert find_warnings(parse_tree(json.dumps(tree), "t").unwrap())
+    body = {"expected_version": read["version"], "tree": tree}
+    response, _ = await cell.call("PUT", "/v1/settings", "operator", body)
+    assert response.status == 200
