Add the command check-config

Cause: an operator learns what is wrong with a settings tree, and what it changes, only after it has been submitted.

Other commands are unchanged.

--- a/libs/cli/src/cactustiller/cli/commands/__init__.py
+++ b/libs/cli/src/cactustiller/cli/commands/__init__.py
@@ -1,6 +1,18 @@
 """Commands by name, one module a family."""
 
-from . import instances, jobs, key, load, queue, requests, settings, stats, team, trace
+from . import (
+    check_config,
+    instances,
+    jobs,
+    key,
+    load,
+    queue,
+    requests,
+    settings,
+    stats,
+    team,
+    trace,
+)
 
 GROUPS = {
     "team": team.app,
@@ -20,6 +32,7 @@
     "load": load.run_load,
     "stats": stats.show_stats,
     "trace": trace.trace,
+    "check-config": check_config.check_config,
 }
 
 
