Cover the order of limits and repeated objects in the tests of findings

Cause: of 20 faults put into the checks one by one, five were not noticed by the tests: equal limits, a third team, an unlimited heavy team, equal warnings of two queues, and equal names in an object that is itself repeated.

Change: the test data include these cases.

--- a/tests/settings/test_findings.py
+++ b/tests/settings/test_findings.py
@@ -13,6 +13,7 @@
     checked = check_file(path).unwrap()
     assert checked.tree is not None
     assert {item.severity for item in checked.findings} <= {Severity.WARNING}
+    assert len({str(item) for item in checked.findings}) == len(checked.findings)
     return {item.path: item.reason for item in checked.findings}
 
 
@@ -79,8 +80,8 @@
                 "b": {"spread": "rack", "colocate": "zone"},
             },
         ),
-        blue=({"limit_tasks": 8, "max_attempts": 4}, {"c": {"max_attempts": 1}}),
-        green=({"limit_tasks": 0}, {}),
+        blue=({"limit_tasks": 9, "max_attempts": 4}, {"c": {"max_attempts": 1}}),
+        green=({"limit_tasks": 0, "share_weight": 4.0}, {}),
     )
     assert warnings == {}
 
@@ -130,8 +131,10 @@
 
 def test_limit_that_reverses_the_weights_is_found(tmp_path):
     """Guards against a share that the team's own limit denies."""
-    light, middle = {"limit_tasks": 8}, {"share_weight": 2.0, "limit_tasks": 9}
+    light, middle = {"limit_tasks": 9}, {"share_weight": 2.0, "limit_tasks": 8}
     heavy = {"share_weight": 3.0, "limit_tasks": 7}
     warnings = find(tmp_path, red=(heavy, {}), blue=(light, {}), green=(middle, {}))
-    assert list(warnings) == [f"{RED}.values.limit_tasks"]
-    assert "7 is below 9 of team green" in warnings[f"{RED}.values.limit_tasks"]
+    green = f"{CELL}.teams.green.values.limit_tasks"
+    assert set(warnings) == {f"{RED}.values.limit_tasks", green}
+    assert "7 is below 9 of team blue" in warnings[f"{RED}.values.limit_tasks"]
+    assert "8 is below 9 of team blue" in warnings[green]
--- a/tests/settings/test_positions.py
+++ b/tests/settings/test_positions.py
@@ -50,3 +50,4 @@
     positions = find_positions(text)
     assert positions.repeated == [("b.x", 2, 4)]
     assert positions.find_line("b.x") == 4
+    assert find_positions('{"a": {"x": 1},\n"a": {"x": 2}}').repeated == [("a", 1, 2)]
