Move calls to the owner out of the intake

Change: OwnerCaller (owner_calls.py) forwards submissions and cancellations and remembers suspect owners; the code is unchanged otherwise.

--- a/libs/cell/src/cactustiller/cell/intake.py
+++ b/libs/cell/src/cactustiller/cell/intake.py
@@ -7,9 +7,7 @@
 import asyncio
 from typing import NamedTuple
 
-from result import Err
-
-from cactustiller.model import ErrorCode, Failure, JobState, Outcome
+from cactustiller.model import ErrorCode, JobState, Outcome
 from cactustiller.model.messages import (
     CountPending,
     FindJobState,
@@ -21,6 +19,7 @@
 
 from .events import Event, log_event
 from .insertion import Acceptance, Inserter
+from .owner_calls import OwnerCaller
 from .ports import (
     CANCEL_SUFFIX,
     CELL_PART,
@@ -39,30 +38,14 @@
 INSERT_TIMEOUT_SECONDS = 1.5
 # If reads take longer, only the owner writes to the store, since it writes in batches.
 SLOW_STORE_READ_SECONDS = 0.05
-# The owner answers after its current and its next transaction; this is enough for three
-# transactions of a slow store.
-SUBMIT_TIMEOUT_SECONDS = 2.3
-# Minimum wait for the owner's answer; afterwards the call is abandoned once the owner's
-# announcements are missing.
-MIN_SUBMIT_TIMEOUT_SECONDS = 0.6
-# Owners announce themselves every 0.7 s.
-OWNER_ANNOUNCEMENT_TIMEOUT_SECONDS = 1.1
-ANNOUNCEMENT_CHECK_SECONDS = 0.1
 # Callers time out after 3 s, so the answer has to be sent earlier.
 REPLY_WITHIN_SECONDS = 2.8
-# After a failed call the owner is not called again until another member has had time
-# to take over.
-SUSPECT_SECONDS = 2.0
 OWNER_CALL_TIMEOUT_SECONDS = 0.4
-# Together these outlast a takeover, which takes about 3 s.
-MAX_NOTIFY_ATTEMPTS = 12
-NOTIFY_RETRY_SECONDS = 0.25
 # Time for the store to recover or another member to take over. The callers' timeout of
 # 3 s starts with their first request, so a longer delay would cost them a retry.
 RETRY_AFTER_SECONDS = 1
 
 
-UNREACHABLE_CODES = (ErrorCode.TIMEOUT, ErrorCode.UNAVAILABLE)
 JOB_EVENTS = {
     Acceptance.ACCEPTED: Event.JOB_ACCEPTED,
     Acceptance.REFUSED: Event.JOB_REFUSED,
@@ -102,13 +85,8 @@
         self._find_owner = find_owner
         self._inserter = Inserter(store, generator)
         self._election = election
-        self._suspects = {}
-        self._announced_at = {}
-        self._tasks = set()
-
-    def mark_announced(self, address):
-        """Record that the owner at an address announced itself."""
-        self._announced_at = {address: asyncio.get_running_loop().time()}
+        self._owner_caller = OwnerCaller(peers, find_owner, election)
+        self.mark_announced = self._owner_caller.mark_announced
 
     async def accept(self, spec):
         """Store a job; `REFUSED` guarantees that it never runs.
@@ -120,7 +98,7 @@
         received_at = loop.time()
         row = encode_job(spec)
         message = HandInJob(job=spec.job, row=row.decode())
-        answer = await self._forward_to_owner(message)
+        answer = await self._owner_caller.forward(message)
         outcome = _decode_acceptance(answer)
         path = "owner"
         if outcome is not Acceptance.ACCEPTED and not _is_overloaded(answer):
@@ -131,7 +109,7 @@
                 loop.time() + INSERT_TIMEOUT_SECONDS, received_at + REPLY_WITHIN_SECONDS
             )
             outcome = await self._insert(key, row, deadline, may_be_stored)
-            self._notify_owner_later(message, outcome)
+            self._owner_caller.notify_later(message, outcome)
         log_event(
             JOB_EVENTS[outcome],
             job=spec.job,
@@ -149,12 +127,12 @@
         loop = asyncio.get_running_loop()
         received_at = loop.time()
         message = WithdrawJob(job=job)
-        outcome = _decode_acceptance(await self._forward_to_owner(message))
+        outcome = _decode_acceptance(await self._owner_caller.forward(message))
         if outcome is not Acceptance.ACCEPTED:
             may_be_stored = outcome is Acceptance.UNKNOWN
             deadline = received_at + REPLY_WITHIN_SECONDS
             outcome = await self._store_cancel(job, deadline, may_be_stored)
-            self._notify_owner_later(message, outcome)
+            self._owner_caller.notify_later(message, outcome)
         log_event(
             Event.JOB_CANCELLED,
             job=job,
@@ -217,75 +195,6 @@
             return None
         return PendingCounted(count=owner.engine.count_pending(message.queue))
 
-    async def _forward_to_owner(self, message):
-        """Return the owner's answer, or a failure if the owner is unknown or suspect.
-
-        An owner that does not answer becomes suspect.
-        """
-        owner, address, _ = self._find_owner()
-        if owner is not None:
-            answer = await self._call_local_owner(owner, message)
-        elif not address or self._is_suspect(address):
-            return _make_failure(
-                ErrorCode.NOT_OWNER, "no owner is known", Outcome.NOT_RUN
-            )
-        else:
-            answer = await self._call_owner(address, message)
-            if answer.is_err() and answer.unwrap_err().code in UNREACHABLE_CODES:
-                self._suspects = {address: asyncio.get_running_loop().time()}
-                if answer.unwrap_err().code is ErrorCode.UNAVAILABLE:
-                    self._election.suspect_owner(address)
-        return answer
-
-    async def _call_owner(self, address, message):
-        """Call the owner; abandon the call once its announcements are missing."""
-        loop = asyncio.get_running_loop()
-        call = asyncio.create_task(
-            self._peers.call(address, message, SUBMIT_TIMEOUT_SECONDS)
-        )
-        try:
-            await asyncio.wait([call], timeout=MIN_SUBMIT_TIMEOUT_SECONDS)
-            while not call.done():
-                announcement_age = loop.time() - self._announced_at.get(
-                    address, float("-inf")
-                )
-                if announcement_age > OWNER_ANNOUNCEMENT_TIMEOUT_SECONDS:
-                    return _make_failure(
-                        ErrorCode.TIMEOUT,
-                        "the owner neither answers nor announces itself",
-                    )
-                await asyncio.wait([call], timeout=ANNOUNCEMENT_CHECK_SECONDS)
-            return call.result()
-        finally:
-            call.cancel()
-
-    def _notify_owner_later(self, message, outcome):
-        """Notify the owner of a row stored by this member, ahead of the change feed."""
-        if outcome is Acceptance.ACCEPTED:
-            task = asyncio.create_task(self._notify_owner(message))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    async def _notify_owner(self, message):
-        for _ in range(MAX_NOTIFY_ATTEMPTS):
-            if (await self._forward_to_owner(message)).is_ok():
-                return
-            await asyncio.sleep(NOTIFY_RETRY_SECONDS)
-
-    async def _call_local_owner(self, owner, message):
-        try:
-            async with asyncio.timeout(SUBMIT_TIMEOUT_SECONDS):
-                return await serve_owner_call(owner, message)
-        except TimeoutError:
-            return _make_failure(ErrorCode.TIMEOUT, "the store does not answer")
-
-    def _is_suspect(self, address):
-        """Return whether a recent call to an owner failed and no announcement came."""
-        failed_at = self._suspects.get(address, float("-inf"))
-        if self._announced_at.get(address, float("-inf")) > failed_at:
-            return False
-        return asyncio.get_running_loop().time() < failed_at + SUSPECT_SECONDS
-
     async def _insert(self, key, value, deadline, may_be_stored=False):
         """Store a row without the owner, unless the store is slow or unavailable.
 
@@ -332,14 +241,6 @@
         return Lookup(True, JobState.CANCELLED if is_cancelled else JobState.WAITING)
 
 
-def _make_failure(code, reason, outcome=Outcome.UNKNOWN):
-    return Err(
-        Failure(
-            code=code, step="store job", peer="owner", reason=reason, outcome=outcome
-        )
-    )
-
-
 def _decode_acceptance(answer):
     """Return the `Acceptance` in an owner's answer.
 
@@ -354,10 +255,3 @@
 def _is_overloaded(answer):
     """Return whether the owner is overloaded; storing a job here would not help."""
     return answer.is_err() and answer.unwrap_err().code is ErrorCode.OVERLOADED
-
-
-async def serve_owner_call(owner, message):
-    """Pass a job or a cancellation to the owner in this process."""
-    if isinstance(message, HandInJob):
-        return await owner.submit(message.job, message.row.encode())
-    return await owner.withdraw(message.job)
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -29,11 +29,12 @@
 from .events import Event, log_event
 from .followers import MemberRegistry, WorkerRegistry, encode_member_row
 from .gauges import read_cell_gauges
-from .intake import Intake, serve_owner_call
+from .intake import Intake
 from .loop_monitor import monitor_loop
 from .metering import MeteredApprovals, MeteredStore, MeteredWorkerCalls
 from .metrics import Count, Gauge, Latency, Metrics
 from .owner import Owner
+from .owner_calls import serve_owner_call
 from .ports import MEMBER_TABLE, RowKey, Transaction
 from .supervision import keep_running
 
