Let callers wait for an unavailable store

Cause: with Retry-After 1 as the only answer to a store outage, callers exhaust their tries although the store is back soon. Change: a member holds a submission that neither the owner nor it can store, if store_outage.decide allows, and stores it as soon as the store answers; members read the store every 0.15 s meanwhile. An owner retries failed reads of its election as well; until now its view remained 'unavailable' after one failed read.

--- a/libs/cell/src/cactustiller/cell/election.py
+++ b/libs/cell/src/cactustiller/cell/election.py
@@ -38,6 +38,10 @@
 # For a store of usual speed, which answers in 4 ms.
 MIN_READ_TIMEOUT_SECONDS = 0.35
 MAX_CLAIM_JITTER_SECONDS = 0.15
+# Reads that find out whether the store answers again while callers wait for it. A call
+# to a silent store blocks the next one, so these are shorter than the regular reads.
+PROBE_TIMEOUT_SECONDS = 0.25
+PROBE_SECONDS = 0.15
 
 
 class Election:
@@ -75,6 +79,10 @@
         self._suspected_epoch = None
         self._pending_read = None
         self._has_owned = False
+        self._is_polling = False
+        self._recovery = None
+        self._probe = None
+        self._probed_at = float("-inf")
 
     def read_soon(self):
         """Read the owner's row and claim it without delay, since it may be released."""
@@ -95,8 +103,8 @@
     async def check_store(self, max_age=POLL_SECONDS):
         """Return whether the store answered a read at most `max_age` seconds ago.
 
-        Reads the row if the latest read is older. While reads fail, `wait_for_claim`
-        retries them continuously, so none is made here.
+        Reads the row if the latest read is older. While reads fail, they are retried
+        continuously, so none is made here.
         """
         if self.unavailable_since is not None:
             return False
@@ -106,6 +114,18 @@
             await asyncio.shield(self._pending_read)
         return self.unavailable_since is None
 
+    def probe_store(self):
+        """Find out soon whether a store that was unavailable answers again.
+
+        Called repeatedly while callers wait for the store.
+        """
+        now = asyncio.get_running_loop().time()
+        is_running = self._probe is not None and not self._probe.done()
+        if is_running or now < self._probed_at + PROBE_SECONDS:
+            return
+        self._probed_at = now
+        self._probe = asyncio.create_task(self._read_row(PROBE_TIMEOUT_SECONDS))
+
     def suspect_owner(self, address):
         """Record that the owner's process refuses connections."""
         if address == self.record.address:
@@ -125,16 +145,20 @@
 
     async def wait_for_claim(self):
         """Return ``(OwnerRecord, version, now_ms)`` once this member owns the cell."""
-        while True:
-            if self._is_read_due():
-                claim = await self._check_row()
-                if claim is not None:
-                    return claim
-            try:
-                async with asyncio.timeout(self._pause):
-                    await self._wake.wait()
-            except TimeoutError:
-                continue
+        self._is_polling = True
+        try:
+            while True:
+                if self._is_read_due():
+                    claim = await self._check_row()
+                    if claim is not None:
+                        return claim
+                try:
+                    async with asyncio.timeout(self._pause):
+                        await self._wake.wait()
+                except TimeoutError:
+                    continue
+        finally:
+            self._is_polling = False
 
     def _is_read_due(self):
         """Return whether to read the row now; else set the pause until it is due."""
@@ -147,12 +171,12 @@
         self._pause = max(MIN_PAUSE_SECONDS, due_at - now)
         return False
 
-    async def _read_row(self):
+    async def _read_row(self, timeout=None):
         """Return a `Page` with the owner's row, or None if the read failed."""
         loop = asyncio.get_running_loop()
         key = OWNER_ROW
         sent_at = loop.time()
-        seconds = min(
+        seconds = timeout or min(
             CALL_TIMEOUT_SECONDS,
             MIN_READ_TIMEOUT_SECONDS + READS_PER_RENEWAL * self.read_seconds,
         )
@@ -161,14 +185,30 @@
         )
         self._read_at = loop.time()
         if answer.is_err():
-            # Raises the timeout of the next read, in case the store became slow.
-            self.read_seconds = max(self.read_seconds, seconds / 2)
+            if timeout is None:
+                # Raises the timeout of the next read, in case the store became slow.
+                self.read_seconds = max(self.read_seconds, seconds / 2)
             self.unavailable_since = self.unavailable_since or loop.time()
+            if self._recovery is None or self._recovery.done():
+                self._recovery = asyncio.create_task(self._read_until_available())
             return None
         self.unavailable_since = None
         self.read_seconds = loop.time() - sent_at
         return answer.unwrap()
 
+    async def _read_until_available(self):
+        """Retry failed reads while `wait_for_claim` does not, as in an owner."""
+        while self.unavailable_since is not None:
+            await asyncio.sleep(POLL_SECONDS)
+            if not self._is_polling and self.unavailable_since is not None:
+                await self._read_row()
+
+    def close(self):
+        """Stop reading the row."""
+        for task in (self._recovery, self._probe):
+            if task is not None:
+                task.cancel()
+
     async def _check_row(self):
         """Read the row and claim it if allowed; return the claim or None."""
         is_invited, self._is_invited = self._is_invited, False
--- a/libs/cell/src/cactustiller/cell/events.py
+++ b/libs/cell/src/cactustiller/cell/events.py
@@ -31,6 +31,7 @@
     FROZEN = "frozen"
     JOB_ACCEPTED = "job_accepted"
     JOB_REFUSED = "job_refused"
+    JOB_WAITS = "job_waits"
     JOB_CANCELLED = "job_cancelled"
     JOB_ENDED = "job_ended"
     APPROVAL = "approval"
@@ -65,6 +66,7 @@
     {
         Event.JOB_ACCEPTED,
         Event.JOB_REFUSED,
+        Event.JOB_WAITS,
         Event.JOB_CANCELLED,
         Event.JOB_ENDED,
         Event.APPROVAL,
--- a/libs/cell/src/cactustiller/cell/insertion.py
+++ b/libs/cell/src/cactustiller/cell/insertion.py
@@ -14,6 +14,8 @@
 RETRY_SECONDS = 0.06
 # Attempts per row while each failure guarantees that nothing was stored.
 MAX_NOT_RUN_ATTEMPTS = 2
+# An insertion that failed longer ago says nothing about the store now.
+FAILURE_VALID_SECONDS = 2.0
 # Each row uses two of the 100 entries of a transaction.
 MAX_ROWS = 45
 
@@ -54,6 +56,14 @@
         self._pending: dict[RowKey, _Pending] = {}
         self._in_flight = frozenset()
         self._task = None
+        self._failing_since = self._failed_at = float("-inf")
+
+    @property
+    def failing_since(self):
+        """Time of the first of several recent failures; None after a success."""
+        now = asyncio.get_running_loop().time()
+        is_recent = now < self._failed_at + FAILURE_VALID_SECONDS
+        return self._failing_since if is_recent else None
 
     async def insert(self, key, value, deadline, may_be_stored=False):
         """Store a row; `REFUSED` guarantees that it is not stored, now or later.
@@ -100,7 +110,7 @@
                 ),
                 CALL_TIMEOUT_SECONDS,
             )
-            self._breaker.record(answer.is_ok())
+            self._record(answer.is_ok())
             if answer.is_ok():
                 self._apply_reply(answer.unwrap(), batch)
                 continue
@@ -108,6 +118,15 @@
             self._apply_failure(batch, is_not_run)
             await asyncio.sleep(RETRY_SECONDS)
 
+    def _record(self, is_ok):
+        self._breaker.record(is_ok)
+        if is_ok:
+            self._failed_at = float("-inf")
+            return
+        if self.failing_since is None:
+            self._failing_since = asyncio.get_running_loop().time()
+        self._failed_at = asyncio.get_running_loop().time()
+
     def _apply_reply(self, reply, batch):
         if isinstance(reply, Committed):
             stored = set(batch)
--- a/libs/cell/src/cactustiller/cell/intake.py
+++ b/libs/cell/src/cactustiller/cell/intake.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from typing import NamedTuple
 
 from cactustiller.model import ErrorCode, Outcome
 from cactustiller.model.messages import HandInJob, WithdrawJob
@@ -12,19 +13,17 @@
 from .events import Event, log_event
 from .insertion import Acceptance, Inserter
 from .lookups import STORE_CALL_TIMEOUT_SECONDS, JobLookups
+from .metrics import Count
+from .outage_queue import REPLY_WITHIN_SECONDS, OutageQueue, Release, make_caller
 from .owner_calls import OwnerCaller
 from .ports import CANCEL_SUFFIX, make_cancel_key, make_job_key
 from .specs import encode_job
+from .store_outage import TAKEOVER_SECONDS, RejectReason, choose_retry_after
 
 # Time in which this member tries to store a job itself.
 INSERT_TIMEOUT_SECONDS = 1.5
 # If reads take longer, only the owner writes to the store, since it writes in batches.
 SLOW_STORE_READ_SECONDS = 0.05
-# Callers time out after 3 s, so the answer has to be sent earlier.
-REPLY_WITHIN_SECONDS = 2.8
-# Time for the store to recover or another member to take over. The callers' timeout of
-# 3 s starts with their first request, so a longer delay would cost them a retry.
-RETRY_AFTER_SECONDS = 1
 
 
 JOB_EVENTS = {
@@ -34,6 +33,22 @@
 }
 
 
+class SubmitAnswer(NamedTuple):
+    """Answer to a submission; `retry_after` in seconds, 0 if it was accepted."""
+
+    outcome: Acceptance
+    retry_after: int = 0
+
+
+class _Attempt(NamedTuple):
+    """Result of one attempt to store a job, by the owner or by this member."""
+
+    outcome: Acceptance
+    path: str
+    reason: RejectReason | None = None
+    expected_seconds: float = 0.0
+
+
 class Intake:
     """Accepts and cancels jobs and looks up their states.
 
@@ -48,9 +63,10 @@
         Reports whether the store answers this member.
     generator : random.Random
         Source of jitter.
+    metrics : Metrics
     """
 
-    def __init__(self, store, peers, find_owner, election, generator):
+    def __init__(self, store, peers, find_owner, election, generator, metrics):
         self._find_owner = find_owner
         self._inserter = Inserter(store, generator)
         self._lookups = JobLookups(store, peers, find_owner)
@@ -59,42 +75,159 @@
         self.answer_state = self._lookups.answer_state
         self.answer_pending = self._lookups.answer_pending
         self._election = election
+        self._random = generator
+        self._metrics = metrics
+        self._outage_queue = OutageQueue(
+            self._is_store_available, election.probe_store, metrics
+        )
         self._owner_caller = OwnerCaller(peers, find_owner, election)
         self.mark_announced = self._owner_caller.mark_announced
 
-    async def accept(self, spec):
+    @property
+    def waiting_count(self):
+        """Number of callers that wait for the store to answer again."""
+        return len(self._outage_queue)
+
+    async def accept(self, spec, caller=None):
         """Store a job; `REFUSED` guarantees that it never runs.
 
         The owner stores jobs in batches with its other writes, which sustains a higher
         rate on a slow store. If no owner answers, this member stores the job itself.
+        While the store is unavailable, `store_outage.decide` says who waits for it.
+
+        Parameters
+        ----------
+        spec : JobSpec
+        caller : Caller or None
+            None for a caller that arrived now.
+
+        Returns
+        -------
+        SubmitAnswer
         """
         loop = asyncio.get_running_loop()
         received_at = loop.time()
+        caller = caller or make_caller(received_at)
         row = encode_job(spec)
         message = HandInJob(job=spec.job, row=row.decode())
-        answer = await self._owner_caller.forward(message)
-        outcome = _decode_acceptance(answer)
-        path = "owner"
-        if outcome is not Acceptance.ACCEPTED and not _is_overloaded(answer):
-            path = "store"
-            key = make_job_key(spec.job)
-            may_be_stored = outcome is Acceptance.UNKNOWN
-            deadline = min(
-                loop.time() + INSERT_TIMEOUT_SECONDS, received_at + REPLY_WITHIN_SECONDS
-            )
-            outcome = await self._insert(key, row, deadline, may_be_stored)
-            self._owner_caller.notify_later(message, outcome)
+        attempt = await self._store_job(
+            message, row, received_at + REPLY_WITHIN_SECONDS
+        )
+        if attempt.reason is RejectReason.STORE_FAILED:
+            attempt = await self._wait_for_store(message, row, caller, attempt)
+        retry_after, fields = 0, {}
+        if attempt.outcome is not Acceptance.ACCEPTED:
+            retry_after, fields = self._explain_rejection(attempt, caller)
         log_event(
-            JOB_EVENTS[outcome],
+            JOB_EVENTS[attempt.outcome],
             job=spec.job,
             queue=spec.queue,
             team=spec.team,
-            outcome=outcome.value,
-            path=path,
+            outcome=attempt.outcome.value,
+            path=attempt.path,
             epoch=self._find_owner()[2],
             seconds=round(loop.time() - received_at, 3),
+            **fields,
         )
-        return outcome
+        return SubmitAnswer(attempt.outcome, retry_after)
+
+    async def _wait_for_store(self, message, row, caller, attempt):
+        """Repeat a failed attempt as long as the caller may wait; return the last."""
+        while attempt.reason is RejectReason.STORE_FAILED:
+            age = self._find_outage_seconds()
+            if age is None:
+                break
+            result = await self._outage_queue.wait(
+                message.job, len(row), caller, age, self._is_isolated()
+            )
+            if result is not Release.TRY_AGAIN:
+                return attempt._replace(reason=result)
+            is_unknown = attempt.outcome is Acceptance.UNKNOWN
+            attempt = await self._store_job(
+                message, row, caller.answer_by, is_unknown, is_retry=True
+            )
+        if attempt.outcome is Acceptance.ACCEPTED:
+            self._outage_queue.release_all()
+        return attempt
+
+    def _explain_rejection(self, attempt, caller):
+        """Count a rejection; return its Retry-After and the fields to log."""
+        outage_seconds = self._find_outage_seconds() or 0.0
+        remaining = caller.answer_by - asyncio.get_running_loop().time()
+        retry_after = choose_retry_after(
+            max(attempt.expected_seconds, outage_seconds),
+            remaining if caller.is_time_known else None,
+            self._random.random(),
+        )
+        self._metrics.count(Count.REJECTIONS, attempt.reason.value)
+        return retry_after, {
+            "reason": attempt.reason.value,
+            "retry_after": retry_after,
+            "outage_seconds": round(outage_seconds, 3),
+            "time_left": round(remaining, 3),
+            "waiting": self.waiting_count,
+        }
+
+    async def _store_job(
+        self, message, row, answer_by, may_be_stored=False, is_retry=False
+    ):
+        """Store a job once, by the owner or else by this member.
+
+        Parameters
+        ----------
+        message : HandInJob
+        row : bytes
+        answer_by : float
+            Loop time by which the caller has to be answered.
+        may_be_stored : bool
+            Whether an earlier attempt may still take effect.
+        is_retry : bool
+            Whether the caller has waited; the call to the owner then ends in time.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout_at(answer_by if is_retry else None):
+                answer = await self._owner_caller.forward(message)
+        except TimeoutError:
+            return _Attempt(Acceptance.UNKNOWN, "owner", RejectReason.STORE_FAILED)
+        outcome = _decode_acceptance(answer)
+        if outcome is Acceptance.ACCEPTED:
+            return _Attempt(outcome, "owner")
+        if may_be_stored:
+            outcome = Acceptance.UNKNOWN
+        if _is_overloaded(answer):
+            seconds = answer.unwrap_err().retry_after_ms / 1000
+            return _Attempt(outcome, "owner", RejectReason.OVERLOADED, seconds)
+        deadline = min(loop.time() + INSERT_TIMEOUT_SECONDS, answer_by)
+        is_unknown = outcome is Acceptance.UNKNOWN
+        outcome = await self._insert(
+            make_job_key(message.job), row, deadline, is_unknown
+        )
+        self._owner_caller.notify_later(message, outcome)
+        if outcome is Acceptance.ACCEPTED:
+            return _Attempt(outcome, "store")
+        is_available = self._election.unavailable_since is None
+        if is_available and self._election.read_seconds > SLOW_STORE_READ_SECONDS:
+            # Only an owner stores jobs in a slow store.
+            return _Attempt(outcome, "store", RejectReason.STORE_SLOW, TAKEOVER_SECONDS)
+        return _Attempt(outcome, "store", RejectReason.STORE_FAILED)
+
+    def _find_outage_seconds(self):
+        """Return how long the store has been unavailable to this member, or None."""
+        began = [
+            at
+            for at in (self._election.unavailable_since, self._inserter.failing_since)
+            if at is not None
+        ]
+        return asyncio.get_running_loop().time() - min(began) if began else None
+
+    def _is_store_available(self):
+        return self._find_outage_seconds() is None
+
+    def _is_isolated(self):
+        """Return whether neither the store nor the owner can be heard."""
+        owner, _, _ = self._find_owner()
+        return owner is None and self._owner_caller.is_owner_silent()
 
     async def cancel(self, job):
         """Cancel a job; `ACCEPTED` means that the cancellation is stored."""
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -87,6 +87,7 @@
             self._find_owner,
             self._election,
             random.Random(settings.member),
+            self.metrics,
         )
 
     async def start(self):
@@ -125,6 +126,7 @@
         tasks = [*self._tasks, self._loop_monitor]
         for task in tasks:
             task.cancel()
+        self._election.close()
         await asyncio.gather(*tasks, return_exceptions=True)
         await self.desired_replica.stop()
         await self._server.stop()
@@ -132,6 +134,7 @@
     async def stop(self):
         """Stop serving and close every connection."""
         self._loop_monitor.cancel()
+        self._election.close()
         await self.desired_replica.stop()
         await self._server.stop()
         await self.peers.close()
@@ -243,6 +246,7 @@
         yield Gauge.EPOCH, (), self._election.record.epoch
         yield Gauge.DESIRED_VERSION, (), self.desired_state.version
         yield Gauge.DESIRED_AGE, (), self.desired_replica.age_seconds
+        yield Gauge.WAITING_CALLERS, (), self.intake.waiting_count
         if self.is_owner:
             yield from read_cell_gauges(self._owner.engine, now)
             yield Gauge.PENDING_SUBMISSIONS, (), self._owner.pending_submissions
--- a/libs/cell/src/cactustiller/cell/metrics.py
+++ b/libs/cell/src/cactustiller/cell/metrics.py
@@ -59,6 +59,8 @@
     STORE_BYTES = Family("store_bytes", "Bytes of row values.", ("purpose",))
     WORKER_CALLS = Family("worker_calls", "Calls to workers.", ("call", "outcome"))
     APPROVAL_CALLS = Family("approval_calls", "Approvals asked.", ("outcome",))
+    REJECTIONS = Family("rejections", "Submissions not accepted.", ("reason",))
+    STORE_WAITS = Family("store_waits", "Submissions that waited for the store.")
     RUNS_ENDED = Family("runs_ended", "Runs by their end.", ("end",))
     WASTED_CORE_SECONDS = Family(
         "wasted_core_seconds", "Work of runs that did not succeed.", ("end",)
@@ -90,6 +92,7 @@
         "waiting_tasks", "Tasks whose turn has come.", ("priority", "team")
     )
     CAPACITY = Family("room_cores", "Cores of listed workers.", ("state",))
+    WAITING_CALLERS = Family("waiting_callers", "Callers that wait for the store.")
     PENDING_SUBMISSIONS = Family("pending_hand_ins", "Jobs that wait for the store.")
 
 
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -159,9 +159,12 @@
         if job not in self._submissions.jobs:
             if self._writer.is_store_unavailable:
                 return self._submissions.make_failure("the store is unavailable")
-            if self._estimate_wait() > MAX_STORE_WAIT_SECONDS:
+            excess = self._estimate_wait() - MAX_STORE_WAIT_SECONDS
+            if excess > 0.0:
                 reason = "too many rows are waiting to be stored"
-                return self._submissions.make_failure(reason, ErrorCode.OVERLOADED)
+                return self._submissions.make_failure(
+                    reason, ErrorCode.OVERLOADED, retry_after_ms=int(excess * 1000)
+                )
             self._loader.add_job(job, row, is_stored=False)
             # Requests the approval while the previous transaction is running, so that
             # the job's row and its placements can share the next one.
--- a/libs/cell/src/cactustiller/cell/owner_calls.py
+++ b/libs/cell/src/cactustiller/cell/owner_calls.py
@@ -114,6 +114,12 @@
         except TimeoutError:
             return _make_failure(ErrorCode.TIMEOUT, "the store does not answer")
 
+    def is_owner_silent(self):
+        """Return whether the announcements of every owner are missing."""
+        heard_at = max(self._announced_at.values(), default=float("-inf"))
+        age = asyncio.get_running_loop().time() - heard_at
+        return age > OWNER_ANNOUNCEMENT_TIMEOUT_SECONDS
+
     def _is_suspect(self, address):
         """Return whether a recent call to an owner failed and no announcement came."""
         failed_at = self._suspects.get(address, float("-inf"))
--- a/libs/cell/src/cactustiller/cell/submissions.py
+++ b/libs/cell/src/cactustiller/cell/submissions.py
@@ -93,7 +93,13 @@
         self.jobs.clear()
         self._cancels.clear()
 
-    def make_failure(self, reason, code=ErrorCode.UNAVAILABLE, outcome=Outcome.NOT_RUN):
+    def make_failure(
+        self,
+        reason,
+        code=ErrorCode.UNAVAILABLE,
+        outcome=Outcome.NOT_RUN,
+        retry_after_ms=0,
+    ):
         """Return the failure of a submission."""
         return Err(
             Failure(
@@ -102,6 +108,7 @@
                 peer=self._member,
                 reason=reason,
                 outcome=outcome,
+                retry_after_ms=retry_after_ms,
             )
         )
 
--- a/standins/fleet/cell.py
+++ b/standins/fleet/cell.py
@@ -273,14 +273,18 @@
                 await asyncio.sleep(0.02)
         return self.find_owner()
 
-    async def submit(self, spec, seconds=1.0, member=None):
+    async def submit(self, spec, seconds=1.0, member=None, caller=None):
         """Hand in a job whose tasks take `seconds`; return the `Acceptance`."""
+        return (await self.submit_fully(spec, seconds, member, caller)).outcome
+
+    async def submit_fully(self, spec, seconds=1.0, member=None, caller=None):
+        """Hand in a job like `submit`; return the `SubmitAnswer`."""
         now_ms = int(asyncio.get_running_loop().time() * 1000)
         spec = replace(spec, accepted_ms=now_ms)
         self.seconds[spec.job] = seconds
         self.jobs[spec.job] = spec
         name = member or next(iter(self.members))
-        return await self.members[name].intake.accept(spec)
+        return await self.members[name].intake.accept(spec, caller)
 
     async def wait_for_state(self, spec, state, seconds=30.0, member=None):
         """Wait until a job is shown in a state."""
