Reject jobs that certainly cannot start before they are worthless

Cause: on a full cell the owner stores jobs that are placed after all others and never start in time; their callers learn it by a timeout. Owner.submit rejects a job whose bound exceeds the time for which it has value, after a read shows that its row is not stored. Log event job_not_admitted, reason cannotStart. A caller that has disconnected is no longer tried again; tests of a disconnected caller and of a lost owner whose write may be stored now fail without the code that they test.

--- a/libs/cell/src/cactustiller/cell/events.py
+++ b/libs/cell/src/cactustiller/cell/events.py
@@ -32,6 +32,7 @@
     JOB_ACCEPTED = "job_accepted"
     JOB_REFUSED = "job_refused"
     JOB_WAITS = "job_waits"
+    JOB_NOT_ADMITTED = "job_not_admitted"
     JOB_CANCELLED = "job_cancelled"
     JOB_ENDED = "job_ended"
     APPROVAL = "approval"
@@ -67,6 +68,7 @@
         Event.JOB_ACCEPTED,
         Event.JOB_REFUSED,
         Event.JOB_WAITS,
+        Event.JOB_NOT_ADMITTED,
         Event.JOB_CANCELLED,
         Event.JOB_ENDED,
         Event.APPROVAL,
--- a/libs/cell/src/cactustiller/cell/intake.py
+++ b/libs/cell/src/cactustiller/cell/intake.py
@@ -19,6 +19,7 @@
 from .ports import CANCEL_SUFFIX, make_cancel_key, make_job_key
 from .specs import encode_job
 from .store_outage import TAKEOVER_SECONDS, RejectReason, choose_retry_after
+from .submissions import ADMIT_STEP
 
 # Time in which this member tries to store a job itself.
 INSERT_TIMEOUT_SECONDS = 1.5
@@ -196,8 +197,14 @@
         if may_be_stored:
             outcome = Acceptance.UNKNOWN
         if _is_overloaded(answer):
-            seconds = answer.unwrap_err().retry_after_ms / 1000
-            return _Attempt(outcome, "owner", RejectReason.OVERLOADED, seconds)
+            failure = answer.unwrap_err()
+            is_admitted = failure.step != ADMIT_STEP
+            return _Attempt(
+                outcome,
+                "owner",
+                RejectReason.OVERLOADED if is_admitted else RejectReason.CANNOT_START,
+                failure.retry_after_ms / 1000,
+            )
         deadline = min(loop.time() + INSERT_TIMEOUT_SECONDS, answer_by)
         is_unknown = outcome is Acceptance.UNKNOWN
         outcome = await self._insert(
--- a/libs/cell/src/cactustiller/cell/outage_queue.py
+++ b/libs/cell/src/cactustiller/cell/outage_queue.py
@@ -96,6 +96,8 @@
     async def wait(self, job, size, caller, age_seconds, is_isolated):
         """Wait for the store; return `Release.TRY_AGAIN` or a `RejectReason`."""
         loop = asyncio.get_running_loop()
+        if not caller.is_connected():
+            return RejectReason.DISCONNECTED
         view = OutageView(
             age_seconds,
             caller.answer_by - loop.time(),
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -11,6 +11,7 @@
 
 from cactustiller.model import ErrorCode
 
+from .admission_control import AdmissionControl
 from .announcements import Announcer
 from .approvals import ApprovalDispatcher
 from .commits import MAX_ENTRIES, BatchWriter, OwnershipLostError
@@ -19,7 +20,9 @@
 from .events import Event, log_event
 from .housekeeping import run_housekeeping
 from .loading import JobLoader
-from .submissions import PendingSubmissions
+from .ports import CELL_PART, JOB_TABLE
+from .specs import decode_job
+from .submissions import ADMIT_STEP, PendingSubmissions
 from .supervision import keep_running
 
 # Minimum time between two scheduling rounds, so that run ends and new jobs share a
@@ -32,6 +35,8 @@
 # Callers time out after 3 s; a job whose row would wait longer than this is refused
 # immediately.
 MAX_STORE_WAIT_SECONDS = 1.2
+# Time to find out whether a job that is about to be rejected is stored already.
+STORED_CHECK_SECONDS = 0.5
 # A transaction takes the store about as long as two reads.
 READS_PER_TRANSACTION = 2.0
 
@@ -74,6 +79,7 @@
         self._worker_registry = ports.make_worker_registry(self._wake.set)
         self._member_registry = ports.make_member_registry()
         self._announcer = Announcer(ports.peers, self._member_registry, claim[0])
+        self._admission = AdmissionControl(self.engine, loop.time, ports.wall_clock_ms)
         self._loader = JobLoader(self.engine, ports.store)
         self._dispatcher = Dispatcher(
             self.engine,
@@ -165,6 +171,9 @@
                 return self._submissions.make_failure(
                     reason, ErrorCode.OVERLOADED, retry_after_ms=int(excess * 1000)
                 )
+            failure = await self._find_rejection(job, row)
+            if failure is not None:
+                return failure
             self._loader.add_job(job, row, is_stored=False)
             # Requests the approval while the previous transaction is running, so that
             # the job's row and its placements can share the next one.
@@ -172,6 +181,34 @@
             self._wake.set()
         return await self._submissions.wait_for_job(job, row)
 
+    async def _find_rejection(self, job, row):
+        """Return the failure of a job that certainly starts too late, else None.
+
+        A job that another member has stored meanwhile is not rejected.
+        """
+        if not self._admission.is_needed():
+            return None
+        try:
+            rejection = self._admission.find_rejection(decode_job(job, row))
+        except (ValueError, KeyError, IndexError, TypeError):
+            # The loader logs rows that cannot be read.
+            return None
+        if rejection is None:
+            return None
+        answer = await self._ports.store.read(
+            JOB_TABLE, CELL_PART, job, job + "\0", STORED_CHECK_SECONDS
+        )
+        if answer.is_err() or answer.unwrap().rows:
+            return None
+        wait_ms, useful_ms = map(round, rejection)
+        log_event(Event.JOB_NOT_ADMITTED, job=job, wait_ms=wait_ms, useful_ms=useful_ms)
+        return self._submissions.make_failure(
+            "the job cannot start before it is worthless",
+            ErrorCode.OVERLOADED,
+            retry_after_ms=wait_ms - useful_ms,
+            step=ADMIT_STEP,
+        )
+
     async def withdraw(self, job):
         """Cancel a job; return ``Ok(None)`` once the cancellation is stored."""
         run = self.engine.jobs.get(job)
--- a/libs/cell/src/cactustiller/cell/store_outage.py
+++ b/libs/cell/src/cactustiller/cell/store_outage.py
@@ -34,6 +34,7 @@
     STILL_UNAVAILABLE = "stillUnavailable"
     DISCONNECTED = "disconnected"
     OVERLOADED = "overloaded"
+    CANNOT_START = "cannotStart"
     STORE_SLOW = "storeSlow"
     STORE_FAILED = "storeFailed"
 
--- a/libs/cell/src/cactustiller/cell/submissions.py
+++ b/libs/cell/src/cactustiller/cell/submissions.py
@@ -6,6 +6,10 @@
 
 from cactustiller.model import ErrorCode, Failure, Outcome
 
+STORE_STEP = "store job"
+# Step of failures of jobs that are not admitted.
+ADMIT_STEP = "admit job"
+
 
 class PendingSubmissions:
     """Unanswered submissions and cancellations of one owner.
@@ -99,12 +103,13 @@
         code=ErrorCode.UNAVAILABLE,
         outcome=Outcome.NOT_RUN,
         retry_after_ms=0,
+        step=STORE_STEP,
     ):
         """Return the failure of a submission."""
         return Err(
             Failure(
                 code=code,
-                step="store job",
+                step=step,
                 peer=self._member,
                 reason=reason,
                 outcome=outcome,
--- a/tests/cell/test_outage_waits.py
+++ b/tests/cell/test_outage_waits.py
@@ -206,6 +206,28 @@
         set_trouble(cell, Trouble.NONE)
 
 
+async def test_a_job_that_a_lost_owner_may_have_stored_is_not_refused():
+    async with FleetCell() as cell:
+        await asyncio.sleep(1)
+        owner = cell.find_owner()
+        name = next(name for name in cell.members if name != owner)
+        cell.stores[owner].answers_to_lose = 1
+        spec = make_job()
+        # Answered before the member calls the owner again, which takes 2 s.
+        caller = make_caller(asyncio.get_running_loop().time(), 2_000)
+        call = asyncio.create_task(cell.submit(spec, member=name, caller=caller))
+        await asyncio.sleep(0.02)
+        set_trouble(cell, Trouble.SILENT)
+        await asyncio.sleep(0.65)
+        assert cell.members[name].intake.waiting_count == 1
+        # Without an owner, each further try says that nothing was stored by it.
+        await cell.kill(owner)
+        assert await call is Acceptance.UNKNOWN
+        set_trouble(cell, Trouble.NONE)
+        await cell.wait_for_state(spec, JobState.SUCCEEDED)
+        assert len(cell.audit.starts) == 1
+
+
 async def test_a_caller_that_disconnects_is_dropped_and_its_job_never_runs():
     async with FleetCell() as cell:
         loop = asyncio.get_running_loop()
@@ -216,7 +238,8 @@
         await asyncio.sleep(0.5)
         assert cell.members["m0"].intake.waiting_count == 1
         is_connected = False
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(0.4)
+        assert call.done()
         assert cell.members["m0"].intake.waiting_count == 0
         assert await call is Acceptance.REFUSED
         set_trouble(cell, Trouble.NONE)
