Test that nobody is held late in a long outage of a silent store

Cause: the whole-cell test of an outage of 20 s had a refusing store only, in which calls fail at once. Change: it also runs with a store that does not answer.

--- a/tests/cell/test_outage_waits.py
+++ b/tests/cell/test_outage_waits.py
@@ -113,10 +113,11 @@
         callers.check_runs()
 
 
-async def test_callers_are_not_held_late_in_an_outage_of_20_s():
+@pytest.mark.parametrize("trouble", [Trouble.REFUSING, Trouble.SILENT])
+async def test_callers_are_not_held_late_in_an_outage_of_20_s(trouble):
     async with FleetCell(members=5) as cell:
         callers = Callers(cell)
-        set_trouble(cell, Trouble.REFUSING)
+        set_trouble(cell, trouble)
         end = asyncio.create_task(end_trouble_after(cell, 20.0))
         await callers.submit_during(5.0)
         callers.waits.clear()
