--- a/libs/cell/src/cactustiller/cell/intake.py
+++ b/libs/cell/src/cactustiller/cell/intake.py
@@ -7,62 +7,26 @@
 import asyncio
 from typing import NamedTuple
 
-from result import Err
-
-from cactustiller.model import ErrorCode, Failure, JobState, Outcome
-from cactustiller.model.messages import (
-    CountPending,
-    FindJobState,
-    HandInJob,
-    JobStateFound,
-    PendingCounted,
-    WithdrawJob,
-)
+from cactustiller.model import ErrorCode, Outcome
+from cactustiller.model.messages import HandInJob, WithdrawJob
 
 from .events import Event, log_event
 from .insertion import Acceptance, Inserter
-from .ports import (
-    CANCEL_SUFFIX,
-    CELL_PART,
-    JOB_TABLE,
-    PROGRESS_TABLE,
-    make_cancel_key,
-    make_job_key,
-    split_job_key,
-)
-from .progress import decode_state
+from .lookups import STORE_CALL_TIMEOUT_SECONDS, JobLookups
+from .metrics import Count
+from .outage_queue import REPLY_WITHIN_SECONDS, OutageQueue, Release, make_caller
+from .owner_calls import OwnerCaller
+from .ports import CANCEL_SUFFIX, make_cancel_key, make_job_key
 from .specs import encode_job
+from .store_outage import TAKEOVER_SECONDS, RejectReason, choose_retry_after
+from .submissions import ADMIT_STEP
 
-# A longer call to the store would leave no time for a second try.
-STORE_CALL_TIMEOUT_SECONDS = 0.9
 # Time in which this member tries to store a job itself.
 INSERT_TIMEOUT_SECONDS = 1.5
 # If reads take longer, only the owner writes to the store, since it writes in batches.
 SLOW_STORE_READ_SECONDS = 0.05
-# The owner answers after its current and its next transaction; this is enough for three
-# transactions of a slow store.
-SUBMIT_TIMEOUT_SECONDS = 2.3
-# Minimum wait for the owner's answer; afterwards the call is abandoned once the owner's
-# announcements are missing.
-MIN_SUBMIT_TIMEOUT_SECONDS = 0.6
-# Owners announce themselves every 0.7 s.
-OWNER_ANNOUNCEMENT_TIMEOUT_SECONDS = 1.1
-ANNOUNCEMENT_CHECK_SECONDS = 0.1
-# Callers time out after 3 s, so the answer has to be sent earlier.
-REPLY_WITHIN_SECONDS = 2.8
-# After a failed call the owner is not called again until another member has had time
-# to take over.
-SUSPECT_SECONDS = 2.0
-OWNER_CALL_TIMEOUT_SECONDS = 0.4
-# Together these outlast a takeover, which takes about 3 s.
-MAX_NOTIFY_ATTEMPTS = 12
-NOTIFY_RETRY_SECONDS = 0.25
-# Time for the store to recover or another member to take over. The callers' timeout of
-# 3 s starts with their first request, so a longer delay would cost them a retry.
-RETRY_AFTER_SECONDS = 1
-
-
-UNREACHABLE_CODES = (ErrorCode.TIMEOUT, ErrorCode.UNAVAILABLE)
+
+
 JOB_EVENTS = {
     Acceptance.ACCEPTED: Event.JOB_ACCEPTED,
     Acceptance.REFUSED: Event.JOB_REFUSED,
@@ -70,14 +34,20 @@
 }
 
 
-class Lookup(NamedTuple):
-    """Result of a query.
+class SubmitAnswer(NamedTuple):
+    """Answer to a submission; `retry_after` in seconds, 0 if it was accepted."""
+
+    outcome: Acceptance
+    retry_after: int = 0
 
-    `is_known` is False if the query failed, `value` is None if nothing was found.
-    """
 
-    is_known: bool
-    value: object = None
+class _Attempt(NamedTuple):
+    """Result of one attempt to store a job, by the owner or by this member."""
+
+    outcome: Acceptance
+    path: str
+    reason: RejectReason | None = None
+    expected_seconds: float = 0.0
 
 
 class Intake:
@@ -94,67 +64,189 @@
         Reports whether the store answers this member.
     generator : random.Random
         Source of jitter.
+    metrics : Metrics
     """
 
-    def __init__(self, store, peers, find_owner, election, generator):
-        self._store = store
-        self._peers = peers
+    def __init__(self, store, peers, find_owner, election, generator, metrics):
         self._find_owner = find_owner
         self._inserter = Inserter(store, generator)
+        self._lookups = JobLookups(store, peers, find_owner)
+        self.find_state = self._lookups.find_state
+        self.count_pending = self._lookups.count_pending
+        self.answer_state = self._lookups.answer_state
+        self.answer_pending = self._lookups.answer_pending
         self._election = election
-        self._suspects = {}
-        self._announced_at = {}
-        self._tasks = set()
+        self._random = generator
+        self._metrics = metrics
+        self._outage_queue = OutageQueue(
+            self._is_store_available, election.probe_store, metrics
+        )
+        self._owner_caller = OwnerCaller(peers, find_owner, election)
+        self.mark_announced = self._owner_caller.mark_announced
 
-    def mark_announced(self, address):
-        """Record that the owner at an address announced itself."""
-        self._announced_at = {address: asyncio.get_running_loop().time()}
+    @property
+    def waiting_count(self):
+        """Number of callers that wait for the store to answer again."""
+        return len(self._outage_queue)
 
-    async def accept(self, spec):
+    async def accept(self, spec, caller=None):
         """Store a job; `REFUSED` guarantees that it never runs.
 
         The owner stores jobs in batches with its other writes, which sustains a higher
         rate on a slow store. If no owner answers, this member stores the job itself.
+        While the store is unavailable, `store_outage.decide` says who waits for it.
+
+        Parameters
+        ----------
+        spec : JobSpec
+        caller : Caller or None
+            None for a caller that arrived now.
+
+        Returns
+        -------
+        SubmitAnswer
         """
         loop = asyncio.get_running_loop()
         received_at = loop.time()
+        caller = caller or make_caller(received_at)
         row = encode_job(spec)
         message = HandInJob(job=spec.job, row=row.decode())
-        answer = await self._forward_to_owner(message)
-        outcome = _decode_acceptance(answer)
-        path = "owner"
-        if outcome is not Acceptance.ACCEPTED and not _is_overloaded(answer):
-            path = "store"
-            key = make_job_key(spec.job)
-            may_be_stored = outcome is Acceptance.UNKNOWN
-            deadline = min(
-                loop.time() + INSERT_TIMEOUT_SECONDS, received_at + REPLY_WITHIN_SECONDS
-            )
-            outcome = await self._insert(key, row, deadline, may_be_stored)
-            self._notify_owner_later(message, outcome)
+        attempt = await self._store_job(
+            message, row, received_at + REPLY_WITHIN_SECONDS
+        )
+        if attempt.reason is RejectReason.STORE_FAILED:
+            attempt = await self._wait_for_store(message, row, caller, attempt)
+        retry_after, fields = 0, {}
+        if attempt.outcome is not Acceptance.ACCEPTED:
+            retry_after, fields = self._explain_rejection(attempt, caller)
         log_event(
-            JOB_EVENTS[outcome],
+            JOB_EVENTS[attempt.outcome],
             job=spec.job,
             queue=spec.queue,
             team=spec.team,
-            outcome=outcome.value,
-            path=path,
+            outcome=attempt.outcome.value,
+            path=attempt.path,
             epoch=self._find_owner()[2],
             seconds=round(loop.time() - received_at, 3),
+            **fields,
         )
-        return outcome
+        return SubmitAnswer(attempt.outcome, retry_after)
+
+    async def _wait_for_store(self, message, row, caller, attempt):
+        """Repeat a failed attempt as long as the caller may wait; return the last."""
+        while attempt.reason is RejectReason.STORE_FAILED:
+            age = self._find_outage_seconds()
+            if age is None:
+                break
+            result = await self._outage_queue.wait(
+                message.job, len(row), caller, age, self._is_isolated()
+            )
+            if result is not Release.TRY_AGAIN:
+                return attempt._replace(reason=result)
+            is_unknown = attempt.outcome is Acceptance.UNKNOWN
+            attempt = await self._store_job(
+                message, row, caller.answer_by, is_unknown, is_retry=True
+            )
+        if attempt.outcome is Acceptance.ACCEPTED:
+            self._outage_queue.release_all()
+        return attempt
+
+    def _explain_rejection(self, attempt, caller):
+        """Count a rejection; return its Retry-After and the fields to log."""
+        outage_seconds = self._find_outage_seconds() or 0.0
+        remaining = caller.answer_by - asyncio.get_running_loop().time()
+        retry_after = choose_retry_after(
+            max(attempt.expected_seconds, outage_seconds),
+            remaining if caller.is_time_known else None,
+            self._random.random(),
+        )
+        self._metrics.count(Count.REJECTIONS, attempt.reason.value)
+        return retry_after, {
+            "reason": attempt.reason.value,
+            "retry_after": retry_after,
+            "outage_seconds": round(outage_seconds, 3),
+            "time_left": round(remaining, 3),
+            "waiting": self.waiting_count,
+        }
+
+    async def _store_job(
+        self, message, row, answer_by, may_be_stored=False, is_retry=False
+    ):
+        """Store a job once, by the owner or else by this member.
+
+        Parameters
+        ----------
+        message : HandInJob
+        row : bytes
+        answer_by : float
+            Loop time by which the caller has to be answered.
+        may_be_stored : bool
+            Whether an earlier attempt may still take effect.
+        is_retry : bool
+            Whether the caller has waited; the call to the owner then ends in time.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout_at(answer_by if is_retry else None):
+                answer = await self._owner_caller.forward(message)
+        except TimeoutError:
+            return _Attempt(Acceptance.UNKNOWN, "owner", RejectReason.STORE_FAILED)
+        outcome = _decode_acceptance(answer)
+        if outcome is Acceptance.ACCEPTED:
+            return _Attempt(outcome, "owner")
+        if may_be_stored:
+            outcome = Acceptance.UNKNOWN
+        if _is_overloaded(answer):
+            failure = answer.unwrap_err()
+            is_admitted = failure.step != ADMIT_STEP
+            return _Attempt(
+                outcome,
+                "owner",
+                RejectReason.OVERLOADED if is_admitted else RejectReason.CANNOT_START,
+                failure.retry_after_ms / 1000,
+            )
+        deadline = min(loop.time() + INSERT_TIMEOUT_SECONDS, answer_by)
+        is_unknown = outcome is Acceptance.UNKNOWN
+        outcome = await self._insert(
+            make_job_key(message.job), row, deadline, is_unknown
+        )
+        self._owner_caller.notify_later(message, outcome)
+        if outcome is Acceptance.ACCEPTED:
+            return _Attempt(outcome, "store")
+        is_available = self._election.unavailable_since is None
+        if is_available and self._election.read_seconds > SLOW_STORE_READ_SECONDS:
+            # Only an owner stores jobs in a slow store.
+            return _Attempt(outcome, "store", RejectReason.STORE_SLOW, TAKEOVER_SECONDS)
+        return _Attempt(outcome, "store", RejectReason.STORE_FAILED)
+
+    def _find_outage_seconds(self):
+        """Return how long the store has been unavailable to this member, or None."""
+        began = [
+            at
+            for at in (self._election.unavailable_since, self._inserter.failing_since)
+            if at is not None
+        ]
+        return asyncio.get_running_loop().time() - min(began) if began else None
+
+    def _is_store_available(self):
+        return self._find_outage_seconds() is None
+
+    def _is_isolated(self):
+        """Return whether neither the store nor the owner can be heard."""
+        owner, _, _ = self._find_owner()
+        return owner is None and self._owner_caller.is_owner_silent()
 
     async def cancel(self, job):
         """Cancel a job; `ACCEPTED` means that the cancellation is stored."""
         loop = asyncio.get_running_loop()
         received_at = loop.time()
         message = WithdrawJob(job=job)
-        outcome = _decode_acceptance(await self._forward_to_owner(message))
+        outcome = _decode_acceptance(await self._owner_caller.forward(message))
         if outcome is not Acceptance.ACCEPTED:
             may_be_stored = outcome is Acceptance.UNKNOWN
             deadline = received_at + REPLY_WITHIN_SECONDS
             outcome = await self._store_cancel(job, deadline, may_be_stored)
-            self._notify_owner_later(message, outcome)
+            self._owner_caller.notify_later(message, outcome)
         log_event(
             Event.JOB_CANCELLED,
             job=job,
@@ -165,7 +257,7 @@
 
     async def _store_cancel(self, job, deadline, may_be_stored):
         remaining = deadline - asyncio.get_running_loop().time()
-        rows = await self._read_job_rows(
+        rows = await self._lookups.read_job_rows(
             job, min(STORE_CALL_TIMEOUT_SECONDS, remaining)
         )
         if rows is None:
@@ -176,116 +268,6 @@
             return Acceptance.ACCEPTED
         return await self._insert(make_cancel_key(job), b"1", deadline, may_be_stored)
 
-    async def find_state(self, queue, job):
-        """Return a `Lookup` of the job's `JobState`."""
-        owner, address, _ = self._find_owner()
-        if owner is not None:
-            state = owner.engine.published_states.get(job)
-            if state is not None:
-                return Lookup(True, state)
-        elif address:
-            answer = await self._peers.call(
-                address, FindJobState(queue=queue, job=job), OWNER_CALL_TIMEOUT_SECONDS
-            )
-            if answer.is_ok() and answer.unwrap().state:
-                return Lookup(True, JobState(answer.unwrap().state))
-        return await self._read_state(job)
-
-    async def count_pending(self, queue):
-        """Return a `Lookup` of the number of a queue's jobs that have not started."""
-        owner, address, _ = self._find_owner()
-        if owner is not None:
-            return Lookup(True, owner.engine.count_pending(queue))
-        if address:
-            answer = await self._peers.call(
-                address, CountPending(queue=queue), OWNER_CALL_TIMEOUT_SECONDS
-            )
-            if answer.is_ok():
-                return Lookup(True, answer.unwrap().count)
-        return Lookup(False)
-
-    def answer_state(self, message):
-        """Answer another member's `FindJobState`."""
-        owner, _, _ = self._find_owner()
-        state = owner.engine.published_states.get(message.job) if owner else None
-        return JobStateFound(state=state.value if state else "")
-
-    def answer_pending(self, message):
-        """Answer another member's `CountPending`; None if not the owner."""
-        owner, _, _ = self._find_owner()
-        if owner is None:
-            return None
-        return PendingCounted(count=owner.engine.count_pending(message.queue))
-
-    async def _forward_to_owner(self, message):
-        """Return the owner's answer, or a failure if the owner is unknown or suspect.
-
-        An owner that does not answer becomes suspect.
-        """
-        owner, address, _ = self._find_owner()
-        if owner is not None:
-            answer = await self._call_local_owner(owner, message)
-        elif not address or self._is_suspect(address):
-            return _make_failure(
-                ErrorCode.NOT_OWNER, "no owner is known", Outcome.NOT_RUN
-            )
-        else:
-            answer = await self._call_owner(address, message)
-            if answer.is_err() and answer.unwrap_err().code in UNREACHABLE_CODES:
-                self._suspects = {address: asyncio.get_running_loop().time()}
-                if answer.unwrap_err().code is ErrorCode.UNAVAILABLE:
-                    self._election.suspect_owner(address)
-        return answer
-
-    async def _call_owner(self, address, message):
-        """Call the owner; abandon the call once its announcements are missing."""
-        loop = asyncio.get_running_loop()
-        call = asyncio.create_task(
-            self._peers.call(address, message, SUBMIT_TIMEOUT_SECONDS)
-        )
-        try:
-            await asyncio.wait([call], timeout=MIN_SUBMIT_TIMEOUT_SECONDS)
-            while not call.done():
-                announcement_age = loop.time() - self._announced_at.get(
-                    address, float("-inf")
-                )
-                if announcement_age > OWNER_ANNOUNCEMENT_TIMEOUT_SECONDS:
-                    return _make_failure(
-                        ErrorCode.TIMEOUT,
-                        "the owner neither answers nor announces itself",
-                    )
-                await asyncio.wait([call], timeout=ANNOUNCEMENT_CHECK_SECONDS)
-            return call.result()
-        finally:
-            call.cancel()
-
-    def _notify_owner_later(self, message, outcome):
-        """Notify the owner of a row stored by this member, ahead of the change feed."""
-        if outcome is Acceptance.ACCEPTED:
-            task = asyncio.create_task(self._notify_owner(message))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    async def _notify_owner(self, message):
-        for _ in range(MAX_NOTIFY_ATTEMPTS):
-            if (await self._forward_to_owner(message)).is_ok():
-                return
-            await asyncio.sleep(NOTIFY_RETRY_SECONDS)
-
-    async def _call_local_owner(self, owner, message):
-        try:
-            async with asyncio.timeout(SUBMIT_TIMEOUT_SECONDS):
-                return await serve_owner_call(owner, message)
-        except TimeoutError:
-            return _make_failure(ErrorCode.TIMEOUT, "the store does not answer")
-
-    def _is_suspect(self, address):
-        """Return whether a recent call to an owner failed and no announcement came."""
-        failed_at = self._suspects.get(address, float("-inf"))
-        if self._announced_at.get(address, float("-inf")) > failed_at:
-            return False
-        return asyncio.get_running_loop().time() < failed_at + SUSPECT_SECONDS
-
     async def _insert(self, key, value, deadline, may_be_stored=False):
         """Store a row without the owner, unless the store is slow or unavailable.
 
@@ -304,41 +286,6 @@
             return Acceptance.UNKNOWN if may_be_stored else Acceptance.REFUSED
         return await self._inserter.insert(key, value, deadline, may_be_stored)
 
-    async def _read_job_rows(self, job, seconds=STORE_CALL_TIMEOUT_SECONDS):
-        # The range covers the job's row and the row that marks its cancellation.
-        answer = await self._store.read(
-            JOB_TABLE, CELL_PART, job, job + CANCEL_SUFFIX + "\0", seconds
-        )
-        if answer.is_err():
-            return None
-        return [
-            row for row in answer.unwrap().rows if split_job_key(row.key.key)[0] == job
-        ]
-
-    async def _read_state(self, job):
-        answer = await self._store.read(
-            PROGRESS_TABLE, CELL_PART, job, job + "\0", STORE_CALL_TIMEOUT_SECONDS
-        )
-        if answer.is_err():
-            return Lookup(False)
-        if answer.unwrap().rows:
-            return Lookup(True, decode_state(answer.unwrap().rows[0].value))
-        rows = await self._read_job_rows(job)
-        if rows is None:
-            return Lookup(False)
-        if not rows:
-            return Lookup(True)
-        is_cancelled = any(row.key.key.endswith(CANCEL_SUFFIX) for row in rows)
-        return Lookup(True, JobState.CANCELLED if is_cancelled else JobState.WAITING)
-
-
-def _make_failure(code, reason, outcome=Outcome.UNKNOWN):
-    return Err(
-        Failure(
-            code=code, step="store job", peer="owner", reason=reason, outcome=outcome
-        )
-    )
-
 
 def _decode_acceptance(answer):
     """Return the `Acceptance` in an owner's answer.
@@ -354,10 +301,3 @@
 def _is_overloaded(answer):
     """Return whether the owner is overloaded; storing a job here would not help."""
     return answer.is_err() and answer.unwrap_err().code is ErrorCode.OVERLOADED
-
-
-async def serve_owner_call(owner, message):
-    """Pass a job or a cancellation to the owner in this process."""
-    if isinstance(message, HandInJob):
-        return await owner.submit(message.job, message.row.encode())
-    return await owner.withdraw(message.job)
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/member.py
@@ -29,11 +29,12 @@
 from .events import Event, log_event
 from .followers import MemberRegistry, WorkerRegistry, encode_member_row
 from .gauges import read_cell_gauges
-from .intake import Intake, serve_owner_call
+from .intake import Intake
 from .loop_monitor import monitor_loop
 from .metering import MeteredApprovals, MeteredStore, MeteredWorkerCalls
 from .metrics import Count, Gauge, Latency, Metrics
 from .owner import Owner
+from .owner_calls import serve_owner_call
 from .ports import MEMBER_TABLE, RowKey, Transaction
 from .supervision import keep_running
 
@@ -86,6 +87,7 @@
             self._find_owner,
             self._election,
             random.Random(settings.member),
+            self.metrics,
         )
 
     async def start(self):
@@ -124,6 +126,7 @@
         tasks = [*self._tasks, self._loop_monitor]
         for task in tasks:
             task.cancel()
+        self._election.close()
         await asyncio.gather(*tasks, return_exceptions=True)
         await self.desired_replica.stop()
         await self._server.stop()
@@ -131,6 +134,7 @@
     async def stop(self):
         """Stop serving and close every connection."""
         self._loop_monitor.cancel()
+        self._election.close()
         await self.desired_replica.stop()
         await self._server.stop()
         await self.peers.close()
@@ -242,6 +246,7 @@
         yield Gauge.EPOCH, (), self._election.record.epoch
         yield Gauge.DESIRED_VERSION, (), self.desired_state.version
         yield Gauge.DESIRED_AGE, (), self.desired_replica.age_seconds
+        yield Gauge.WAITING_CALLERS, (), self.intake.waiting_count
         if self.is_owner:
             yield from read_cell_gauges(self._owner.engine, now)
             yield Gauge.PENDING_SUBMISSIONS, (), self._owner.pending_submissions
