Let the admission decision follow the margin of late steps

Cause: a step changes its band at its latest safe decision now, while the comparison of a new job with waiting work still looked at its latest start.

Change: the comparison looks at the times at which the order changes.

--- a/libs/cell/src/cactustiller/cell/admission_control.py
+++ b/libs/cell/src/cactustiller/cell/admission_control.py
@@ -85,7 +85,7 @@
         return False
     # The order changes only when one of the steps becomes late.
     times = [now_ms, end_ms]
-    for late_ms in (limits.latest_on_time, job[2].latest_on_time):
+    for late_ms in (limits.latest_safe, job[2].latest_safe):
         if now_ms < late_ms < end_ms:
             times += [late_ms, late_ms + 1.0]
     return all(
