Learn which images interfere and keep them apart

Cause: tasks of some images slow down those of others on the same worker, and placement packs them together as it knows neither.

Change: an observer of run ends and tail latencies estimates the effect of each pair of images, beside those of workers and of the images themselves; a ranker prefers workers without tasks of the other image of a known pair.

--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -13,6 +13,8 @@
 
 from .cold_workers import ColdWorkerRanker
 from .events import Event, log_event
+from .interference import InterferenceObserver
+from .interference_ranking import InterferenceRanker
 from .ordering import find_start_limits, make_order_key
 from .pacing import FULL_PERCENT
 from .placement import place_steps
@@ -70,7 +72,12 @@
         super().__init__(clock, wall_clock_ms)
         self._shares = ShareMeter()
         self._recurring_jobs = set()
-        self._rankers = [ColdWorkerRanker(clock)]
+        self.interference = InterferenceObserver()
+        self.observers.append(self.interference)
+        self._interference_ranker = InterferenceRanker(
+            self.interference.estimates, clock
+        )
+        self._rankers = [ColdWorkerRanker(clock), self._interference_ranker]
         self._start_limits = {}
         self._start_limits_version = 0
         self._unstored_placements = []
@@ -190,6 +197,7 @@
             isolated_count=len(isolated),
             rankers=self._rankers,
         )
+        self._interference_ranker.begin_round(current_round.placements)
         place_steps(current_round, ordered)
         for placement in current_round.placements:
             self._assign(placement)
--- a/libs/cell/src/cactustiller/cell/events.py
+++ b/libs/cell/src/cactustiller/cell/events.py
@@ -52,6 +52,8 @@
     WORKER_RESTARTED = "worker_reborn"
     WORKER_AVOIDED = "worker_avoided"
     WORKER_CRASHED = "worker_crashed"
+    INTERFERENCE_LEARNED = "interference_learned"
+    INTERFERENCE_DROPPED = "interference_dropped"
     LEASE_EXPIRED = "lease_lapsed"
     ENTRY_UNREADABLE = "entry_unreadable"
     CALL_REFUSED = "call_refused"
--- a/libs/cell/src/cactustiller/cell/gauges.py
+++ b/libs/cell/src/cactustiller/cell/gauges.py
@@ -1,5 +1,6 @@
 """Gauges of the jobs and workers in an owner's engine."""
 
+import math
 from collections import Counter
 
 from .metrics import Gauge
@@ -24,6 +25,10 @@
         yield Gauge.WORKERS, (state,), count
     for state, cores in _sum_cores(engine, now).items():
         yield Gauge.CAPACITY, (state,), cores
+    known = engine.interference.estimates.list_known()
+    yield Gauge.INTERFERING_PAIRS, (), len(known)
+    largest = max((pair.effect for pair in known), default=0.0)
+    yield Gauge.INTERFERENCE_SLOWDOWN, (), math.exp(largest)
 
 
 def _count_eligible(engine):
--- a/libs/cell/src/cactustiller/cell/metrics.py
+++ b/libs/cell/src/cactustiller/cell/metrics.py
@@ -90,6 +90,12 @@
         "waiting_tasks", "Tasks whose turn has come.", ("priority", "team")
     )
     CAPACITY = Family("room_cores", "Cores of listed workers.", ("state",))
+    INTERFERING_PAIRS = Family(
+        "interfering_pairs", "Known pairs of images that are kept apart."
+    )
+    INTERFERENCE_SLOWDOWN = Family(
+        "interference_slowdown", "Largest slowdown by a known pair, 1 for none."
+    )
     PENDING_SUBMISSIONS = Family("pending_hand_ins", "Jobs that wait for the store.")
 
 
