Test interference with pacing and in single tasks

Cause: two changes of the code passed all tests (no centring of groups, no count of the placements before a worker is first ranked), and nothing showed that an image is found whose effect the pacing of filling tasks limits.

Change: tests of single tasks, of workers ranked late, and of a paced filling image with members and workers of the stand-in.

--- a/tests/cell/test_interference.py
+++ b/tests/cell/test_interference.py
@@ -1,5 +1,6 @@
 """Images that interfere with each other are recognized and kept apart."""
 
+import asyncio
 import random
 from statistics import mean
 
@@ -24,9 +25,10 @@
 )
 from cactustiller.cell.metrics import Gauge
 from cactustiller.cell.placement import place_steps
-from cactustiller.cell.placement_round import PlacementRound
+from cactustiller.cell.placement_round import Placement, PlacementRound
 from cactustiller.cell.runs import RunPhase
 from cactustiller.cell.specs import QueueRules
+from standins.fleet import FleetCell, make_job, make_queue
 
 from .builders import SERVICE, make_order_key, make_step, make_worker
 from .interference_model import (
@@ -146,6 +148,13 @@
     assert learned[PAIR] < 30
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_pairs_are_found_in_single_tasks_if_estimates_are_good(seed):
+    # Steps of one task have nothing to be compared with but other steps.
+    shape = HistoryShape({PAIR: 1.8}, group_size=1, estimate_spread=0.1)
+    assert set(play_history(PairEstimates(), shape, seed, 90)) == {PAIR}
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_an_image_that_raises_tail_latencies_is_learned(seed):
     slowdowns = {("serving", IMAGES[1]): 2.0}
@@ -157,6 +166,37 @@
     assert set(cell.learned) == set(slowdowns)
 
 
+@pytest.mark.looptime
+async def test_a_filling_image_is_learned_although_it_is_paced():
+    # The pace of filling tasks follows the tail latency, so that the latency rises less
+    # the more they harm it.
+    source = random.Random(1)
+    queues = [make_queue("serving"), make_queue("batch", priority=2)]
+    async with FleetCell(queues=queues) as cell:
+        images = {}
+
+        def measure_load(runs):
+            paces = [run.pace for run in runs if images.get(run.task) == "noisy"]
+            tail_ms = 40 + 60 * max(paces, default=0) / 100
+            return tail_ms * source.uniform(0.95, 1.05)
+
+        for worker in cell.workers.values():
+            worker.measure_load = measure_load
+        service = {"is_service": True, "latency_target_ms": 100, "max_per_worker": 1}
+        await cell.submit(make_job(1, queues[0], 4, image="web", **service), 1e9)
+        for number in range(2, 150):
+            image = source.choice(["noisy", "calm", "quiet"])
+            job = make_job(number, queues[1], fills=True, image=image)
+            images[f"{job.job}.0.0.0"] = image
+            await cell.submit(job, source.uniform(3, 6))
+            await asyncio.sleep(0.7)
+        owner = cell.members[cell.find_owner()]
+        page = owner.metrics.render().decode()
+        known = owner._owner.engine.interference.estimates.known
+        assert set(known) == {("web", "noisy")}
+        assert "cactustiller_interfering_pairs 1.0" in page
+
+
 def test_many_images_take_bounded_memory():
     cell = ModelCell(seed=1, **MIX)
     play_mix(cell, 40, jobs_per_second=9, images=[f"i{n}" for n in range(2000)])
@@ -257,6 +297,16 @@
     assert sorted(map(len, images.values())) == [1, 1]
 
 
+def test_a_worker_that_is_ranked_late_counts_the_placements_of_its_round():
+    first, second = make_worker("w0"), make_worker("w1")
+    ranker = InterferenceRanker(know(PAIR), lambda: 0.0)
+    placements = []
+    ranker.begin_round(placements)
+    placements.append(Placement(make_step(1, image=PAIR[0]).tasks[0], first, "", 0.0))
+    step = make_step(2, image=PAIR[1])
+    assert [ranker.rank(step, worker) for worker in (first, second)] == [1, 0]
+
+
 def test_no_work_waits_for_a_worker_without_the_other_image():
     (worker,) = workers = [make_worker("w0")]
     for number in range(10):
