Leave runs on cold workers out of the samples of interference

Cause: a worker that is slow after its start slows down all images on it.

Change: runs that began before the end of that time are not compared.

Result: test_runs_on_cold_workers_are_not_compared.

--- a/libs/cell/src/cactustiller/cell/interference.py
+++ b/libs/cell/src/cactustiller/cell/interference.py
@@ -51,7 +51,8 @@
 
     Steps without an image are ignored. So are, as affected tasks: those of gangs, which
     wait for each other; filling tasks, which are paced; and runs that resumed from a
-    checkpoint or were started by a previous owner.
+    checkpoint, were started by a previous owner, or began on a worker still slow after
+    its start.
 
     Attributes
     ----------
@@ -86,6 +87,7 @@
             and task.start_sent_at
             and not (task.run > 1 and task.checkpoint)
             and now - task.started_at >= MIN_RUN_SECONDS
+            and task.started_at >= worker.cold_until
         ):
             self._sample_run(task, worker, now)
         self._remember_end(task, worker, now)
--- a/tests/cell/test_interference.py
+++ b/tests/cell/test_interference.py
@@ -385,6 +385,19 @@
     assert len(groups) == 1
 
 
+def test_runs_on_cold_workers_are_not_compared():
+    # All images on a cold worker are slow, beside whichever images run there.
+    observer = InterferenceObserver()
+    groups = []
+    observer.estimates.add_group = lambda *group: groups.append(group)
+    worker = make_worker(cold_until=3.0)
+    for number, started_at in enumerate((1.0, 3.5)):
+        task = make_step(number + 1, image=PAIR[0]).tasks[0]
+        task.run, task.start_sent_at, task.started_at = 1, started_at, started_at
+        observer.record_run_end(task, worker, RunEnd.DONE, 4.0 + number)
+        assert len(groups) == number
+
+
 def test_long_and_short_runs_beside_the_same_images_count_alike():
     # Summed up, runs that overlap count several times, in long runs more often than in
     # short ones, and tasks that take long would seem to be slowed down.
