--- a/libs/cell/src/cactustiller/cell/metrics.py
+++ b/libs/cell/src/cactustiller/cell/metrics.py
@@ -93,6 +93,12 @@
     )
     CAPACITY = Family("room_cores", "Cores of listed workers.", ("state",))
     WAITING_CALLERS = Family("waiting_callers", "Callers that wait for the store.")
+    INTERFERING_PAIRS = Family(
+        "interfering_pairs", "Known pairs of images that are kept apart."
+    )
+    INTERFERENCE_SLOWDOWN = Family(
+        "interference_slowdown", "Largest slowdown by a known pair, 1 for none."
+    )
     PENDING_SUBMISSIONS = Family("pending_hand_ins", "Jobs that wait for the store.")
 
 
--- a/standins/fleet/cell.py
+++ b/standins/fleet/cell.py
@@ -298,7 +298,7 @@
 
     def _describe(self, task):
         job, _, step, _ = task.split(".")
-        return self.jobs[job].steps[int(step)].amounts, self.seconds[job]
+        return self.jobs[job].steps[int(step)].counted, self.seconds[job]
 
     def _decode_worker(self, key, value):
         return self.entries.get(key, self.workers[key].info)
