Learn the speeds of workers and rank slow ones behind the others

Cause: workers have 0.55 or 1.2 of the nominal speed, which nothing shows. A gang ends with its slowest task and an urgent task has half of its run time to spare, but both were placed without regard to it.

SpeedRanker ranks slow workers behind the others for urgent steps and gangs. A gang that needs a slow worker prefers others of its speed, and a tightly coupled one the rack with the least slow workers. Two events and a gauge show the slow workers.

--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -21,6 +21,7 @@
 from .run_control import RunControl
 from .runs import JobRun, RunPhase
 from .shares import ShareMeter
+from .speeds import SpeedEstimates, SpeedRanker
 
 # A placement that is older than this when its batch is stored is discarded, and its
 # task is scheduled again. The limit allows for four transactions of a store that is
@@ -70,7 +71,12 @@
         super().__init__(clock, wall_clock_ms)
         self._shares = ShareMeter()
         self._recurring_jobs = set()
-        self._rankers = [ColdWorkerRanker(clock)]
+        self.speeds = SpeedEstimates()
+        self.observers.append(self.speeds)
+        self._rankers = [
+            ColdWorkerRanker(clock),
+            SpeedRanker(self.speeds, self.find_rules),
+        ]
         self._start_limits = {}
         self._start_limits_version = 0
         self._unstored_placements = []
--- a/libs/cell/src/cactustiller/cell/events.py
+++ b/libs/cell/src/cactustiller/cell/events.py
@@ -52,6 +52,8 @@
     WORKER_RESTARTED = "worker_reborn"
     WORKER_AVOIDED = "worker_avoided"
     WORKER_CRASHED = "worker_crashed"
+    WORKER_SLOW = "worker_slow"
+    WORKER_SPEED_RECOVERED = "worker_speed_back"
     LEASE_EXPIRED = "lease_lapsed"
     ENTRY_UNREADABLE = "entry_unreadable"
     CALL_REFUSED = "call_refused"
--- a/libs/cell/src/cactustiller/cell/gang_placement.py
+++ b/libs/cell/src/cactustiller/cell/gang_placement.py
@@ -77,29 +77,72 @@
     if step.spec.is_tightly_coupled:
         options = _restrict_to_one_rack(options, step.spec.count)
     options.sort(key=lambda entry: entry[0])
-    missing = step.spec.count
+    chosen = _take_first(options, step.spec.count)
+    if chosen is None:
+        return None
+    # All members run at the pace of the slowest, so if a slow worker is needed anyway,
+    # others of its speed are taken before faster ones.
+    paces = [current_round.rank_pace(step, worker) for worker, _ in chosen]
+    if max(paces) == min(paces):
+        return chosen
+    options = _prefer_pace(current_round, step, options, max(paces))
+    return _take_first(options, step.spec.count)
+
+
+def _take_first(options, count):
+    """Return ``(worker, count)`` pairs of the first options that fit, or None."""
     chosen = []
     for _, fit_count, worker in options:
-        count = min(missing, fit_count)
-        chosen.append((worker, count))
-        missing -= count
-        if not missing:
+        taken = min(count, fit_count)
+        chosen.append((worker, taken))
+        count -= taken
+        if not count:
             return chosen
     return None
 
 
+def _prefer_pace(current_round, step, options, slowest):
+    """Return the options with those nearest to a pace first, and no slower ones.
+
+    The order by other criteria is kept: where the step failed, and by all other ranks.
+    """
+    preferred = []
+    for order, fit_count, worker in options:
+        pace = current_round.rank_pace(step, worker)
+        if pace <= slowest:
+            has_failed, rank, *rest = order
+            key = (has_failed, rank - pace, slowest - pace, *rest)
+            preferred.append((key, fit_count, worker))
+    preferred.sort(key=lambda entry: entry[0])
+    return preferred
+
+
 def _restrict_to_one_rack(options, count):
-    """Return the options on the rack with capacity for the most tasks.
+    """Return the options on the rack with the best workers that fit `count` tasks.
 
-    Returns all options if even that rack does not fit `count` tasks.
+    Among equals, the rack with capacity for the most tasks. Returns all options if no
+    rack fits them all.
     """
-    by_rack = Counter()
-    for _, fit_count, worker in options:
-        by_rack[worker.info.rack] += fit_count
-    for rack, fit_count in by_rack.most_common(1):
-        if fit_count >= count:
-            return [entry for entry in options if entry[2].info.rack == rack]
-    return options
+    by_rack = {}
+    for entry in options:
+        by_rack.setdefault(entry[2].info.rack, []).append(entry)
+    fitting = []
+    for entries in by_rack.values():
+        room = sum(fit_count for _, fit_count, _ in entries)
+        if room >= count:
+            fitting.append(((_find_worst_rank(entries, count), -room), entries))
+    return min(fitting, key=lambda entry: entry[0])[1] if fitting else options
+
+
+def _find_worst_rank(options, count):
+    """Return the worst rank among the first options that fit `count` tasks."""
+    worst = 0
+    for order, fit_count, _ in sorted(options, key=lambda entry: entry[0]):
+        worst = max(worst, order[1])
+        count -= fit_count
+        if count <= 0:
+            break
+    return worst
 
 
 def _preempt(current_round, key, step, rules):
--- a/libs/cell/src/cactustiller/cell/gauges.py
+++ b/libs/cell/src/cactustiller/cell/gauges.py
@@ -22,6 +22,7 @@
     states = Counter(_name_state(worker, now) for worker in engine.workers.values())
     for state, count in states.items():
         yield Gauge.WORKERS, (state,), count
+    yield Gauge.SLOW_WORKERS, (), engine.speeds.slow_count
     for state, cores in _sum_cores(engine, now).items():
         yield Gauge.CAPACITY, (state,), cores
 
--- a/libs/cell/src/cactustiller/cell/metrics.py
+++ b/libs/cell/src/cactustiller/cell/metrics.py
@@ -85,6 +85,7 @@
     DESIRED_VERSION = Family("desired_version", "Version in force.")
     DESIRED_AGE = Family("desired_age_seconds", "Since the store confirmed it.")
     WORKERS = Family("workers", "Workers by what the owner believes.", ("state",))
+    SLOW_WORKERS = Family("slow_workers", "Workers that the owner found slow.")
     JOBS = Family("jobs", "Jobs in the owner's memory.")
     WAITING = Family(
         "waiting_tasks", "Tasks whose turn has come.", ("priority", "team")
--- a/libs/cell/src/cactustiller/cell/placement_round.py
+++ b/libs/cell/src/cactustiller/cell/placement_round.py
@@ -105,6 +105,14 @@
         """Return how unsuitable a worker is for a step, 0 if nothing is against it."""
         return sum(ranker.rank(step, worker) for ranker in self._rankers)
 
+    def rank_pace(self, step, worker):
+        """Return the part of the rank that slows down all members of a gang."""
+        return sum(
+            ranker.rank(step, worker)
+            for ranker in self._rankers
+            if getattr(ranker, "sets_gang_pace", False)
+        )
+
     def iterate_by_end(self, step):
         """Yield ``(free_at, worker)`` in the order in which a gang reserves workers.
 
