--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -23,6 +23,8 @@
 from .run_control import RunControl
 from .runs import JobRun, RunPhase
 from .shares import ShareMeter
+from .speed_ranker import SpeedRanker
+from .speeds import SpeedEstimates
 
 # A placement that is older than this when its batch is stored is discarded, and its
 # task is scheduled again. The limit allows for four transactions of a store that is
@@ -73,11 +75,16 @@
         self._shares = ShareMeter()
         self._recurring_jobs = set()
         self.interference = InterferenceObserver()
-        self.observers.append(self.interference)
+        self.speeds = SpeedEstimates()
+        self.observers += [self.interference, self.speeds]
         self._interference_ranker = InterferenceRanker(
             self.interference.estimates, clock
         )
-        self._rankers = [ColdWorkerRanker(clock), self._interference_ranker]
+        self._rankers = [
+            ColdWorkerRanker(clock),
+            self._interference_ranker,
+            SpeedRanker(self.speeds, self.find_rules),
+        ]
         self._start_limits = {}
         self._start_limits_version = 0
         self._unstored_placements = []
--- a/libs/cell/src/cactustiller/cell/events.py
+++ b/libs/cell/src/cactustiller/cell/events.py
@@ -56,6 +56,8 @@
     WORKER_CRASHED = "worker_crashed"
     INTERFERENCE_LEARNED = "interference_learned"
     INTERFERENCE_DROPPED = "interference_dropped"
+    WORKER_SLOW = "worker_slow"
+    WORKER_SPEED_RECOVERED = "worker_speed_back"
     LEASE_EXPIRED = "lease_lapsed"
     ENTRY_UNREADABLE = "entry_unreadable"
     CALL_REFUSED = "call_refused"
