Move the batches of an owner out of the engine

Change: Batch and the methods that collect, confirm and acknowledge batches are in batches.py, as BatchCollector, the base class of Engine. No behaviour changes.

--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -7,25 +7,20 @@
 """
 
 import heapq
-from dataclasses import dataclass, field
 
 from cactustiller.model import JobState
 
+from .batches import BatchCollector
 from .cold_workers import ColdWorkerRanker
 from .events import Event, log_event
 from .ordering import find_start_limits, make_order_key
 from .pacing import FULL_PERCENT
 from .placement import place_steps
-from .placement_round import Placement, PlacementRound
-from .progress import decode_progress, encode_progress
-from .run_control import RunControl
+from .placement_round import PlacementRound
+from .progress import decode_progress
 from .runs import JobRun, RunPhase
 from .shares import ShareMeter
 
-# A placement that is older than this when its batch is stored is discarded, and its
-# task is scheduled again. The limit allows for four transactions of a store that is
-# sixty times slower than usual. For newer placements the worker's state is checked.
-MAX_PLACEMENT_AGE_SECONDS = 2.5
 # Finished jobs stay readable for this long beyond the documented retention period.
 RETENTION_MARGIN_SECONDS = 30.0
 # The cache of start limits is cleared when its size exceeds twice the number of
@@ -33,29 +28,7 @@
 MAX_EXTRA_CACHED_STEPS = 256
 
 
-@dataclass(slots=True)
-class Batch:
-    """Changes to store in one transaction, with their effects once it commits.
-
-    Attributes
-    ----------
-    rows : dict of JobId to bytes
-        Encoded progress rows, most urgent first.
-    new_jobs : list of JobId
-        Jobs whose specification rows are part of the transaction.
-    states : dict of JobId to (JobRun, JobState)
-        States to publish to callers once the batch is stored.
-    placements : list of Placement
-        Starts to send once the batch is stored.
-    """
-
-    rows: dict = field(default_factory=dict)
-    new_jobs: list = field(default_factory=list)
-    states: dict = field(default_factory=dict)
-    placements: list[Placement] = field(default_factory=list)
-
-
-class Engine(RunControl):
+class Engine(BatchCollector):
     """Scheduler of one cell: its jobs, queues, workers and runs.
 
     Parameters
@@ -73,7 +46,6 @@
         self._rankers = [ColdWorkerRanker(clock)]
         self._start_limits = {}
         self._start_limits_version = 0
-        self._unstored_placements = []
 
     def add_job(self, spec, progress=None, is_stored=True):
         """Add a job and restore its progress from `progress` if given.
@@ -122,13 +94,6 @@
             if placement.task.step.job is not job
         ]
 
-    def confirm_jobs(self, jobs):
-        """Publish the states of jobs whose rows are stored."""
-        for job_id in jobs:
-            job = self.jobs.get(job_id)
-            if job is not None:
-                self.published_states.setdefault(job_id, job.state)
-
     def cancel_job(self, job_id):
         """Cancel a job that has not ended, and mark its runs to be stopped."""
         job = self.jobs.get(job_id)
@@ -284,90 +249,6 @@
             self._eligible.pop(step, None)
         self._dirty.add(step.job.spec.job)
 
-    def collect(self, max_rows, new_jobs=()):
-        """Return the `Batch` of the most urgent changes; later batches take the rest.
-
-        Callers are blocked on ended jobs, placements and new jobs, so these come first,
-        in this order. Other progress is needed only by the next owner at a takeover.
-
-        Parameters
-        ----------
-        max_rows : int
-            Maximum number of rows in the transaction.
-        new_jobs : iterable of JobId
-            Jobs whose specification rows are not stored yet. The row of a job is stored
-            together with its progress row or before it.
-        """
-        self._dirty &= self.jobs.keys()
-        unstored = set(new_jobs)
-        ended = [job for job in self._dirty if self.jobs[job].state.is_final]
-        placed = [p.task.step.job.spec.job for p in self._unstored_placements]
-        batch = Batch()
-        for job_id in dict.fromkeys([*ended, *placed, *unstored, *self._dirty]):
-            is_dirty, is_new = job_id in self._dirty, job_id in unstored
-            max_rows -= is_dirty + is_new
-            if max_rows < 0:
-                break
-            if is_new:
-                batch.new_jobs.append(job_id)
-            if is_dirty:
-                job = self.jobs[job_id]
-                batch.rows[job_id] = encode_progress(job)
-                batch.states[job_id] = (job, job.state)
-        self._dirty -= batch.rows.keys()
-        later = []
-        for placement in self._unstored_placements:
-            is_stored = placement.task.step.job.spec.job in batch.rows
-            (batch.placements if is_stored else later).append(placement)
-        self._unstored_placements = later
-        return batch
-
-    @property
-    def unstored_job_count(self):
-        """Number of jobs whose latest progress is not part of a batch yet."""
-        return len(self._dirty)
-
-    def is_unstored(self, job_id):
-        """Return whether a job's latest progress is not part of a batch yet."""
-        return job_id in self._dirty
-
-    def confirm_batch(self, batch):
-        """Publish the states of a stored batch; return the placements to start.
-
-        Placements that are too old, whose worker is no longer schedulable or whose run
-        is to be stopped are discarded, and their tasks become pending again.
-        """
-        for job_id, (job, state) in batch.states.items():
-            # The job may have been dropped and submitted again since.
-            if self.jobs.get(job_id) is job:
-                self.published_states[job_id] = state
-        now = self._clock()
-        starts = []
-        for placement in batch.placements:
-            task, worker = placement.task, placement.worker
-            is_stale = now - placement.decided_at > MAX_PLACEMENT_AGE_SECONDS
-            is_unusable = is_stale or not worker.is_schedulable(now)
-            if is_unusable or task.is_stopping or not task.holds_capacity:
-                self.reject_start(worker, task, task.run, 0.0)
-                continue
-            task.is_start_sent = True
-            task.start_sent_at = now
-            starts.append(placement)
-        return starts
-
-    def acknowledge_ends(self):
-        """Acknowledge to each worker the run ends whose effects are stored.
-
-        A worker reports an end again until it is acknowledged. May only be called when
-        the last batch is stored, since `collect` already counts its changes as stored.
-        """
-        for worker in self.workers.values():
-            unstored = worker.unstored_ends
-            while unstored and unstored[0][1] not in self._dirty:
-                unstored.popleft()
-            first = unstored[0][0] if unstored else worker.processed_through + 1
-            worker.acked_through = max(worker.acked_through, first - 1)
-
     def _open_due_occurrences(self, now_ms):
         """Open the next occurrence of each recurring job that is due."""
         for job_id in list(self._recurring_jobs):
--- a/specs/cells.py
+++ b/specs/cells.py
@@ -279,8 +279,8 @@
     goal=lambda state: state.stored.phase == "done" or state.row[0] == EPOCHS[-1],
     actions={
         "Engine.plan": "cell/engine.py",
-        "Engine.collect": "cell/engine.py",
-        "Engine.acknowledge_ends": "cell/engine.py",
+        "Engine.collect": "cell/batches.py",
+        "Engine.acknowledge_ends": "cell/batches.py",
         "BatchWriter._accept": "cell/commits.py",
         "BatchWriter._probe": "cell/commits.py",
         "BatchWriter._write_chunk": "cell/commits.py",
