--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -62,6 +62,8 @@
         Task name to whether the task crashes each worker that starts it.
     on_crash : callable
         Called with this worker after its crash.
+    find_slowdown : callable
+        Task name and run to the factor by which the run takes longer.
     """
 
     info: WorkerInfo
@@ -69,6 +71,7 @@
     describe: object
     crashes_on: object = lambda task: False
     on_crash: object = lambda worker: None
+    find_slowdown: object = lambda task, run: 1
     trouble: WorkerTrouble = WorkerTrouble.NONE
     late_seconds: float = 3.0
     # Tail latency in milliseconds of the serving runs, from the runs at work here.
@@ -134,6 +137,7 @@
             return StartAnswer.TOO_LATE
         self.lease_until = max(self.lease_until, order.deadline_ms / 1000)
         amounts, seconds = self.describe(order.task)
+        seconds *= self.find_slowdown(order.task, order.run)
         run = FleetRun(order.task, order.run, amounts, seconds, seconds)
         self.runs[order.task] = run
         self.audit.note_start(self.info.worker, order.task, order.run)
