--- a/libs/cell/src/cactustiller/cell/runs.py
+++ b/libs/cell/src/cactustiller/cell/runs.py
@@ -79,6 +79,14 @@
         spare CPU beside serving tasks; None if unknown.
     pace_sent_at : float
         When a pace was last sent.
+    copy : TaskRun or None
+        Second run of the same task on another worker, which has the same name.
+    original : TaskRun or None
+        Task of which this is a copy; None for a task.
+    copy_run : int
+        Highest run number of any copy; 0 before the first.
+    has_had_copy : bool
+        The latest run had a copy that ran and has ended.
     """
 
     step: "StepRun"
@@ -104,6 +112,10 @@
     latency_ratio: float = 0.0
     pace: int | None = None
     pace_sent_at: float = float("-inf")
+    copy: "TaskRun | None" = None
+    original: "TaskRun | None" = None
+    copy_run: int = 0
+    has_had_copy: bool = False
 
     @property
     def holds_capacity(self):
@@ -144,6 +156,8 @@
         Event loop time before which no other runs are preempted for the step.
     suspects : set of TaskRun
         Tasks that may have crashed their workers and are started apart.
+    run_seconds : list of float
+        Run times of tasks that succeeded, if the step allows copies.
     """
 
     job: "JobRun"
@@ -163,6 +177,7 @@
     failed_on: set = field(default_factory=set)
     next_preemption_at: float = 0.0
     suspects: set = field(default_factory=set)
+    run_seconds: list = field(default_factory=list)
 
     @property
     def name(self):
@@ -174,6 +189,13 @@
         """Whether all tasks have succeeded."""
         return self.succeeded_count == self.spec.count
 
+    def iterate_runs(self):
+        """Yield the latest run of each task, and its copy if it has one."""
+        for task in self.tasks:
+            yield task
+            if task.copy is not None:
+                yield task.copy
+
     def forget_approval(self, worker):
         """Forget what was answered for a worker, whose next incarnation may differ."""
         self.asked_workers.discard(worker)
