Run a second time what is late, if its step allows copies

Cause: allows_copies was read from the wire and used by nothing. A step of 20 tasks with one that takes seven times as long ended with that one.

Change: in rounds that leave no on-time work waiting for the same capacity, the owner places a copy of a late run, a second TaskRun under a higher number on another worker, stored in the progress row before its start. The first run that is done completes the task and the other is stopped; if either run ends otherwise, the other is the task's. The end of a run that lost is acknowledged only once the success is stored. That holds for gangs as well, whose later ends were acknowledged before. Rows without copies are unchanged, and the previous release can read those with copies.

Result: in tests/cell/test_copies.py a step of 20 tasks of 2 s with one of 14 s ends within 6 s.

--- a/libs/cell/src/cactustiller/cell/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/dispatch.py
@@ -52,6 +52,7 @@
         self._engine = engine
         self._metrics = metrics
         engine.on_run_ended = self._record_end
+        engine.on_copy_settled = self._record_copy
         self._calls = calls
         self._fencing_token = fencing_token
         self._wake = wake
@@ -223,10 +224,11 @@
             self._engine.confirm_start(task, run, now)
             if task.is_isolated:
                 self._start_task(self._check_after_probation(worker))
-            priority = self._engine.find_rules(step.job).priority
-            self._metrics.record(
-                Latency.START_WAIT, sent_at - step.eligible_at, str(priority)
-            )
+            if task.original is None:
+                priority = self._engine.find_rules(step.job).priority
+                self._metrics.record(
+                    Latency.START_WAIT, sent_at - step.eligible_at, str(priority)
+                )
             return
         if answer is StartAnswer.FENCED:
             self._on_fenced()
@@ -256,6 +258,9 @@
                 Count.WASTED_CORE_SECONDS, end.value, amount=seconds * cores
             )
 
+    def _record_copy(self, outcome):
+        self._metrics.count(Count.COPIES, outcome.value)
+
     def _handle_refusal(self, placement, run, answer, now):
         task, worker = placement.task, placement.worker
         if answer is StartAnswer.NO_TICKET:
--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -12,6 +12,7 @@
 
 from .batches import BatchCollector
 from .cold_workers import ColdWorkerRanker
+from .copies import find_next_run
 from .events import Event, log_event
 from .ordering import find_start_limits, make_order_key
 from .pacing import FULL_PERCENT
@@ -20,6 +21,7 @@
 from .progress import decode_progress
 from .runs import JobRun, RunPhase
 from .shares import ShareMeter
+from .speculation import Speculation
 
 # Finished jobs stay readable for this long beyond the documented retention period.
 RETENTION_MARGIN_SECONDS = 30.0
@@ -44,6 +46,8 @@
         self._shares = ShareMeter()
         self._recurring_jobs = set()
         self._rankers = [ColdWorkerRanker(clock)]
+        self.speculation = Speculation(self)
+        self.observers.append(self.speculation.run_times)
         self._start_limits = {}
         self._start_limits_version = 0
 
@@ -69,9 +73,10 @@
             self._recurring_jobs.add(spec.job)
         for step in job.iterate_steps():
             self._suspects |= step.suspects
-            for task in step.tasks:
-                if task.holds_capacity:
-                    self._restore_run(task)
+            for run in step.iterate_runs():
+                if run.holds_capacity:
+                    self._restore_run(run)
+        self.speculation.add_job(job)
         self._update_eligible(job)
         if not progress:
             self._dirty.discard(spec.job)
@@ -160,6 +165,8 @@
             self._assign(placement)
         for task, worker in current_round.preempted:
             self._preempt(task, worker)
+        for placement in self.speculation.place_copies(current_round, ordered):
+            self._assign(placement)
         self._unstored_placements += current_round.placements
         return current_round.steps_needing_approval
 
@@ -222,7 +229,10 @@
         )
 
     def _assign(self, placement):
-        """Give a placed task its next run number and reset the state of its run."""
+        """Give a placed task its next run number and reset the state of its run.
+
+        A copy is placed like a task, but its task is not pending.
+        """
         task, worker, ticket, _ = placement
         step = task.step
         if step.spec.is_gang:
@@ -230,7 +240,7 @@
             # All tasks of a gang share a run number; the first task increments it.
             run = run + 1 if task is step.tasks[0] else run
         else:
-            run = task.run + 1
+            run = find_next_run(task)
         task.run = run
         task.phase = RunPhase.ASSIGNED
         task.worker = worker.info.worker
@@ -243,10 +253,14 @@
         task.progress = -1
         # A worker starts each run at full pace.
         task.pace, task.latency_ratio = FULL_PERCENT, 0.0
-        step.pending_count -= 1
+        task.has_had_copy = False
         worker.runs[task.name] = (task, run)
-        if not step.pending_count:
-            self._eligible.pop(step, None)
+        if task.original is not None:
+            task.original.copy_run = run
+        else:
+            step.pending_count -= 1
+            if not step.pending_count:
+                self._eligible.pop(step, None)
         self._dirty.add(step.job.spec.job)
 
     def _open_due_occurrences(self, now_ms):
@@ -266,5 +280,7 @@
 
     def _has_active_tasks(self, job):
         return any(
-            task.holds_capacity for step in job.iterate_steps() for task in step.tasks
+            run.holds_capacity
+            for step in job.iterate_steps()
+            for run in step.iterate_runs()
         )
--- a/libs/cell/src/cactustiller/cell/events.py
+++ b/libs/cell/src/cactustiller/cell/events.py
@@ -41,6 +41,8 @@
     RUN_SETTLED = "run_settled"
     RUN_LOST = "run_lost"
     RUN_STALLED = "run_stalled"
+    COPY_PLACED = "copy_placed"
+    COPY_SETTLED = "copy_settled"
     RUN_PREEMPTED = "run_preempted"
     RUN_EVACUATED = "run_evacuated"
     ZONE_EVACUATED = "zone_evacuated"
@@ -73,6 +75,8 @@
         Event.RUN_LOST,
         Event.RUN_STOPPED,
         Event.RUN_PACED,
+        Event.COPY_PLACED,
+        Event.COPY_SETTLED,
         Event.CALL_REFUSED,
         Event.CALL_FAILED,
         Event.ENTRY_UNREADABLE,
--- a/libs/cell/src/cactustiller/cell/gauges.py
+++ b/libs/cell/src/cactustiller/cell/gauges.py
@@ -17,6 +17,7 @@
         Loop time in seconds.
     """
     yield Gauge.JOBS, (), len(engine.jobs)
+    yield Gauge.COPIES, (), engine.speculation.count_copies()
     for labels, count in _count_eligible(engine).items():
         yield Gauge.WAITING, labels, count
     states = Counter(_name_state(worker, now) for worker in engine.workers.values())
--- a/libs/cell/src/cactustiller/cell/metrics.py
+++ b/libs/cell/src/cactustiller/cell/metrics.py
@@ -60,6 +60,7 @@
     WORKER_CALLS = Family("worker_calls", "Calls to workers.", ("call", "outcome"))
     APPROVAL_CALLS = Family("approval_calls", "Approvals asked.", ("outcome",))
     RUNS_ENDED = Family("runs_ended", "Runs by their end.", ("end",))
+    COPIES = Family("copies_settled", "Copies of late runs.", ("outcome",))
     WASTED_CORE_SECONDS = Family(
         "wasted_core_seconds", "Work of runs that did not succeed.", ("end",)
     )
@@ -89,6 +90,7 @@
     WAITING = Family(
         "waiting_tasks", "Tasks whose turn has come.", ("priority", "team")
     )
+    COPIES = Family("copies", "Copies of late runs.")
     CAPACITY = Family("room_cores", "Cores of listed workers.", ("state",))
     PENDING_SUBMISSIONS = Family("pending_hand_ins", "Jobs that wait for the store.")
 
--- a/libs/cell/src/cactustiller/cell/placement_round.py
+++ b/libs/cell/src/cactustiller/cell/placement_round.py
@@ -196,10 +196,10 @@
 
 
 def count_tasks_by_worker(step):
-    """Return the tasks of a step by worker, if their number there is limited."""
+    """Return the runs of a step by worker, if their number there is limited."""
     counts = Counter()
     if step.spec.max_per_worker:
-        counts.update(task.worker for task in step.tasks if task.holds_capacity)
+        counts.update(run.worker for run in step.iterate_runs() if run.holds_capacity)
     return counts
 
 
--- a/libs/cell/src/cactustiller/cell/progress.py
+++ b/libs/cell/src/cactustiller/cell/progress.py
@@ -4,10 +4,14 @@
 
 from cactustiller.model import JobState, WorkerId
 
+from .copies import decode_copies, encode_copies
 from .runs import JobRun, RunPhase
 
 # Rows of earlier releases, and of jobs that need no more, end after these fields.
 FIELDS_WITHOUT_CRASHES = 5
+# Copies are an entry among the incarnations, since the previous release ignores unknown
+# keys there but rejects rows with more fields. No worker has this id.
+COPIES_KEY = "*copies"
 # Progress rows hold the position of the state in this tuple.
 _STATES = (
     JobState.WAITING,
@@ -37,6 +41,9 @@
         occurrences,
     ]
     crashes, incarnations = _encode_crashes(job), _encode_incarnations(job)
+    copies = encode_copies(job)
+    if copies:
+        incarnations[COPIES_KEY] = copies
     if crashes or incarnations:
         # Earlier releases ignore these fields.
         fields += [crashes, incarnations]
@@ -57,10 +64,10 @@
 def _encode_incarnations(job):
     """Encode the start of each worker process that may have runs of the job."""
     return {
-        task.worker: task.incarnation
+        run.worker: run.incarnation
         for step in job.iterate_steps()
-        for task in step.tasks
-        if task.holds_capacity and task.incarnation
+        for run in step.iterate_runs()
+        if run.holds_capacity and run.incarnation
     }
 
 
@@ -115,9 +122,10 @@
         task.crashes, task.start_crashes = count, start_count
         if start_count:
             task.step.suspects.add(task)
+    decode_copies(job, incarnations.get(COPIES_KEY, ()))
     for step in job.iterate_steps():
-        for task in step.tasks:
-            task.incarnation = incarnations.get(task.worker, 0)
+        for run in step.iterate_runs():
+            run.incarnation = incarnations.get(run.worker, 0)
 
 
 def _decode_steps(steps, rows):
--- a/libs/cell/src/cactustiller/cell/run_tracking.py
+++ b/libs/cell/src/cactustiller/cell/run_tracking.py
@@ -3,6 +3,7 @@
 from cactustiller.model import JobState, WorkerId
 
 from .capacity import LEASE_SECONDS, CapacityTracker
+from .copies import drop_copy, promote_copy, settle_done
 from .crashes import prove_run
 from .desired import DesiredState
 from .events import Event, log_event
@@ -25,6 +26,8 @@
     ----------
     on_run_ended : callable
         Called with the task and the `RunEnd` of each run, before the task changes.
+    on_copy_settled : callable
+        Called with the `CopyOutcome` of each copy.
     published_states : dict of JobId to JobState
         States that callers may see.
     observers : list of RunObserver
@@ -36,6 +39,7 @@
         self.published_states = {}
         self.desired = DesiredState()
         self.on_run_ended = _ignore_run_end
+        self.on_copy_settled = _ignore_copy
         self.observers = []
         self._wall_clock_ms = wall_clock_ms
         # Ids of the jobs whose latest progress is not part of a batch yet.
@@ -94,9 +98,13 @@
         self._remove_run(worker, task)
         if end.checkpoint:
             task.checkpoint = end.checkpoint
+        # Also for a run whose task has succeeded by another run: if that success is not
+        # stored yet, this end may be the only one left after a takeover.
+        worker.unstored_ends.append((end.number, task.step.job.spec.job))
         if task.run != end.run or task.phase is RunPhase.SUCCEEDED:
+            if not task.step.spec.is_gang:
+                self.on_run_ended(task, end.end)
             return
-        worker.unstored_ends.append((end.number, task.step.job.spec.job))
         log_event(
             Event.RUN_ENDED,
             job=task.step.job.spec.job,
@@ -119,7 +127,10 @@
         else:
             self._requeue(task)
 
-    def _succeed(self, task):
+    def _succeed(self, run):
+        task, outcome = settle_done(run)
+        if outcome is not None:
+            self.on_copy_settled(outcome)
         step = task.step
         # A gang succeeds as a whole once one of its tasks has succeeded.
         done = step.tasks if step.spec.is_gang else [task]
@@ -137,8 +148,12 @@
         else:
             self._update_eligible(job)
 
-    def _fail(self, task):
-        """Count a failed attempt, once per run of a gang; retry or fail the job."""
+    def _fail(self, run):
+        """Count a failed attempt, once per run of a gang; retry or fail the job.
+
+        The failure of a copy is an attempt of its task.
+        """
+        task = run.original or run
         step = task.step
         if not step.spec.is_gang:
             task.failures += 1
@@ -147,7 +162,7 @@
             for member in step.tasks:
                 member.failures += 1
         limit = self.find_rules(step.job).max_attempts
-        self._requeue(task)
+        self._requeue(run)
         if task.failures >= limit and not step.spec.is_service:
             self._finish(step.job, JobState.FAILED, "attempts used up")
 
@@ -159,11 +174,15 @@
     def _requeue(self, task):
         """Make a task pending again after its run has certainly ended.
 
-        A gang that loses a task restarts as a whole, so its other runs are stopped.
+        A gang that loses a task restarts as a whole, so its other runs are stopped. A
+        task with two runs continues with the other one.
         """
         step = task.step
         if task.phase is RunPhase.SUCCEEDED:
             return
+        if task.original is not None or task.copy is not None:
+            self._continue_with_other_run(task)
+            return
         if task.phase is not RunPhase.WAITING:
             task.phase = RunPhase.WAITING
             step.pending_count += 1
@@ -174,6 +193,17 @@
                 member.is_stopping = member.holds_capacity
         self._update_eligible(step.job)
 
+    def _continue_with_other_run(self, run):
+        """Continue a task with the other of its two runs after one has ended."""
+        if run.original is not None:
+            self.on_copy_settled(drop_copy(run))
+        else:
+            copy = run.copy
+            self.on_copy_settled(promote_copy(run))
+            if copy in copy.step.suspects:
+                self._suspects.add(copy)
+        self._update_eligible(run.step.job)
+
     def _drop_runs_of_earlier_incarnations(self, worker, born_ms):
         """Release the runs that a previous owner placed before the worker restarted."""
         runs = [
@@ -281,9 +311,9 @@
         log_event(Event.JOB_ENDED, job=job.spec.job, state=state.value, reason=reason)
         for step in job.iterate_steps():
             self._eligible.pop(step, None)
-            for task in step.tasks:
-                if task.holds_capacity:
-                    task.is_stopping = True
+            for run in step.iterate_runs():
+                if run.holds_capacity:
+                    run.is_stopping = True
         if state is JobState.SUCCEEDED:
             job.occurrences.clear()
 
@@ -303,3 +333,7 @@
 
 def _ignore_run_end(task, end):
     """Ignore the end of a run; the default of `on_run_ended`."""
+
+
+def _ignore_copy(outcome):
+    """Ignore the outcome of a copy; the default of `on_copy_settled`."""
