--- a/tests/cell/test_copies.py
+++ b/tests/cell/test_copies.py
@@ -6,10 +6,12 @@
 import orjson
 import pytest
 
-from cactustiller.cell import Acceptance
+from cactustiller.cell import Acceptance, ListedEnd, Listing, RunEnd
 from cactustiller.cell.copies import make_copy
+from cactustiller.cell.engine import Engine
 from cactustiller.cell.progress import COPIES_KEY, decode_progress, encode_progress
 from cactustiller.cell.runs import JobRun, RunPhase
+from cactustiller.cell.workers import WorkerInfo
 from cactustiller.model import Amounts, JobState, WorkerId
 from standins.fleet import FleetCell, make_job, make_queue
 from standins.fleet.store import Trouble
@@ -351,9 +353,13 @@
 async def test_cancellation_stops_both_runs():
     async with make_cell() as cell:
         spec = await submit_with_straggler(cell)
+        cell.slow_runs[find_slow_task(spec), 2] = 6.0
         await wait_for_copy(cell, spec)
         outcome = await cell.members["m1"].intake.cancel(spec.job)
         assert outcome is Acceptance.ACCEPTED
+        # Both at once, not the copy only after the first run.
+        await asyncio.sleep(0.5)
+        assert not find_runs(cell, find_slow_task(spec))
         await finish(cell, spec, JobState.CANCELLED)
         assert len(cell.audit.starts) == COUNT + 1
 
@@ -533,6 +539,44 @@
         assert cell.audit.copied
 
 
+# Engine
+
+
+def end_run(engine, worker, task, run, end=RunEnd.DONE):
+    ended = (ListedEnd(worker.processed_through + 1, task, run, end, ""),)
+    engine.apply_listing(worker, Listing(50_000, 1, (), ended), 50.0, 50.0)
+
+
+@pytest.mark.parametrize("first", ["w1", "w2"])
+def test_no_end_is_acknowledged_before_the_success_is_stored(first):
+    # The owner may be lost before it is stored, together with the other worker.
+    engine = Engine(lambda: 50.0, lambda: 50_000)
+    job, step = make_job_run()
+    add_copy(step.tasks[0])
+    engine.add_job(job.spec, encode_progress(job))
+    engine.update_workers(
+        {
+            WorkerId(name): WorkerInfo(
+                WorkerId(name), f"{name}:1", "recon", "z", Amounts(32_000, 65_536, 0)
+            )
+            for name in ("w1", "w2")
+        }
+    )
+    for worker in engine.workers.values():
+        worker.is_reachable = worker.is_synchronized = True
+    engine.collect(96)
+    name = step.tasks[0].name
+    workers = [engine.workers["w1"], engine.workers["w2"]]
+    order = workers if first == "w1" else workers[::-1]
+    for worker in order:
+        end_run(engine, worker, name, 1 + workers.index(worker))
+    engine.acknowledge_ends()
+    assert [worker.acked_through for worker in workers] == [0, 0]
+    engine.confirm_batch(engine.collect(96))
+    engine.acknowledge_ends()
+    assert [worker.acked_through for worker in workers] == [1, 1]
+
+
 # Rows
 
 
