--- a/libs/cell/src/cactustiller/cell/metrics.py
+++ b/libs/cell/src/cactustiller/cell/metrics.py
@@ -62,6 +62,7 @@
     REJECTIONS = Family("rejections", "Submissions not accepted.", ("reason",))
     STORE_WAITS = Family("store_waits", "Submissions that waited for the store.")
     RUNS_ENDED = Family("runs_ended", "Runs by their end.", ("end",))
+    COPIES = Family("copies_settled", "Copies of late runs.", ("outcome",))
     WASTED_CORE_SECONDS = Family(
         "wasted_core_seconds", "Work of runs that did not succeed.", ("end",)
     )
@@ -92,6 +93,7 @@
     WAITING = Family(
         "waiting_tasks", "Tasks whose turn has come.", ("priority", "team")
     )
+    COPIES = Family("copies", "Copies of late runs.")
     CAPACITY = Family("room_cores", "Cores of listed workers.", ("state",))
     WAITING_CALLERS = Family("waiting_callers", "Callers that wait for the store.")
     INTERFERING_PAIRS = Family(
