Keep the state of a cancelled job when a run of it ends later

Cause: a stop may reach a worker after the run has ended; the end of the last run set the state of the cancelled job to succeeded or failed, which callers saw after the cancellation.

Change: a final state is kept.

Result: test_an_end_after_the_cancellation_leaves_the_job_cancelled failed for both ends before and passes now.

--- a/libs/cell/src/cactustiller/cell/run_tracking.py
+++ b/libs/cell/src/cactustiller/cell/run_tracking.py
@@ -304,7 +304,12 @@
                 self._eligible[step] = True
 
     def _finish(self, job, state, reason=None):
-        """Set the final state of a job and mark its active runs to be stopped."""
+        """Set the final state of a job and mark its active runs to be stopped.
+
+        A state that callers may have seen as final is kept.
+        """
+        if job.state.is_final:
+            return
         job.state = state
         job.ended_ms = int(self._wall_clock_ms())
         self._dirty.add(job.spec.job)
--- a/tests/cell/test_engine.py
+++ b/tests/cell/test_engine.py
@@ -1,11 +1,13 @@
 """State of the engine, without members or a store."""
 
+import pytest
+
 from cactustiller.cell import ListedEnd, Listing, RunEnd
 from cactustiller.cell.engine import Engine
 from cactustiller.cell.progress import encode_progress
 from cactustiller.cell.runs import JobRun, RunPhase
 from cactustiller.cell.workers import WorkerInfo
-from cactustiller.model import Amounts, WorkerId
+from cactustiller.model import Amounts, JobState, WorkerId
 from standins.fleet import make_job
 
 NOW = 50.0
@@ -111,8 +113,8 @@
     assert not engine.unstored_job_count
 
 
-def end_run(engine, worker, number, task, run):
-    ended = (ListedEnd(number, task, run, RunEnd.DONE, ""),)
+def end_run(engine, worker, number, task, run, end=RunEnd.DONE):
+    ended = (ListedEnd(number, task, run, end, ""),)
     engine.apply_listing(worker, Listing(50_000, 1, (), ended), NOW, NOW)
 
 
@@ -152,3 +154,18 @@
     del engine.jobs[job]
     engine.collect(96)
     assert not engine.unstored_job_count
+
+
+@pytest.mark.parametrize("end", [RunEnd.DONE, RunEnd.FAILED])
+def test_an_end_after_the_cancellation_leaves_the_job_cancelled(end):
+    # The stop may reach the worker after the last run has ended. Callers that were
+    # shown a cancelled job must not see it succeed or fail later.
+    engine = make_busy_engine(1, workers=1)
+    (job,) = engine.jobs.values()
+    engine.confirm_batch(engine.collect(60, [job.spec.job]))
+    (task,) = job.occurrences[0][0].tasks
+    task.failures = job.spec.rules.max_attempts - 1
+    engine.cancel_job(job.spec.job)
+    end_run(engine, engine.workers["w0"], 1, task.name, 1, end)
+    assert job.state is JobState.CANCELLED
+    assert not engine.workers["w0"].runs
