Decide about a job again after the look for its stored row

Cause: the owner reads the store before it rejects a job as too late, and went on from the state of before the read: a job that another try had got accepted meanwhile was answered as not run, and one that was loaded meanwhile could be dropped although it was stored.

Change: the look comes first, all decisions after it are made in one step, and a job that is known by then is not rejected; nor is anything accepted for a term that has ended.

Result: test_a_job_accepted_by_another_try_meanwhile_is_not_rejected failed before and passes now.

--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -160,6 +160,15 @@
 
         A failure with the outcome `NOT_RUN` guarantees that the job is not stored.
         """
+        if not self._is_known(job):
+            failure = await self._find_rejection(job, row)
+            if failure is not None:
+                return failure
+            # The term may have ended during the look at the store.
+            if not self.is_loaded:
+                return self._submissions.make_failure(
+                    "the term ended", ErrorCode.NOT_OWNER
+                )
         if job in self.engine.published_states:
             return Ok(None)
         if job not in self._submissions.jobs:
@@ -171,9 +180,6 @@
                 return self._submissions.make_failure(
                     reason, ErrorCode.OVERLOADED, retry_after_ms=int(excess * 1000)
                 )
-            failure = await self._find_rejection(job, row)
-            if failure is not None:
-                return failure
             self._loader.add_job(job, row, is_stored=False)
             # Requests the approval while the previous transaction is running, so that
             # the job's row and its placements can share the next one.
@@ -181,12 +187,16 @@
             self._wake.set()
         return await self._submissions.wait_for_job(job, row)
 
+    def _is_known(self, job):
+        return job in self.engine.jobs or job in self._submissions.jobs
+
     async def _find_rejection(self, job, row):
         """Return the failure of a job that certainly starts too late, else None.
 
-        A job that another member has stored meanwhile is not rejected.
+        A job that is stored or accepted meanwhile, by another of its caller's tries, is
+        not rejected.
         """
-        if not self._admission.is_needed():
+        if self._writer.is_store_unavailable or not self._admission.is_needed():
             return None
         try:
             rejection = self._admission.find_rejection(decode_job(job, row))
@@ -198,7 +208,7 @@
         answer = await self._ports.store.read(
             JOB_TABLE, CELL_PART, job, job + "\0", STORED_CHECK_SECONDS
         )
-        if answer.is_err() or answer.unwrap().rows:
+        if answer.is_err() or answer.unwrap().rows or self._is_known(job):
             return None
         wait_ms, useful_ms = map(round, rejection)
         log_event(Event.JOB_NOT_ADMITTED, job=job, wait_ms=wait_ms, useful_ms=useful_ms)
@@ -235,8 +245,6 @@
         """Start the next round early."""
         self._wake.set()
 
-    # Loading
-
     async def _load(self):
         self.engine.apply_desired(self._ports.desired())
         self._worker_registry.start()
@@ -280,8 +288,6 @@
             self.engine.find_steps_without_approval(free)
         )
 
-    # Rounds
-
     async def _run_rounds(self, stop):
         last_round = 0.0
         loop = asyncio.get_running_loop()
--- a/tests/cell/test_admission_control.py
+++ b/tests/cell/test_admission_control.py
@@ -8,6 +8,7 @@
 from cactustiller.cell import Acceptance
 from cactustiller.cell.admission_control import (
     Backlog,
+    Rejection,
     find_min_wait_ms,
     find_rejection,
 )
@@ -15,7 +16,7 @@
 from cactustiller.cell.ports import make_job_key
 from cactustiller.cell.runs import JobRun
 from cactustiller.cell.specs import encode_job
-from cactustiller.model import TeamId
+from cactustiller.model import JobState, TeamId
 from standins.fleet import FleetCell, make_job, make_queue
 
 NOW_MS = 0.0
@@ -180,3 +181,31 @@
             assert await cell.submit(spec, 1.0) is Acceptance.ACCEPTED
         spec = make_job(500, BATCH, cpu=4000)
         assert await cell.submit(spec, 1.0) is Acceptance.ACCEPTED
+
+
+@pytest.mark.looptime
+async def test_a_job_accepted_by_another_try_meanwhile_is_not_rejected(monkeypatch):
+    # While the owner looks for a stored row, another try of the same caller may be
+    # accepted. "Not run" would then be false.
+    async with FleetCell(members=1, workers=1) as cell:
+        (name,) = cell.members
+        owner, _, _ = cell.members[name]._find_owner()
+        spec = make_job(1)
+        read = owner._ports.store.read
+        checks = []
+
+        async def read_beside_another_try(*args):
+            answer = await read(*args)
+            if not checks:
+                checks.append(True)
+                assert await cell.submit(spec, 0.2) is Acceptance.ACCEPTED
+            return answer
+
+        monkeypatch.setattr(owner._admission, "is_needed", lambda: not checks)
+        monkeypatch.setattr(
+            owner._admission, "find_rejection", lambda spec: Rejection(9000.0, 1000.0)
+        )
+        monkeypatch.setattr(owner._ports.store, "read", read_beside_another_try)
+        assert await cell.submit(spec, 0.2) is Acceptance.ACCEPTED
+        assert checks
+        await cell.wait_for_state(spec, JobState.SUCCEEDED)
