--- a/libs/cell/src/cactustiller/cell/admission_control.py
+++ b/libs/cell/src/cactustiller/cell/admission_control.py
@@ -1,4 +1,4 @@
-"""Whether a job certainly cannot start before it is worthless; no I/O.
+"""Whether a job certainly cannot start while it still has value; no I/O.
 
 Load: 30 to 60 jobs per second on a cell whose workers are full, for tens of seconds.
 Jobs that are scheduled after all others would use store calls and memory, and
--- a/libs/cell/src/cactustiller/cell/ordering.py
+++ b/libs/cell/src/cactustiller/cell/ordering.py
@@ -121,8 +121,8 @@
     wall_now : float
         Unix time in seconds.
     """
-    is_worthless = key.band % OVER_SHARE_OFFSET == WORTHLESS
-    return is_worthless and wall_now - key.latest_start < MAX_DEFERRAL_SECONDS
+    has_no_value = key.band % OVER_SHARE_OFFSET == WORTHLESS
+    return has_no_value and wall_now - key.latest_start < MAX_DEFERRAL_SECONDS
 
 
 def make_order_key(step, rules, limits, now_ms):
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -213,7 +213,7 @@
         wait_ms, useful_ms = map(round, rejection)
         log_event(Event.JOB_NOT_ADMITTED, job=job, wait_ms=wait_ms, useful_ms=useful_ms)
         return self._submissions.make_failure(
-            "the job cannot start before it is worthless",
+            "the job cannot start while it has value",
             ErrorCode.OVERLOADED,
             retry_after_ms=wait_ms - useful_ms,
             step=ADMIT_STEP,
--- a/tests/cell/test_admission_control.py
+++ b/tests/cell/test_admission_control.py
@@ -85,7 +85,7 @@
     assert decide(make_waiting(1_000, **changes)) is None
 
 
-def test_work_that_becomes_worthless_before_the_job_is_not_counted():
+def test_work_that_loses_its_value_before_the_job_is_not_counted():
     waiting = make_waiting(1_000)
     # The job was accepted 1 ms later than the others, which are dropped before it.
     step = open_step(make_job(9_999, QUEUE))
