Let the soak evacuate zones and hand in jobs that allow copies

Cause: the soak played neither, so evacuations and second runs were never beside kills, frozen members and a troubled store of real processes.

--- a/demo/fleet_soak.py
+++ b/demo/fleet_soak.py
@@ -12,7 +12,7 @@
 
 import typer
 
-from standins.fleet.processes import ProcessCell, make_body
+from standins.fleet.processes import ZONES, ProcessCell, make_body
 from standins.fleet.store import Trouble
 from standins.fleet.workers import WorkerTrouble
 
@@ -23,6 +23,9 @@
 # Leases of lost workers and a late takeover pass before the end is judged.
 SETTLE_SECONDS = 60.0
 REFUSED = (429, 503)
+# Each so many jobs allows copies of its tasks.
+COPIED_JOBS = 7
+MOST_EVACUATION_SECONDS = 6.0
 
 
 @dataclass
@@ -45,7 +48,10 @@
     while loop.time() < until:
         number += 1
         job = f"{number:016x}"
-        body = make_body(is_gang=number % 5 == 0)
+        allows_copies = number % COPIED_JOBS == 0
+        if allows_copies:
+            cell.copied_jobs.add(job)
+        body = make_body(is_gang=number % 5 == 0, allows_copies=allows_copies)
         call = _hand_in(cell, ledger, generator, job, body, number)
         calls.append(asyncio.create_task(call))
         await asyncio.sleep(SUBMIT_PAUSE_SECONDS)
@@ -85,6 +91,19 @@
     await asyncio.gather(*tasks)
 
 
+async def evacuate_zones(cell, ledger, generator, until):
+    """Evacuate zones and take that back, with pauses."""
+    loop = asyncio.get_running_loop()
+    while loop.time() < until:
+        zone = generator.choice(ZONES)
+        seconds = generator.uniform(0.5, MOST_EVACUATION_SECONDS)
+        ledger.faults.append((f"evacuate {zone}", round(seconds, 2)))
+        cell.evacuate_zone(zone)
+        await asyncio.sleep(seconds)
+        cell.restore_zone(zone)
+        await asyncio.sleep(generator.uniform(0.2, FAULT_PAUSE_SECONDS))
+
+
 async def kill_member(cell, generator, seconds):
     """Kill a daemon and start it again."""
     await _replace_member(cell, generator, seconds, signal.SIGKILL)
@@ -199,6 +218,8 @@
         await asyncio.gather(
             submit_jobs(cell, ledger, generator, until),
             inject_faults(cell, ledger, generator, until),
+            # A generator of its own, so that earlier seeds inject the same faults.
+            evacuate_zones(cell, ledger, random.Random(f"{seed} zones"), until),
         )
         faults = await judge(cell, ledger)
     return ledger, faults
