Test that a new owner waits for its first read of the evacuations

Cause: with the wait taken away no test of the zones failed.

Change: a test in which the operator's rows are read later than jobs and workers.

--- a/tests/cell/test_zones.py
+++ b/tests/cell/test_zones.py
@@ -13,7 +13,8 @@
 from cactustiller.cell.zones import ZoneEvacuations
 from cactustiller.model import JobState
 from standins.fleet import FleetCell, make_job
-from standins.fleet.store import Trouble
+from standins.fleet.cell import CONFIG_TABLE
+from standins.fleet.store import StoreClient, Trouble
 
 from .builders import SERVICE, make_order_key, make_step, make_worker
 
@@ -100,6 +101,31 @@
         assert not find_starts(cell, "west", before)
 
 
+async def test_a_new_owner_waits_for_its_first_read_of_the_evacuations(monkeypatch):
+    # Its jobs and workers may be read sooner than the operator's rows.
+    async with FleetCell(zones=("east",), members=1) as cell:
+        cell.evacuate_zone("east")
+        await asyncio.sleep(CALM_SECONDS)
+        spec = make_job(1, count=2)
+        assert await cell.submit(spec, seconds=0.2) is Acceptance.ACCEPTED
+        (name,) = cell.members
+        await cell.kill(name)
+        read = StoreClient.read
+
+        async def read_slowly(client, table, *args):
+            if table == CONFIG_TABLE:
+                await asyncio.sleep(2.0)
+            return await read(client, table, *args)
+
+        monkeypatch.setattr(StoreClient, "read", read_slowly)
+        await cell.add_member(name)
+        await cell.wait_for_owner()
+        await asyncio.sleep(1.0)
+        assert not cell.audit.starts
+        cell.restore_zone("east")
+        await cell.wait_for_state(spec, JobState.SUCCEEDED)
+
+
 async def test_an_evacuation_holds_while_the_store_is_away():
     async with FleetCell(zones=("east", "west")) as cell:
         cell.evacuate_zone("west")
