Give each test its own log sampler

Cause: the sampler of log lines belongs to the process. A test whose line came in the second after another test had exceeded the rate got the line with the suppressed counts as well. Ruled out: a second check of the monitor, and coroutines finished by the collector. Change: a fixture replaces the sampler for each test. Result: the new test fails without the fixture and passes with it.

--- a/tests/cell/test_sampling.py
+++ b/tests/cell/test_sampling.py
@@ -1,3 +1,8 @@
+import pytest
+import structlog
+
+from cactustiller.cell import events
+from cactustiller.cell.events import Event, log_event
 from cactustiller.cell.sampling import (
     MAX_LINES_PER_SECOND,
     SAMPLE_ONE_JOB_IN,
@@ -47,3 +52,15 @@
     assert sampler.take_suppressed() == {"started": 7}
     assert sampler.take_suppressed() == {}
     assert sampler.allows("started", "")
+
+
+# A log line with the counts of earlier tests failed a test that expects one line.
+@pytest.mark.parametrize("run", [1, 2])
+def test_no_lines_of_an_earlier_test_are_reported(run):
+    lines = MAX_LINES_PER_SECOND + 1
+    with structlog.testing.capture_logs() as captured:
+        for _ in range(lines):
+            log_event(Event.JOB_ENDED)
+    assert all(line["event"] == Event.JOB_ENDED.value for line in captured)
+    # Leaves suppressed lines from a second that is over.
+    events._sampler._second = -1
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,12 @@
-"""Test set-up: marks the tests that KNOWN-RED.txt lists as strict xfail."""
+"""Test set-up: strict xfail for KNOWN-RED.txt, a log sampler for each test."""
 
 from pathlib import Path
 
 import pytest
 
+from cactustiller.cell import events
+from cactustiller.cell.sampling import LogSampler
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 FIELDS = 4
 
@@ -26,3 +29,9 @@
     for item in items:
         if item.nodeid in known:
             item.add_marker(pytest.mark.xfail(reason=known[item.nodeid], strict=True))
+
+
+@pytest.fixture(autouse=True)
+def log_sampler(monkeypatch):
+    """Replace the log sampler, so that no test reports lines suppressed in another."""
+    monkeypatch.setattr(events, "_sampler", LogSampler())
