--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/engine.py
@@ -11,6 +11,7 @@
 from cactustiller.model import JobState
 
 from .batches import BatchCollector
+from .block_reports import BlockReporter
 from .cold_workers import ColdWorkerRanker
 from .copies import find_next_run
 from .events import Event, log_event
@@ -63,6 +64,7 @@
         ]
         self._start_limits = {}
         self._start_limits_version = 0
+        self.block_reporter = BlockReporter(self, clock, wall_clock_ms)
 
     def add_job(self, spec, progress=None, is_stored=True):
         """Add a job and restore its progress from `progress` if given.
@@ -162,7 +164,7 @@
             for worker in self.workers.values()
             if worker.is_schedulable(now) and worker.info.worker not in isolated
         ]
-        ordered = self._compute_order_keys(self._eligible, now_ms)
+        ordered = self.compute_order_keys(self._eligible, now_ms)
         ordered.sort(key=lambda entry: entry[0])
         current_round = PlacementRound(
             now,
@@ -189,6 +191,16 @@
         """Return the steps with pending tasks whose dependencies have succeeded."""
         return list(self._eligible)
 
+    def iterate_eligible(self):
+        """Iterate over the eligible steps in the order in which they became so."""
+        return iter(self._eligible)
+
+    def has_team_room(self, step):
+        """Return whether its team's limit allows the next start of a step."""
+        needed = step.spec.count if step.spec.is_gang else 1
+        team = step.job.spec.team
+        return self._count_team_fits(team, step.spec.amounts, needed) >= needed
+
     def find_steps_without_approval(self, max_count):
         """Return the `max_count` most urgent steps that still have to request approval.
 
@@ -203,12 +215,19 @@
             and not step.has_approval_call
             and self.find_rules(step.job).needs_approval
         ]
-        keyed = self._compute_order_keys(unasked, self._wall_clock_ms())
+        keyed = self.compute_order_keys(unasked, self._wall_clock_ms())
         first = heapq.nsmallest(max_count, keyed, key=lambda entry: entry[0])
         return [step for _, step, _ in first]
 
-    def _compute_order_keys(self, steps, now_ms):
-        """Return ``(OrderKey, step, QueueRules)`` for each step."""
+    def compute_order_keys(self, steps, now_ms):
+        """Return ``(OrderKey, step, QueueRules)`` for each eligible step.
+
+        Parameters
+        ----------
+        steps : iterable of StepRun
+        now_ms : float
+            Unix milliseconds.
+        """
         is_stale = self._start_limits_version != self.desired.version
         if (
             is_stale
--- a/libs/cell/src/cactustiller/cell/events.py
+++ b/libs/cell/src/cactustiller/cell/events.py
@@ -32,6 +32,7 @@
     JOB_ACCEPTED = "job_accepted"
     JOB_REFUSED = "job_refused"
     JOB_WAITS = "job_waits"
+    JOB_BLOCKED = "job_blocked"
     JOB_NOT_ADMITTED = "job_not_admitted"
     JOB_CANCELLED = "job_cancelled"
     JOB_ENDED = "job_ended"
@@ -74,6 +75,7 @@
         Event.JOB_ACCEPTED,
         Event.JOB_REFUSED,
         Event.JOB_WAITS,
+        Event.JOB_BLOCKED,
         Event.JOB_NOT_ADMITTED,
         Event.JOB_CANCELLED,
         Event.JOB_ENDED,
--- a/libs/cell/src/cactustiller/cell/gauges.py
+++ b/libs/cell/src/cactustiller/cell/gauges.py
@@ -21,6 +21,8 @@
     yield Gauge.COPIES, (), engine.speculation.count_copies()
     for labels, count in _count_eligible(engine).items():
         yield Gauge.WAITING, labels, count
+    for reason, count in engine.block_reporter.reasons.items():
+        yield Gauge.BLOCKED, (reason,), count
     states = Counter(_name_state(worker, now) for worker in engine.workers.values())
     for state, count in states.items():
         yield Gauge.WORKERS, (state,), count
--- a/libs/cell/src/cactustiller/cell/metrics.py
+++ b/libs/cell/src/cactustiller/cell/metrics.py
@@ -93,6 +93,11 @@
     WAITING = Family(
         "waiting_tasks", "Tasks whose turn has come.", ("priority", "team")
     )
+    BLOCKED = Family(
+        "blocked_steps",
+        "Waiting steps examined last, by what blocks them.",
+        ("reason",),
+    )
     COPIES = Family("copies", "Copies of late runs.")
     CAPACITY = Family("room_cores", "Cores of listed workers.", ("state",))
     WAITING_CALLERS = Family("waiting_callers", "Callers that wait for the store.")
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner.py
@@ -110,6 +110,7 @@
                 "announce owner",
                 lambda: self._announcer.announce(lambda: self.engine.desired.version),
             )
+            self._start_supervised("report waits", self.engine.block_reporter.run)
             self._start_supervised(
                 "remove expired rows",
                 lambda: run_housekeeping(
--- a/libs/cli/src/cactustiller/cli/commands/__init__.py
+++ b/libs/cli/src/cactustiller/cli/commands/__init__.py
@@ -3,6 +3,7 @@
 from . import (
     check_config,
     instances,
+    interference,
     jobs,
     key,
     load,
@@ -32,6 +33,7 @@
     "load": load.run_load,
     "stats": stats.show_stats,
     "trace": trace.trace,
+    "interference": interference.list_pairs,
     "check-config": check_config.check_config,
 }
 
--- a/libs/cli/src/cactustiller/cli/commands/trace.py
+++ b/libs/cli/src/cactustiller/cli/commands/trace.py
@@ -7,7 +7,7 @@
 
 from ..display import show_list
 from ..session import JsonFlag
-from ..story import read_lines, tell_story
+from ..story import read_files, tell_story
 
 NOT_FOUND_EXIT = 1
 
@@ -18,11 +18,7 @@
     as_json: JsonFlag = False,
 ):
     """Merge the members' log files into the story of one job."""
-    lines = []
-    for path in files:
-        with path.open(encoding="utf-8", errors="replace") as file:
-            lines += read_lines(file)
-    story = tell_story(job, lines)
+    story = tell_story(job, read_files(files))
     if not story:
         typer.echo(f"no line about job {job} in {len(files)} files", err=True)
         raise typer.Exit(NOT_FOUND_EXIT)
--- a/libs/cli/src/cactustiller/cli/story.py
+++ b/libs/cli/src/cactustiller/cli/story.py
@@ -16,6 +16,10 @@
         "dependency_lost",
         "dependency_back",
         "desired_state_applied",
+        "zone_evacuated",
+        "zone_restored",
+        "interference_learned",
+        "interference_dropped",
         "lines_dropped",
         "term_failed",
         "task_failed",
@@ -56,6 +60,15 @@
         yield StoryLine(at, fields.get("member", ""), event, rest)
 
 
+def read_files(paths):
+    """Return the `StoryLine` of each log line of several files, file by file."""
+    lines = []
+    for path in paths:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            lines += read_lines(file)
+    return lines
+
+
 def tell_story(job, lines):
     """Return the lines that explain a job, in order, with the gaps between them.
 
--- a/tests/cell/test_approvals.py
+++ b/tests/cell/test_approvals.py
@@ -123,7 +123,7 @@
 def make_key(step):
     """Return the order key of a step that is in time."""
     engine = Engine(lambda: 100.0, lambda: 100_000)
-    ((key, _, _),) = engine._compute_order_keys([step], 100_000)
+    ((key, _, _),) = engine.compute_order_keys([step], 100_000)
     return key
 
 
--- a/tests/cli/test_story.py
+++ b/tests/cli/test_story.py
@@ -1,13 +1,8 @@
-import json
-
 from cactustiller.cli.story import read_lines, tell_story
 
-JOB = "0123456789abcdef"
-
+from .log_lines import make_line
 
-def make_line(second, event, member="m0", **fields):
-    stamp = f"2026-01-07T21:14:{second:06.3f}Z"
-    return json.dumps({"event": event, "time": stamp, "member": member, **fields})
+JOB = "0123456789abcdef"
 
 
 def test_lines_of_all_members_come_in_order_with_their_context():
@@ -49,3 +44,20 @@
 def test_nothing_is_told_of_an_unknown_job():
     lines = list(read_lines([make_line(1, "takeover", epoch=1)]))
     assert tell_story(JOB, lines) == []
+
+
+def test_the_evacuation_for_which_a_job_waits_is_told():
+    text = [
+        make_line(9, "zone_evacuated", "m1", zone="east", workers=12),
+        make_line(10, "job_accepted", job=JOB),
+        make_line(11, "job_blocked", "m1", job=JOB, reason="evacuated"),
+        make_line(11, "job_blocked", "m1", job="f" * 16, reason="cpu"),
+        make_line(12, "interference_learned", "m1", affected="a", interfering="b"),
+    ]
+    story = tell_story(JOB, list(read_lines(text)))
+    assert [(line.event, line.fields.get("reason")) for line in story] == [
+        ("zone_evacuated", None),
+        ("job_accepted", None),
+        ("job_blocked", "evacuated"),
+        ("interference_learned", None),
+    ]
