Group the modules of a cell in families

Change: records, decisions, owner, members and reporting, each a subpackage; ports, configuration and supervision stay beside the façade.

--- a/benchmarks/cell.py
+++ b/benchmarks/cell.py
@@ -29,7 +29,7 @@
     Team,
     WorkerInfo,
 )
-from cactustiller.cell.engine import Engine
+from cactustiller.cell.owner.engine import Engine
 from cactustiller.model import Amounts, JobId, QueueName, ServiceName, TeamId, WorkerId
 
 SEED = 20_261_204
--- a/benchmarks/interference.py
+++ b/benchmarks/interference.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from cactustiller.cell.interference_estimates import (
+from cactustiller.cell.decisions.interference_estimates import (
     LEARN_EFFECT,
     MIN_PLACES,
     MIN_SAMPLES,
--- a/benchmarks/log_lines.py
+++ b/benchmarks/log_lines.py
@@ -6,8 +6,8 @@
 import sys
 import time
 
-from cactustiller.cell.events import Event, log_event
-from cactustiller.cell.logs import configure_logs
+from cactustiller.cell.reporting.events import Event, log_event
+from cactustiller.cell.reporting.logs import configure_logs
 
 LINES = 20_000
 
--- a/libs/cell/src/cactustiller/cell/__init__.py
+++ b/libs/cell/src/cactustiller/cell/__init__.py
@@ -3,13 +3,11 @@
 Every member accepts jobs from callers. One of them, elected owner, places their tasks.
 """
 
-from .admission import Admitted, Refusal, admit_call
 from .configuration import Dependencies, MemberSettings
-from .desired import DesiredState, Queue, Team
-from .followers import Follower
-from .insertion import Acceptance
-from .listings import ListedEnd, ListedRun, Listing
-from .member import Member
+from .members.admission import Admitted, Refusal, admit_call
+from .members.followers import Follower
+from .members.insertion import Acceptance
+from .members.member import Member
 from .ports import (
     Approval,
     Committed,
@@ -21,9 +19,11 @@
     StartOrder,
     Transaction,
 )
-from .runs import RunEnd
-from .specs import JobSpec, QueueRules, StepSpec, check_spec
-from .workers import WorkerInfo
+from .records.desired import DesiredState, Queue, Team
+from .records.listings import ListedEnd, ListedRun, Listing
+from .records.runs import RunEnd
+from .records.specs import JobSpec, QueueRules, StepSpec, check_spec
+from .records.workers import WorkerInfo
 
 __all__ = [
     "Acceptance",
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the owner: functions of its state, without I/O."""
--- a/libs/cell/src/cactustiller/cell/admission_control.py
+++ b/libs/cell/src/cactustiller/cell/decisions/admission_control.py
@@ -11,9 +11,9 @@
 
 from typing import NamedTuple
 
-from .desired import Team
+from ..records.desired import Team
+from ..records.runs import JobRun
 from .ordering import find_start_limits, make_order_key
-from .runs import JobRun
 
 # Estimates are off by up to 90 %.
 MIN_SHARE_OF_ESTIMATE = 0.1
--- a/libs/cell/src/cactustiller/cell/blocking.py
+++ b/libs/cell/src/cactustiller/cell/decisions/blocking.py
@@ -8,9 +8,9 @@
 from enum import Enum
 from typing import NamedTuple
 
+from ..records.workers import Exclusion
 from .ordering import LATE_URGENT, URGENT
 from .placement_round import cap_per_worker, count_tasks_by_worker
-from .workers import Exclusion
 
 
 class Obstacle(Enum):
--- a/libs/cell/src/cactustiller/cell/health.py
+++ b/libs/cell/src/cactustiller/cell/decisions/health.py
@@ -1,7 +1,7 @@
 """Temporary exclusion of workers on which runs fail or stall."""
 
-from .events import Event, log_event
-from .runs import RunPhase
+from ..records.runs import RunPhase
+from ..reporting.events import Event, log_event
 
 # Distinct jobs that must fail on a worker, without a success in between, before it is
 # avoided.
--- a/libs/cell/src/cactustiller/cell/interference.py
+++ b/libs/cell/src/cactustiller/cell/decisions/interference.py
@@ -9,9 +9,9 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
+from ..records.runs import RunEnd
 from .interference_effects import Sample
 from .interference_estimates import PairEstimates
-from .runs import RunEnd
 
 # Samples of a step are compared once all its tasks have ended, or after this time.
 GROUP_SECONDS = 20.0
--- a/libs/cell/src/cactustiller/cell/interference_estimates.py
+++ b/libs/cell/src/cactustiller/cell/decisions/interference_estimates.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from .events import Event, log_event
+from ..reporting.events import Event, log_event
 from .interference_effects import (
     Baseline,
     Effect,
--- a/libs/cell/src/cactustiller/cell/placement.py
+++ b/libs/cell/src/cactustiller/cell/decisions/placement.py
@@ -10,6 +10,7 @@
 which steps may preempt again; the engine applies the outcome to the tasks.
 """
 
+from ..records.runs import RunPhase
 from .gang_placement import URGENT_BANDS, place_gang
 from .ordering import IN_TIME, URGENT, may_be_deferred
 from .placement_round import (
@@ -18,7 +19,6 @@
     has_valid_ticket,
     is_candidate,
 )
-from .runs import RunPhase
 from .suspect_placement import place_suspect
 
 # Bands whose steps are considered even if no worker has enough free capacity for one
--- a/libs/cell/src/cactustiller/cell/placement_round.py
+++ b/libs/cell/src/cactustiller/cell/decisions/placement_round.py
@@ -3,10 +3,10 @@
 from collections import Counter
 from typing import NamedTuple
 
+from ..records.runs import TaskRun
+from ..records.workers import Worker
 from .free_capacity import FreeCapacity
 from .preemption import PreemptionSearch
-from .runs import TaskRun
-from .workers import Worker
 
 # Minimum remaining validity of an approval ticket, so that it is still valid when the
 # start reaches the worker.
--- a/libs/cell/src/cactustiller/cell/polling.py
+++ b/libs/cell/src/cactustiller/cell/decisions/polling.py
@@ -6,8 +6,8 @@
 most calls to idle workers return with nothing.
 """
 
+from ..records.runs import RunPhase
 from .health import find_stall_time
-from .runs import RunPhase
 
 # Workers limit the wait to this. A lease of 6 s then still outlasts a takeover, which
 # takes about 3 s.
--- a/libs/cell/src/cactustiller/cell/run_rates.py
+++ b/libs/cell/src/cactustiller/cell/decisions/run_rates.py
@@ -7,7 +7,7 @@
 import math
 from dataclasses import dataclass
 
-from .runs import RunEnd
+from ..records.runs import RunEnd
 
 # Progress is in whole percent, so a window of this many has an error of up to 10%. Slow
 # runs gain fewer; theirs counts after the longer time.
--- a/libs/cell/src/cactustiller/cell/speculation.py
+++ b/libs/cell/src/cactustiller/cell/decisions/speculation.py
@@ -4,9 +4,9 @@
 `copies.py` what the end of either run means.
 """
 
-from .copies import make_copy
+from ..records.copies import make_copy
+from ..reporting.events import Event, log_event
 from .copy_placement import WaitingWork, place_copies
-from .events import Event, log_event
 from .stragglers import CopiesBudget, RunTimes, allows_copies, find_late_runs
 
 # Minimum time between two searches for late runs. Progress is reported less often, and
--- a/libs/cell/src/cactustiller/cell/speeds.py
+++ b/libs/cell/src/cactustiller/cell/decisions/speeds.py
@@ -12,9 +12,9 @@
 import math
 from dataclasses import dataclass, field
 
-from .events import Event, log_event
+from ..records.workers import Worker
+from ..reporting.events import Event, log_event
 from .run_rates import RateMeter
-from .workers import Worker
 
 # All levels are computed anew within this time, in several parts so that no round of
 # scheduling is delayed by more than one: all at once took 4 ms for 176 workers.
--- a/libs/cell/src/cactustiller/cell/stragglers.py
+++ b/libs/cell/src/cactustiller/cell/decisions/stragglers.py
@@ -10,7 +10,7 @@
 from statistics import median_low
 from typing import NamedTuple
 
-from .runs import RunEnd, RunPhase, TaskRun
+from ..records.runs import RunEnd, RunPhase, TaskRun
 
 # Other tasks of the step whose run time is known or extrapolated that are needed for a
 # comparison; with fewer, the median may itself be that of a straggler.
--- a/libs/cell/src/cactustiller/cell/suspect_placement.py
+++ b/libs/cell/src/cactustiller/cell/decisions/suspect_placement.py
@@ -5,13 +5,13 @@
 until they are proven or have crashed the worker.
 """
 
+from ..records.runs import RunPhase
 from .placement_round import (
     cap_per_worker,
     count_tasks_by_worker,
     has_valid_ticket,
     is_candidate,
 )
-from .runs import RunPhase
 
 # A crash follows a start within milliseconds, so the runs that a worker had for this
 # long did not cause the crash that follows the start of a suspect.
--- a/libs/cell/src/cactustiller/cell/zones.py
+++ b/libs/cell/src/cactustiller/cell/decisions/zones.py
@@ -4,7 +4,7 @@
 to its end, and what waits is placed on the other zones from the next round on.
 """
 
-from .events import Event, log_event
+from ..reporting.events import Event, log_event
 
 
 class ZoneEvacuations:
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/members/__init__.py
@@ -0,0 +1,1 @@
+"""What every member does: accept jobs, answer callers, follow the store."""
--- a/libs/cell/src/cactustiller/cell/admission.py
+++ b/libs/cell/src/cactustiller/cell/members/admission.py
@@ -5,7 +5,7 @@
 
 from cactustiller.model import TeamId
 
-from .desired import Queue
+from ..records.desired import Queue
 
 
 class Refusal(Enum):
--- a/libs/cell/src/cactustiller/cell/desired_replica.py
+++ b/libs/cell/src/cactustiller/cell/members/desired_replica.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from .desired import DesiredState
-from .events import Event, log_event
+from ..records.desired import DesiredState
+from ..reporting.events import Event, log_event
 from .followers import Follower
 
 # A member whose desired state was confirmed longer ago, by the store or by an
--- a/libs/cell/src/cactustiller/cell/followers.py
+++ b/libs/cell/src/cactustiller/cell/members/followers.py
@@ -4,10 +4,10 @@
 
 from cactustiller.model import ErrorCode
 
-from .events import Event, log_event
-from .ports import MEMBER_TABLE
-from .supervision import keep_running
-from .tables import read_table
+from ..ports import MEMBER_TABLE
+from ..records.tables import read_table
+from ..reporting.events import Event, log_event
+from ..supervision import keep_running
 
 READ_TIMEOUT_SECONDS = 1.5
 # Maximum wait of a feed call for a change, which bounds the time until a lost
--- a/libs/cell/src/cactustiller/cell/insertion.py
+++ b/libs/cell/src/cactustiller/cell/members/insertion.py
@@ -7,7 +7,7 @@
 from cactustiller.model import Outcome
 from cactustiller.ports.breaker import CircuitBreaker
 
-from .ports import Committed, RowKey, Transaction
+from ..ports import Committed, RowKey, Transaction
 
 # A longer call to the store would leave no time for a second try.
 CALL_TIMEOUT_SECONDS = 0.9
--- a/libs/cell/src/cactustiller/cell/intake.py
+++ b/libs/cell/src/cactustiller/cell/members/intake.py
@@ -10,16 +10,16 @@
 from cactustiller.model import ErrorCode, Outcome
 from cactustiller.model.messages import HandInJob, WithdrawJob
 
-from .events import Event, log_event
+from ..decisions.store_outage import TAKEOVER_SECONDS, RejectReason, choose_retry_after
+from ..owner.submissions import ADMIT_STEP
+from ..ports import CANCEL_SUFFIX, make_cancel_key, make_job_key
+from ..records.specs import encode_job
+from ..reporting.events import Event, log_event
+from ..reporting.metrics import Count
 from .insertion import Acceptance, Inserter
 from .lookups import STORE_CALL_TIMEOUT_SECONDS, JobLookups
-from .metrics import Count
 from .outage_queue import REPLY_WITHIN_SECONDS, OutageQueue, Release, make_caller
 from .owner_calls import OwnerCaller
-from .ports import CANCEL_SUFFIX, make_cancel_key, make_job_key
-from .specs import encode_job
-from .store_outage import TAKEOVER_SECONDS, RejectReason, choose_retry_after
-from .submissions import ADMIT_STEP
 
 # Time in which this member tries to store a job itself.
 INSERT_TIMEOUT_SECONDS = 1.5
--- a/libs/cell/src/cactustiller/cell/lookups.py
+++ b/libs/cell/src/cactustiller/cell/members/lookups.py
@@ -10,8 +10,8 @@
     PendingCounted,
 )
 
-from .ports import CANCEL_SUFFIX, CELL_PART, JOB_TABLE, PROGRESS_TABLE, split_job_key
-from .progress import decode_state
+from ..ports import CANCEL_SUFFIX, CELL_PART, JOB_TABLE, PROGRESS_TABLE, split_job_key
+from ..records.progress import decode_state
 
 # A longer call to the store would leave no time for a second try.
 STORE_CALL_TIMEOUT_SECONDS = 0.9
--- a/libs/cell/src/cactustiller/cell/member.py
+++ b/libs/cell/src/cactustiller/cell/members/member.py
@@ -24,19 +24,19 @@
 )
 from cactustiller.peers import PeerClient, PeerServer, Traffic
 
+from ..owner.election import Election
+from ..owner.owner import Owner
+from ..ports import MEMBER_TABLE, RowKey, Transaction
+from ..reporting.events import Event, log_event
+from ..reporting.gauges import read_cell_gauges
+from ..reporting.loop_monitor import monitor_loop
+from ..reporting.metering import MeteredApprovals, MeteredStore, MeteredWorkerCalls
+from ..reporting.metrics import Count, Gauge, Latency, Metrics
+from ..supervision import keep_running
 from .desired_replica import DesiredReplica
-from .election import Election
-from .events import Event, log_event
 from .followers import MemberRegistry, WorkerRegistry, encode_member_row
-from .gauges import read_cell_gauges
 from .intake import Intake
-from .loop_monitor import monitor_loop
-from .metering import MeteredApprovals, MeteredStore, MeteredWorkerCalls
-from .metrics import Count, Gauge, Latency, Metrics
-from .owner import Owner
 from .owner_calls import serve_owner_call
-from .ports import MEMBER_TABLE, RowKey, Transaction
-from .supervision import keep_running
 
 ROLE = "cell"
 MEMBER_ROW_RETRY_SECONDS = 0.5
--- a/libs/cell/src/cactustiller/cell/outage_queue.py
+++ b/libs/cell/src/cactustiller/cell/members/outage_queue.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .events import Event, log_event
-from .metrics import Count
-from .store_outage import OutageView, Reject, RejectReason, decide
+from ..decisions.store_outage import OutageView, Reject, RejectReason, decide
+from ..reporting.events import Event, log_event
+from ..reporting.metrics import Count
 
 CHECK_SECONDS = 0.05
 # Interval at which one waiting submission is tried, since the owner or a transaction
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/owner/__init__.py
@@ -0,0 +1,1 @@
+"""One term of ownership: state machine, calls, storage and election."""
--- a/libs/cell/src/cactustiller/cell/announcements.py
+++ b/libs/cell/src/cactustiller/cell/owner/announcements.py
@@ -4,8 +4,8 @@
 
 from cactustiller.model.messages import AnnounceOwner, AnnounceOwnership, HandOver
 
-from .claims import choose_standbys
-from .events import Event, log_event
+from ..records.claims import choose_standbys
+from ..reporting.events import Event, log_event
 
 # Members that can't reach the store learn of the owner and of a new desired state from
 # announcements only; configuration changes must arrive within 2 s.
--- a/libs/cell/src/cactustiller/cell/approvals.py
+++ b/libs/cell/src/cactustiller/cell/owner/approvals.py
@@ -10,8 +10,8 @@
 from cactustiller.model import WorkerId
 from cactustiller.model.messages import AskApproval
 
-from .events import Event, log_event
-from .ports import Approval
+from ..ports import Approval
+from ..reporting.events import Event, log_event
 
 # While the cell has other members, this member, the owner, makes only calls with an
 # expected duration up to this, so that short calls are not queued behind long ones.
--- a/libs/cell/src/cactustiller/cell/batches.py
+++ b/libs/cell/src/cactustiller/cell/owner/batches.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from .placement_round import Placement
-from .progress import encode_progress
+from ..decisions.placement_round import Placement
+from ..records.progress import encode_progress
 from .run_control import RunControl
 
 # A placement that is older than this when its batch is stored is discarded, and its
--- a/libs/cell/src/cactustiller/cell/block_reports.py
+++ b/libs/cell/src/cactustiller/cell/owner/block_reports.py
@@ -6,10 +6,10 @@
 from functools import cache
 from itertools import islice
 
-from .blocking import Block, find_block, find_step_obstacle
-from .events import Event, log_event
-from .ordering import may_be_deferred
-from .placement_round import is_cell_busy
+from ..decisions.blocking import Block, find_block, find_step_obstacle
+from ..decisions.ordering import may_be_deferred
+from ..decisions.placement_round import is_cell_busy
+from ..reporting.events import Event, log_event
 
 INTERVAL_SECONDS = 1.0
 # A step that waits for less time is no matter for an operator.
--- a/libs/cell/src/cactustiller/cell/capacity.py
+++ b/libs/cell/src/cactustiller/cell/owner/capacity.py
@@ -6,12 +6,12 @@
 
 from cactustiller.model import Amounts
 
-from .crashes import charge_crash, is_crash
-from .desired import Team
-from .events import Event, log_event
-from .runs import RunPhase
-from .workers import CLOCK_DRIFT, Worker, WorkerInfo, WorkerLoss
-from .zones import ZoneEvacuations
+from ..decisions.zones import ZoneEvacuations
+from ..records.crashes import charge_crash, is_crash
+from ..records.desired import Team
+from ..records.runs import RunPhase
+from ..records.workers import CLOCK_DRIFT, Worker, WorkerInfo, WorkerLoss
+from ..reporting.events import Event, log_event
 
 # Maximum time for which an owner that cannot reach the store keeps renewing leases.
 MAX_OWNER_SECONDS_WITHOUT_STORE = 10.0
--- a/libs/cell/src/cactustiller/cell/commits.py
+++ b/libs/cell/src/cactustiller/cell/owner/commits.py
@@ -6,11 +6,7 @@
 
 from cactustiller.model import ErrorCode, Failure, JobId, Outcome
 
-from .capacity import MAX_OWNER_SECONDS_WITHOUT_STORE
-from .claims import OwnerRecord, decode_owner, encode_owner
-from .election import RENEW_SECONDS
-from .events import Event, log_event
-from .ports import (
+from ..ports import (
     JOB_TABLE,
     OWNER_ROW,
     Committed,
@@ -19,6 +15,10 @@
     make_job_key,
     make_progress_key,
 )
+from ..records.claims import OwnerRecord, decode_owner, encode_owner
+from ..reporting.events import Event, log_event
+from .capacity import MAX_OWNER_SECONDS_WITHOUT_STORE
+from .election import RENEW_SECONDS
 
 # About three times the latency of a store that is sixty times slower than its usual
 # 10 ms.
--- a/libs/cell/src/cactustiller/cell/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/owner/dispatch.py
@@ -10,14 +10,14 @@
 
 from cactustiller.model import ErrorCode, Outcome
 
+from ..decisions.polling import choose_wait_ms
+from ..ports import StartAnswer, StartOrder
+from ..records.crashes import PROBATION_SECONDS
+from ..records.runs import RunEnd, RunPhase
+from ..reporting.events import Event, log_event
+from ..reporting.metrics import Count, Latency
+from ..supervision import keep_running
 from .capacity import LEASE_SECONDS
-from .crashes import PROBATION_SECONDS
-from .events import Event, log_event
-from .metrics import Count, Latency
-from .polling import choose_wait_ms
-from .ports import StartAnswer, StartOrder
-from .runs import RunEnd, RunPhase
-from .supervision import keep_running
 
 HOLD_RETRY_SECONDS = 0.25
 # After this wait for the store to commit a worker's ends, the lease is renewed anyway.
--- a/libs/cell/src/cactustiller/cell/election.py
+++ b/libs/cell/src/cactustiller/cell/owner/election.py
@@ -10,7 +10,8 @@
 
 from cactustiller.model import Epoch, Outcome
 
-from .claims import (
+from ..ports import OWNER_ROW, Committed, Conflict, Transaction
+from ..records.claims import (
     MIN_UNCHANGED_SECONDS,
     NO_OWNER,
     READS_PER_RENEWAL,
@@ -20,8 +21,7 @@
     encode_owner,
     should_claim,
 )
-from .events import Event, log_event
-from .ports import OWNER_ROW, Committed, Conflict, Transaction
+from ..reporting.events import Event, log_event
 
 # Maximum interval between renewals of the owner's row.
 RENEW_SECONDS = 0.3
--- a/libs/cell/src/cactustiller/cell/engine.py
+++ b/libs/cell/src/cactustiller/cell/owner/engine.py
@@ -10,23 +10,23 @@
 
 from cactustiller.model import JobState
 
+from ..decisions.cold_workers import ColdWorkerRanker
+from ..decisions.interference import InterferenceObserver
+from ..decisions.interference_ranking import InterferenceRanker
+from ..decisions.ordering import find_start_limits, make_order_key
+from ..decisions.placement import place_steps
+from ..decisions.placement_round import PlacementRound, is_cell_busy
+from ..decisions.shares import ShareMeter
+from ..decisions.speculation import Speculation
+from ..decisions.speed_ranker import SpeedRanker
+from ..decisions.speeds import SpeedEstimates
+from ..records.copies import find_next_run
+from ..records.pacing import FULL_PERCENT
+from ..records.progress import decode_progress
+from ..records.runs import JobRun, RunPhase
+from ..reporting.events import Event, log_event
 from .batches import BatchCollector
 from .block_reports import BlockReporter
-from .cold_workers import ColdWorkerRanker
-from .copies import find_next_run
-from .events import Event, log_event
-from .interference import InterferenceObserver
-from .interference_ranking import InterferenceRanker
-from .ordering import find_start_limits, make_order_key
-from .pacing import FULL_PERCENT
-from .placement import place_steps
-from .placement_round import PlacementRound, is_cell_busy
-from .progress import decode_progress
-from .runs import JobRun, RunPhase
-from .shares import ShareMeter
-from .speculation import Speculation
-from .speed_ranker import SpeedRanker
-from .speeds import SpeedEstimates
 
 # Finished jobs stay readable for this long beyond the documented retention period.
 RETENTION_MARGIN_SECONDS = 30.0
--- a/libs/cell/src/cactustiller/cell/housekeeping.py
+++ b/libs/cell/src/cactustiller/cell/owner/housekeeping.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from .ports import (
+from ..ports import (
     MEMBER_TABLE,
     RowKey,
     Transaction,
--- a/libs/cell/src/cactustiller/cell/loading.py
+++ b/libs/cell/src/cactustiller/cell/owner/loading.py
@@ -4,16 +4,16 @@
 
 from cactustiller.model import ErrorCode, JobId
 
-from .events import Event, log_event
-from .ports import (
+from ..ports import (
     CANCEL_SUFFIX,
     CELL_PART,
     JOB_TABLE,
     PROGRESS_TABLE,
     split_job_key,
 )
-from .specs import decode_job
-from .tables import read_table
+from ..records.specs import decode_job
+from ..records.tables import read_table
+from ..reporting.events import Event, log_event
 
 # Members forward callers' jobs to the owner; the change feed of the job table only adds
 # those that a member stored itself and could not report to the owner.
--- a/libs/cell/src/cactustiller/cell/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner/owner.py
@@ -11,19 +11,19 @@
 
 from cactustiller.model import ErrorCode
 
-from .admission_control import AdmissionControl
+from ..decisions.admission_control import AdmissionControl
+from ..ports import CELL_PART, JOB_TABLE
+from ..records.specs import decode_job
+from ..reporting.events import Event, log_event
+from ..supervision import keep_running
 from .announcements import Announcer
 from .approvals import ApprovalDispatcher
 from .commits import MAX_ENTRIES, BatchWriter, OwnershipLostError
 from .dispatch import Dispatcher
 from .engine import Engine
-from .events import Event, log_event
 from .housekeeping import run_housekeeping
 from .loading import JobLoader
-from .ports import CELL_PART, JOB_TABLE
-from .specs import decode_job
 from .submissions import ADMIT_STEP, PendingSubmissions
-from .supervision import keep_running
 
 # Minimum time between two scheduling rounds, so that run ends and new jobs share a
 # transaction.
--- a/libs/cell/src/cactustiller/cell/run_control.py
+++ b/libs/cell/src/cactustiller/cell/owner/run_control.py
@@ -2,12 +2,12 @@
 
 from typing import NamedTuple
 
-from .events import Event, log_event
-from .health import is_stalled, outlives_worker, record_stall
-from .pacing import DECREASE_ABOVE_RATIO, choose_pace
+from ..decisions.health import is_stalled, outlives_worker, record_stall
+from ..records.pacing import DECREASE_ABOVE_RATIO, choose_pace
+from ..records.runs import RunPhase, TaskRun
+from ..records.workers import Worker
+from ..reporting.events import Event, log_event
 from .run_tracking import RunTracker
-from .runs import RunPhase, TaskRun
-from .workers import Worker
 
 STOP_RETRY_SECONDS = 0.5
 # An unacknowledged pace is sent again after this time. It is shorter than the minimum
--- a/libs/cell/src/cactustiller/cell/run_tracking.py
+++ b/libs/cell/src/cactustiller/cell/owner/run_tracking.py
@@ -2,14 +2,14 @@
 
 from cactustiller.model import JobState, WorkerId
 
+from ..decisions.health import record_failure, record_success
+from ..records.copies import drop_copy, promote_copy, settle_done
+from ..records.crashes import prove_run
+from ..records.desired import DesiredState
+from ..records.runs import RunEnd, RunPhase
+from ..records.workers import WorkerLoss
+from ..reporting.events import Event, log_event
 from .capacity import LEASE_SECONDS, CapacityTracker
-from .copies import drop_copy, promote_copy, settle_done
-from .crashes import prove_run
-from .desired import DesiredState
-from .events import Event, log_event
-from .health import record_failure, record_success
-from .runs import RunEnd, RunPhase
-from .workers import WorkerLoss
 
 
 class RunTracker(CapacityTracker):
--- a/libs/cell/src/cactustiller/cell/ports.py
+++ b/libs/cell/src/cactustiller/cell/ports.py
@@ -7,8 +7,8 @@
 
 from cactustiller.model import Failure, JobId, WorkerId
 
-from .listings import Listing
-from .workers import WorkerInfo
+from .records.listings import Listing
+from .records.workers import WorkerInfo
 
 
 class RowKey(NamedTuple):
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/records/__init__.py
@@ -0,0 +1,1 @@
+"""State of a cell at its owner, and its stored form; no I/O."""
--- a/libs/cell/src/cactustiller/cell/copies.py
+++ b/libs/cell/src/cactustiller/cell/records/copies.py
@@ -10,7 +10,7 @@
 
 from cactustiller.model import WorkerId
 
-from .events import Event, log_event
+from ..reporting.events import Event, log_event
 from .runs import RunPhase, TaskRun
 
 
--- /dev/null
+++ b/libs/cell/src/cactustiller/cell/reporting/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- a/libs/cell/src/cactustiller/cell/metering.py
+++ b/libs/cell/src/cactustiller/cell/reporting/metering.py
@@ -4,8 +4,8 @@
 
 from cactustiller.model import Outcome
 
+from ..ports import JOB_TABLE, OWNER_TABLE, PROGRESS_TABLE, Conflict, StartAnswer
 from .metrics import Count, Latency
-from .ports import JOB_TABLE, OWNER_TABLE, PROGRESS_TABLE, Conflict, StartAnswer
 
 DONE = "done"
 CONFLICT = "conflict"
--- a/libs/cell/src/cactustiller/cell/supervision.py
+++ b/libs/cell/src/cactustiller/cell/supervision.py
@@ -3,7 +3,7 @@
 import asyncio
 import traceback
 
-from .events import Event, log_event
+from .reporting.events import Event, log_event
 
 # Delay before a failed task is restarted, doubled with each further failure.
 MIN_RESTART_SECONDS = 0.2
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from cactustiller.cell import Committed, Conflict, Page, Row
-from cactustiller.cell.tables import AFTER_LAST_KEY
+from cactustiller.cell.records.tables import AFTER_LAST_KEY
 from cactustiller.model import ErrorCode, Failure, Outcome
 
 READ_SECONDS = 0.004
--- a/tests/cell/builders.py
+++ b/tests/cell/builders.py
@@ -1,9 +1,9 @@
 """Builders of workers, steps and scheduling rounds."""
 
-from cactustiller.cell.ordering import IN_TIME, OrderKey
-from cactustiller.cell.placement_round import PlacementRound
-from cactustiller.cell.runs import JobRun
-from cactustiller.cell.workers import Worker, WorkerInfo
+from cactustiller.cell.decisions.ordering import IN_TIME, OrderKey
+from cactustiller.cell.decisions.placement_round import PlacementRound
+from cactustiller.cell.records.runs import JobRun
+from cactustiller.cell.records.workers import Worker, WorkerInfo
 from cactustiller.model import Amounts, WorkerId
 from standins.fleet import make_job
 
--- a/tests/cell/interference_model.py
+++ b/tests/cell/interference_model.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 
 from cactustiller.cell import ListedEnd, ListedRun, Listing, RunEnd
-from cactustiller.cell.desired import DesiredState, Team
-from cactustiller.cell.engine import Engine
-from cactustiller.cell.interference_effects import Sample
-from cactustiller.cell.workers import WorkerInfo
+from cactustiller.cell.decisions.interference_effects import Sample
+from cactustiller.cell.owner.engine import Engine
+from cactustiller.cell.records.desired import DesiredState, Team
+from cactustiller.cell.records.workers import WorkerInfo
 from cactustiller.model import Amounts, JobState, TeamId, WorkerId
 from standins.fleet import make_job, make_queue
 
--- a/tests/cell/outage_replay.py
+++ b/tests/cell/outage_replay.py
@@ -3,7 +3,7 @@
 import heapq
 from typing import NamedTuple
 
-from cactustiller.cell.store_outage import (
+from cactustiller.cell.decisions.store_outage import (
     OutageView,
     Reject,
     choose_retry_after,
--- a/tests/cell/queueing.py
+++ b/tests/cell/queueing.py
@@ -4,8 +4,8 @@
 import random
 from dataclasses import replace
 
-from cactustiller.cell.ordering import find_start_limits, make_order_key
-from cactustiller.cell.specs import QueueRules
+from cactustiller.cell.decisions.ordering import find_start_limits, make_order_key
+from cactustiller.cell.records.specs import QueueRules
 
 from .builders import SERVICE, make_step
 
--- a/tests/cell/speed_replay.py
+++ b/tests/cell/speed_replay.py
@@ -16,8 +16,8 @@
     Team,
     WorkerInfo,
 )
-from cactustiller.cell.engine import Engine
-from cactustiller.cell.listings import ListedRun
+from cactustiller.cell.owner.engine import Engine
+from cactustiller.cell.records.listings import ListedRun
 from cactustiller.model import Amounts, JobId, QueueName, TeamId, WorkerId
 
 SERVICE = "recon"
--- a/tests/cell/speed_reports.py
+++ b/tests/cell/speed_reports.py
@@ -1,8 +1,8 @@
 """Reports of workers of unlike speeds."""
 
 from cactustiller.cell import RunEnd
-from cactustiller.cell.listings import ListedRun
-from cactustiller.cell.speeds import SpeedEstimates
+from cactustiller.cell.decisions.speeds import SpeedEstimates
+from cactustiller.cell.records.listings import ListedRun
 
 from .builders import make_step, make_worker
 
--- a/tests/cell/test_admission_control.py
+++ b/tests/cell/test_admission_control.py
@@ -6,16 +6,16 @@
 import pytest
 
 from cactustiller.cell import Acceptance
-from cactustiller.cell.admission_control import (
+from cactustiller.cell.decisions.admission_control import (
     Backlog,
     Rejection,
     find_min_wait_ms,
     find_rejection,
 )
-from cactustiller.cell.ordering import find_start_limits
+from cactustiller.cell.decisions.ordering import find_start_limits
 from cactustiller.cell.ports import make_job_key
-from cactustiller.cell.runs import JobRun
-from cactustiller.cell.specs import encode_job
+from cactustiller.cell.records.runs import JobRun
+from cactustiller.cell.records.specs import encode_job
 from cactustiller.model import JobState, TeamId
 from standins.fleet import FleetCell, make_job, make_queue
 
--- a/tests/cell/test_approvals.py
+++ b/tests/cell/test_approvals.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from cactustiller.cell.approvals import MAX_WORKERS_PER_CALL, ApprovalDispatcher
-from cactustiller.cell.engine import Engine
-from cactustiller.cell.listings import Listing
-from cactustiller.cell.placement import place_steps
-from cactustiller.cell.runs import JobRun
+from cactustiller.cell.decisions.placement import place_steps
+from cactustiller.cell.owner.approvals import MAX_WORKERS_PER_CALL, ApprovalDispatcher
+from cactustiller.cell.owner.engine import Engine
+from cactustiller.cell.records.listings import Listing
+from cactustiller.cell.records.runs import JobRun
 from standins.fleet import FleetCell, make_job, make_queue
 from tests.cell.builders import make_round, make_worker
 
--- a/tests/cell/test_blocking.py
+++ b/tests/cell/test_blocking.py
@@ -6,12 +6,16 @@
 import pytest
 import structlog
 
-from cactustiller.cell.block_reports import MAX_STEPS, BlockReporter
-from cactustiller.cell.blocking import Obstacle, find_block, find_step_obstacle
-from cactustiller.cell.engine import Engine
-from cactustiller.cell.ordering import URGENT
-from cactustiller.cell.specs import QueueRules
-from cactustiller.cell.workers import Exclusion
+from cactustiller.cell.decisions.blocking import (
+    Obstacle,
+    find_block,
+    find_step_obstacle,
+)
+from cactustiller.cell.decisions.ordering import URGENT
+from cactustiller.cell.owner.block_reports import MAX_STEPS, BlockReporter
+from cactustiller.cell.owner.engine import Engine
+from cactustiller.cell.records.specs import QueueRules
+from cactustiller.cell.records.workers import Exclusion
 from cactustiller.model import Amounts
 from standins.fleet import FleetCell, make_job
 
--- a/tests/cell/test_capacity.py
+++ b/tests/cell/test_capacity.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from cactustiller.cell.engine import Engine
-from cactustiller.cell.listings import Listing
+from cactustiller.cell.owner.engine import Engine
+from cactustiller.cell.records.listings import Listing
 from cactustiller.model import Amounts, JobState
 from standins.fleet import FleetCell, make_job
 from tests.cell.builders import make_worker
--- a/tests/cell/test_copies.py
+++ b/tests/cell/test_copies.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cactustiller.cell.runs import RunPhase
+from cactustiller.cell.records.runs import RunPhase
 from cactustiller.model import JobState
 from standins.fleet.store import Trouble
 from standins.fleet.workers import WorkerTrouble
--- a/tests/cell/test_copy_placement.py
+++ b/tests/cell/test_copy_placement.py
@@ -2,13 +2,19 @@
 
 import pytest
 
-from cactustiller.cell.copies import make_copy
-from cactustiller.cell.copy_placement import WaitingWork, place_copies
-from cactustiller.cell.ordering import IN_TIME, LATE, LATE_URGENT, URGENT, WORTHLESS
-from cactustiller.cell.placement_round import PlacementRound
-from cactustiller.cell.runs import RunPhase
-from cactustiller.cell.specs import QueueRules
-from cactustiller.cell.stragglers import CopiesBudget, LateRun
+from cactustiller.cell.decisions.copy_placement import WaitingWork, place_copies
+from cactustiller.cell.decisions.ordering import (
+    IN_TIME,
+    LATE,
+    LATE_URGENT,
+    URGENT,
+    WORTHLESS,
+)
+from cactustiller.cell.decisions.placement_round import PlacementRound
+from cactustiller.cell.decisions.stragglers import CopiesBudget, LateRun
+from cactustiller.cell.records.copies import make_copy
+from cactustiller.cell.records.runs import RunPhase
+from cactustiller.cell.records.specs import QueueRules
 
 from .builders import SERVICE, make_order_key, make_round, make_step, make_worker
 
--- a/tests/cell/test_copy_rows.py
+++ b/tests/cell/test_copy_rows.py
@@ -4,11 +4,15 @@
 import pytest
 
 from cactustiller.cell import ListedEnd, Listing, RunEnd
-from cactustiller.cell.copies import make_copy
-from cactustiller.cell.engine import Engine
-from cactustiller.cell.progress import COPIES_KEY, decode_progress, encode_progress
-from cactustiller.cell.runs import JobRun, RunPhase
-from cactustiller.cell.workers import WorkerInfo
+from cactustiller.cell.owner.engine import Engine
+from cactustiller.cell.records.copies import make_copy
+from cactustiller.cell.records.progress import (
+    COPIES_KEY,
+    decode_progress,
+    encode_progress,
+)
+from cactustiller.cell.records.runs import JobRun, RunPhase
+from cactustiller.cell.records.workers import WorkerInfo
 from cactustiller.model import Amounts, WorkerId
 from standins.fleet import make_job
 
--- a/tests/cell/test_desired_replica.py
+++ b/tests/cell/test_desired_replica.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cactustiller.cell.desired_replica import (
+from cactustiller.cell.members.desired_replica import (
     CONFIRM_TIMEOUT_SECONDS,
     MAX_AGE_SECONDS,
 )
--- a/tests/cell/test_election.py
+++ b/tests/cell/test_election.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cactustiller.cell.claims import (
+from cactustiller.cell.records.claims import (
     MAX_CLAIM_DELAY_SECONDS,
     STANDBY_LEAD_SECONDS,
     OwnerRecord,
--- a/tests/cell/test_engine.py
+++ b/tests/cell/test_engine.py
@@ -3,10 +3,10 @@
 import pytest
 
 from cactustiller.cell import ListedEnd, Listing, RunEnd
-from cactustiller.cell.engine import Engine
-from cactustiller.cell.progress import encode_progress
-from cactustiller.cell.runs import JobRun, RunPhase
-from cactustiller.cell.workers import WorkerInfo
+from cactustiller.cell.owner.engine import Engine
+from cactustiller.cell.records.progress import encode_progress
+from cactustiller.cell.records.runs import JobRun, RunPhase
+from cactustiller.cell.records.workers import WorkerInfo
 from cactustiller.model import Amounts, JobState, WorkerId
 from standins.fleet import make_job
 
--- a/tests/cell/test_followers.py
+++ b/tests/cell/test_followers.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from cactustiller.cell.followers import WorkerRegistry
+from cactustiller.cell.members.followers import WorkerRegistry
 from cactustiller.cell.ports import RowKey
-from cactustiller.cell.workers import WorkerInfo
+from cactustiller.cell.records.workers import WorkerInfo
 from cactustiller.model import Amounts
 from standins.fleet import Store, StoreClient
 
--- a/tests/cell/test_free_capacity.py
+++ b/tests/cell/test_free_capacity.py
@@ -5,10 +5,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cactustiller.cell.free_capacity import FreeCapacity
-from cactustiller.cell.ordering import IN_TIME, URGENT, OrderKey
-from cactustiller.cell.placement import place_steps
-from cactustiller.cell.workers import Worker
+from cactustiller.cell.decisions.free_capacity import FreeCapacity
+from cactustiller.cell.decisions.ordering import IN_TIME, URGENT, OrderKey
+from cactustiller.cell.decisions.placement import place_steps
+from cactustiller.cell.records.workers import Worker
 
 from .builders import make_round, make_step, make_worker
 
--- a/tests/cell/test_health.py
+++ b/tests/cell/test_health.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from cactustiller.cell.health import (
+from cactustiller.cell.decisions.health import (
     FAILED_JOBS_TO_AVOID,
     is_stalled,
     outlives_worker,
     record_failure,
     record_success,
 )
-from cactustiller.cell.runs import RunPhase
+from cactustiller.cell.records.runs import RunPhase
 
 from .builders import make_step, make_worker
 
--- a/tests/cell/test_interference.py
+++ b/tests/cell/test_interference.py
@@ -8,9 +8,8 @@
 from structlog.testing import capture_logs
 
 from cactustiller.cell import RunEnd
-from cactustiller.cell.gauges import read_cell_gauges
-from cactustiller.cell.interference import MAX_GROUPS, InterferenceObserver
-from cactustiller.cell.interference_estimates import (
+from cactustiller.cell.decisions.interference import MAX_GROUPS, InterferenceObserver
+from cactustiller.cell.decisions.interference_estimates import (
     HOLD_SECONDS,
     MAX_HOLDS,
     MAX_IMAGES,
@@ -18,8 +17,9 @@
     MAX_WORKERS,
     PairEstimates,
 )
-from cactustiller.cell.metrics import Gauge
-from cactustiller.cell.runs import RunPhase
+from cactustiller.cell.records.runs import RunPhase
+from cactustiller.cell.reporting.gauges import read_cell_gauges
+from cactustiller.cell.reporting.metrics import Gauge
 from standins.fleet import FleetCell, make_job, make_queue
 
 from .builders import make_step, make_worker
--- a/tests/cell/test_interference_ranking.py
+++ b/tests/cell/test_interference_ranking.py
@@ -2,15 +2,15 @@
 
 import pytest
 
-from cactustiller.cell.interference_estimates import PairEstimates
-from cactustiller.cell.interference_ranking import (
+from cactustiller.cell.decisions.interference_estimates import PairEstimates
+from cactustiller.cell.decisions.interference_ranking import (
     MAX_RANK,
     MAX_RANKED_PER_ROUND,
     InterferenceRanker,
 )
-from cactustiller.cell.placement import place_steps
-from cactustiller.cell.placement_round import Placement, PlacementRound
-from cactustiller.cell.specs import QueueRules
+from cactustiller.cell.decisions.placement import place_steps
+from cactustiller.cell.decisions.placement_round import Placement, PlacementRound
+from cactustiller.cell.records.specs import QueueRules
 
 from .builders import SERVICE, make_order_key, make_step, make_worker
 
--- a/tests/cell/test_loop_monitor.py
+++ b/tests/cell/test_loop_monitor.py
@@ -3,8 +3,8 @@
 import pytest
 import structlog
 
-from cactustiller.cell.loop_monitor import monitor_loop
-from cactustiller.cell.metrics import Metrics
+from cactustiller.cell.reporting.loop_monitor import monitor_loop
+from cactustiller.cell.reporting.metrics import Metrics
 
 
 @pytest.mark.looptime
--- a/tests/cell/test_metrics.py
+++ b/tests/cell/test_metrics.py
@@ -3,7 +3,7 @@
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
-from cactustiller.cell.metrics import (
+from cactustiller.cell.reporting.metrics import (
     MAX_SERIES,
     OTHER_LABEL,
     Count,
--- a/tests/cell/test_ordering.py
+++ b/tests/cell/test_ordering.py
@@ -1,6 +1,6 @@
 from dataclasses import replace
 
-from cactustiller.cell.ordering import (
+from cactustiller.cell.decisions.ordering import (
     IN_TIME,
     LATE,
     LATE_URGENT,
@@ -10,8 +10,8 @@
     find_start_limits,
     make_order_key,
 )
-from cactustiller.cell.runs import JobRun
-from cactustiller.cell.specs import QueueRules, StepSpec
+from cactustiller.cell.records.runs import JobRun
+from cactustiller.cell.records.specs import QueueRules, StepSpec
 from standins.fleet import make_job
 
 from .builders import make_step
--- a/tests/cell/test_outage_waits.py
+++ b/tests/cell/test_outage_waits.py
@@ -12,7 +12,7 @@
 import pytest
 
 from cactustiller.cell import Acceptance
-from cactustiller.cell.outage_queue import make_caller
+from cactustiller.cell.members.outage_queue import make_caller
 from cactustiller.model import JobState
 from standins.fleet import FleetCell, make_job
 from standins.fleet.store import Trouble
--- a/tests/cell/test_overload_order.py
+++ b/tests/cell/test_overload_order.py
@@ -2,15 +2,15 @@
 
 import pytest
 
-from cactustiller.cell.ordering import (
+from cactustiller.cell.decisions.ordering import (
     LATE_URGENT,
     URGENT,
     WORTHLESS,
     make_order_key,
 )
-from cactustiller.cell.placement import place_steps
-from cactustiller.cell.placement_round import is_cell_busy
-from cactustiller.cell.specs import QueueRules
+from cactustiller.cell.decisions.placement import place_steps
+from cactustiller.cell.decisions.placement_round import is_cell_busy
+from cactustiller.cell.records.specs import QueueRules
 
 from .builders import SERVICE, make_round, make_step, make_worker
 from .builders import make_order_key as make_plain_key
--- a/tests/cell/test_pacing.py
+++ b/tests/cell/test_pacing.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cactustiller.cell.pacing import FULL_PERCENT, Pace, choose_pace
+from cactustiller.cell.records.pacing import FULL_PERCENT, Pace, choose_pace
 from cactustiller.model import JobState
 from standins.fleet import FleetCell, make_job, make_queue
 
--- a/tests/cell/test_placement.py
+++ b/tests/cell/test_placement.py
@@ -1,5 +1,5 @@
-from cactustiller.cell.ordering import IN_TIME, URGENT, OrderKey
-from cactustiller.cell.placement import place_steps
+from cactustiller.cell.decisions.ordering import IN_TIME, URGENT, OrderKey
+from cactustiller.cell.decisions.placement import place_steps
 
 from .builders import make_round, make_step, make_worker
 
--- a/tests/cell/test_polling.py
+++ b/tests/cell/test_polling.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from cactustiller.cell.polling import (
+from cactustiller.cell.decisions.polling import (
     MAX_WAIT_MS,
     MIN_WAIT_MS,
     MIN_WAIT_MS_PER_WORKER,
     choose_wait_ms,
 )
-from cactustiller.cell.runs import RunPhase
+from cactustiller.cell.records.runs import RunPhase
 
 from .builders import make_step, make_worker
 
--- a/tests/cell/test_preemption.py
+++ b/tests/cell/test_preemption.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from cactustiller.cell.ordering import IN_TIME, URGENT, OrderKey
-from cactustiller.cell.placement import place_steps
-from cactustiller.cell.runs import RunPhase
+from cactustiller.cell.decisions.ordering import IN_TIME, URGENT, OrderKey
+from cactustiller.cell.decisions.placement import place_steps
+from cactustiller.cell.records.runs import RunPhase
 from cactustiller.model import JobState
 from standins.fleet import FleetCell, make_job, make_queue
 
--- a/tests/cell/test_rows.py
+++ b/tests/cell/test_rows.py
@@ -6,11 +6,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cactustiller.cell.engine import Engine
-from cactustiller.cell.loading import JobLoader
-from cactustiller.cell.progress import decode_progress, decode_state, encode_progress
-from cactustiller.cell.runs import JobRun, RunPhase
-from cactustiller.cell.specs import (
+from cactustiller.cell.owner.engine import Engine
+from cactustiller.cell.owner.loading import JobLoader
+from cactustiller.cell.records.progress import (
+    decode_progress,
+    decode_state,
+    encode_progress,
+)
+from cactustiller.cell.records.runs import JobRun, RunPhase
+from cactustiller.cell.records.specs import (
     JobSpec,
     QueueRules,
     StepSpec,
--- a/tests/cell/test_sampling.py
+++ b/tests/cell/test_sampling.py
@@ -1,9 +1,9 @@
 import pytest
 import structlog
 
-from cactustiller.cell import events
-from cactustiller.cell.events import Event, log_event
-from cactustiller.cell.sampling import (
+from cactustiller.cell.reporting import events
+from cactustiller.cell.reporting.events import Event, log_event
+from cactustiller.cell.reporting.sampling import (
     MAX_LINES_PER_SECOND,
     SAMPLE_ONE_JOB_IN,
     LogSampler,
--- a/tests/cell/test_speeds.py
+++ b/tests/cell/test_speeds.py
@@ -3,13 +3,13 @@
 import pytest
 from structlog.testing import capture_logs
 
-from cactustiller.cell.gauges import read_cell_gauges
-from cactustiller.cell.listings import ListedRun
-from cactustiller.cell.metrics import Gauge
-from cactustiller.cell.ordering import IN_TIME, URGENT
-from cactustiller.cell.placement import place_steps
-from cactustiller.cell.placement_round import PlacementRound
-from cactustiller.cell.speed_ranker import SpeedRanker
+from cactustiller.cell.decisions.ordering import IN_TIME, URGENT
+from cactustiller.cell.decisions.placement import place_steps
+from cactustiller.cell.decisions.placement_round import PlacementRound
+from cactustiller.cell.decisions.speed_ranker import SpeedRanker
+from cactustiller.cell.records.listings import ListedRun
+from cactustiller.cell.reporting.gauges import read_cell_gauges
+from cactustiller.cell.reporting.metrics import Gauge
 from cactustiller.model import WorkerId
 from standins.fleet import make_job, make_queue
 
--- a/tests/cell/test_store_outage.py
+++ b/tests/cell/test_store_outage.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cactustiller.cell.store_outage import (
+from cactustiller.cell.decisions.store_outage import (
     MAX_WAITING,
     MAX_WAITING_BYTES,
     OutageView,
--- a/tests/cell/test_stragglers.py
+++ b/tests/cell/test_stragglers.py
@@ -4,14 +4,14 @@
 
 import pytest
 
-from cactustiller.cell.observation import RunObserver
-from cactustiller.cell.runs import RunEnd, RunPhase
-from cactustiller.cell.stragglers import (
+from cactustiller.cell.decisions.observation import RunObserver
+from cactustiller.cell.decisions.stragglers import (
     MAX_SAMPLES_PER_STEP,
     CopiesBudget,
     RunTimes,
     find_late_runs,
 )
+from cactustiller.cell.records.runs import RunEnd, RunPhase
 from cactustiller.model import Amounts
 
 from .builders import make_step, make_worker
--- a/tests/cell/test_supervision.py
+++ b/tests/cell/test_supervision.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from cactustiller.cell.events import EVENT_COUNTS, Event
-from cactustiller.cell.followers import MemberRegistry, encode_member_row
+from cactustiller.cell.members.followers import MemberRegistry, encode_member_row
+from cactustiller.cell.reporting.events import EVENT_COUNTS, Event
 from cactustiller.cell.supervision import MAX_RESTART_SECONDS, keep_running
 from cactustiller.model import JobState
 from standins.fleet import FleetCell, make_job
--- a/tests/cell/test_suspects.py
+++ b/tests/cell/test_suspects.py
@@ -4,23 +4,23 @@
 
 import pytest
 
-from cactustiller.cell.crashes import (
+from cactustiller.cell.decisions.suspect_placement import (
+    MAX_ISOLATED_FRACTION,
+    QUIET_SECONDS,
+    place_suspect,
+)
+from cactustiller.cell.owner.engine import Engine
+from cactustiller.cell.records.crashes import (
     CRASHES_TO_GIVE_UP,
     PROBATION_SECONDS,
     charge_crash,
     is_crash,
     prove_run,
 )
-from cactustiller.cell.engine import Engine
-from cactustiller.cell.listings import ListedRun, Listing
-from cactustiller.cell.progress import decode_progress, encode_progress
-from cactustiller.cell.runs import JobRun, RunPhase
-from cactustiller.cell.suspect_placement import (
-    MAX_ISOLATED_FRACTION,
-    QUIET_SECONDS,
-    place_suspect,
-)
-from cactustiller.cell.workers import WorkerLoss
+from cactustiller.cell.records.listings import ListedRun, Listing
+from cactustiller.cell.records.progress import decode_progress, encode_progress
+from cactustiller.cell.records.runs import JobRun, RunPhase
+from cactustiller.cell.records.workers import WorkerLoss
 from standins.fleet import make_job
 from tests.cell.builders import make_round, make_step, make_worker
 
--- a/tests/cell/test_zones.py
+++ b/tests/cell/test_zones.py
@@ -5,12 +5,12 @@
 import pytest
 
 from cactustiller.cell import Acceptance
-from cactustiller.cell.cold_workers import ColdWorkerRanker
-from cactustiller.cell.placement import place_steps
-from cactustiller.cell.placement_round import PlacementRound
-from cactustiller.cell.specs import QueueRules
-from cactustiller.cell.workers import Exclusion
-from cactustiller.cell.zones import ZoneEvacuations
+from cactustiller.cell.decisions.cold_workers import ColdWorkerRanker
+from cactustiller.cell.decisions.placement import place_steps
+from cactustiller.cell.decisions.placement_round import PlacementRound
+from cactustiller.cell.decisions.zones import ZoneEvacuations
+from cactustiller.cell.records.specs import QueueRules
+from cactustiller.cell.records.workers import Exclusion
 from cactustiller.model import JobState
 from standins.fleet import FleetCell, make_job
 from standins.fleet.cell import CONFIG_TABLE
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from cactustiller.cell import events
-from cactustiller.cell.sampling import LogSampler
+from cactustiller.cell.reporting import events
+from cactustiller.cell.reporting.sampling import LogSampler
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 FIELDS = 4
--- a/tests/fleet/test_malformed.py
+++ b/tests/fleet/test_malformed.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from cactustiller.cell import JobSpec, Listing, Page, WorkerInfo, admit_call
-from cactustiller.cell.engine import Engine
+from cactustiller.cell.owner.engine import Engine
 from cactustiller.fleet.approvals import HttpApprovals
 from cactustiller.fleet.client import HttpClient
 from cactustiller.fleet.desired import decode_desired, decode_submission
--- a/tests/fleet/test_metrics_page.py
+++ b/tests/fleet/test_metrics_page.py
@@ -2,8 +2,8 @@
 
 from pathlib import Path
 
-from cactustiller.cell.events import Event
-from cactustiller.cell.metrics import Count, Gauge, Latency
+from cactustiller.cell.reporting.events import Event
+from cactustiller.cell.reporting.metrics import Count, Gauge, Latency
 
 PAGE = Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
 
--- a/tests/fleet/test_retry_after.py
+++ b/tests/fleet/test_retry_after.py
@@ -9,7 +9,7 @@
 from aiohttp.test_utils import make_mocked_request
 
 from cactustiller.cell import Acceptance, DesiredState
-from cactustiller.cell.intake import SubmitAnswer
+from cactustiller.cell.members.intake import SubmitAnswer
 from cactustiller.fleet.api import ApiHandler, read_deadline_ms
 from standins.fleet import make_queue
 
