Settings value for evacuated zones

Cause: an operator cannot evacuate an availability zone in our own deployment. Change: value evacuated_zones (at most 64 names; system, site, cell), an edit that evacuates or restores one zone in a cell's list, and no warning of check-config about a list in a cell without teams. Values of the tree may now be lists of names.

--- a/libs/settings/src/cactustiller/settings/__init__.py
+++ b/libs/settings/src/cactustiller/settings/__init__.py
@@ -2,7 +2,14 @@
 
 from .checks import check_tree, parse_tree
 from .differences import Change, diff_trees
-from .edits import add_key, add_queue, add_team, set_value, withdraw_key
+from .edits import (
+    add_key,
+    add_queue,
+    add_team,
+    set_value,
+    set_zone_evacuated,
+    withdraw_key,
+)
 from .findings import (
     CheckedFile,
     Finding,
@@ -76,6 +83,7 @@
     "read_tree",
     "resolve",
     "set_value",
+    "set_zone_evacuated",
     "show_origin",
     "validate_submission",
     "verify_key",
--- a/libs/settings/src/cactustiller/settings/differences.py
+++ b/libs/settings/src/cactustiller/settings/differences.py
@@ -3,7 +3,7 @@
 from cactustiller.model import Record
 
 from .names import Level
-from .tree import Scalar, SettingsTree, iterate_nodes
+from .tree import SettingsTree, Value, iterate_nodes
 
 SHOWN_DIGITS = 8
 
@@ -20,8 +20,8 @@
 
     path: str
     name: str
-    old: Scalar | None
-    new: Scalar | None
+    old: Value | None
+    new: Value | None
 
 
 def diff_trees(old: SettingsTree, new: SettingsTree) -> list[Change]:
--- a/libs/settings/src/cactustiller/settings/edits.py
+++ b/libs/settings/src/cactustiller/settings/edits.py
@@ -7,6 +7,7 @@
 from .checks import validate_tree
 from .keys import KeyRecord
 from .parsing import SettingsError
+from .resolution import resolve
 from .tree import (
     QueueSettings,
     SettingsTree,
@@ -41,6 +42,27 @@
     )
 
 
+def set_zone_evacuated(
+    tree: SettingsTree, path: str, zone: str, is_evacuated: bool
+) -> Edited:
+    """Return a tree in which the cell at `path` evacuates `zone`, or does not.
+
+    The cell keeps the zones that it inherits. Returns `tree` itself if the zone is in
+    the wanted state already.
+    """
+    nodes = find_nodes(tree, split_path(path))
+    if nodes is None:
+        return make_edit_error(path, "no such path")
+    name = "evacuated_zones"
+    zones = resolve(tree, *split_path(path)).evacuated_zones
+    if (zone in zones) is is_evacuated:
+        return Ok(tree)
+    changed = [*zones, zone] if is_evacuated else [z for z in zones if z != zone]
+    inherited = [node.values[name] for node in nodes[:-1] if name in node.values]
+    is_inherited = changed == (inherited[-1] if inherited else [])
+    return set_value(tree, path, name, None if is_inherited else changed)
+
+
 def add_team(tree: SettingsTree, site: str, cell: str, team: str) -> Edited:
     """Return a tree with a new team."""
     return add_child(tree, (site, cell, team), TeamSettings()).and_then(validate_tree)
--- a/libs/settings/src/cactustiller/settings/findings.py
+++ b/libs/settings/src/cactustiller/settings/findings.py
@@ -33,6 +33,8 @@
         "max_queued_requests",
     }
 )
+# The product resolves these for the cell alone.
+CELL_VALUES = frozenset({"evacuated_zones"})
 # Spreading over a domain and colocation within it exclude each other; a rack is within
 # one zone.
 COLOCATIONS_BY_SPREAD = {
@@ -159,6 +161,8 @@
     """Return the levels for which the product resolves a value."""
     if name in REQUEST_VALUES:
         return Level.CELL, Level.TEAM
+    if name in CELL_VALUES:
+        return (Level.CELL,)
     return Level.TEAM, Level.QUEUE
 
 
--- a/libs/settings/src/cactustiller/settings/names.py
+++ b/libs/settings/src/cactustiller/settings/names.py
@@ -1,16 +1,20 @@
 """Values of the settings tree: type, default, range, levels and description."""
 
+import json
 from enum import IntEnum, StrEnum
-from typing import Annotated
+from typing import Annotated, get_origin
 
 from pydantic import Field
 
 from cactustiller.model import Urgency, WorkloadKind
-from cactustiller.model.jobs import MAX_TASKS_PER_JOB
+from cactustiller.model.jobs import MAX_TASKS_PER_JOB, NAME_PATTERN
 
 from .parsing import StrictRecord
 
 MAX_INT = 2**53 - 1
+MAX_EVACUATED_ZONES = 64
+
+ZoneName = Annotated[str, Field(pattern=NAME_PATTERN)]
 
 
 class Level(IntEnum):
@@ -121,6 +125,11 @@
     colocate: Annotated[Spread, ALL_LEVELS] = _declare(
         Spread.NONE, "Place that the tasks of a job share where it has room."
     )
+    evacuated_zones: Annotated[tuple[ZoneName, ...], CELL_AND_ABOVE] = _declare(
+        (),
+        "Availability zones in which nothing new starts.",
+        max_length=MAX_EVACUATED_ZONES,
+    )
 
 
 def get_levels(name: str) -> Levels:
@@ -146,17 +155,19 @@
 
 
 def _format_type(annotation):
+    if get_origin(annotation) is tuple:
+        return "list of names"
     if issubclass(annotation, StrEnum):
         return ", ".join(f"`{member}`" for member in annotation)
     return annotation.__name__
 
 
 def _format(value):
-    return str(value).lower() if isinstance(value, bool) else str(value)
+    return json.dumps(value) if isinstance(value, bool | tuple) else str(value)
 
 
 def _format_range(metadata):
-    signs = {"gt": ">", "ge": ">=", "le": "<="}
+    signs = {"gt": ">", "ge": ">=", "le": "<=", "max_length": "length <="}
     found = [
         f"{sign} {_format(getattr(item, attribute))}"
         for item in metadata
--- a/libs/settings/src/cactustiller/settings/resolution.py
+++ b/libs/settings/src/cactustiller/settings/resolution.py
@@ -6,7 +6,7 @@
 from cactustiller.model import Record
 
 from .names import Level, ResolvedValues
-from .tree import Scalar, SettingsTree, find_nodes, iterate_nodes, split_path
+from .tree import SettingsTree, Value, find_nodes, iterate_nodes, split_path
 
 DEFAULT_ORIGIN = "(default)"
 
@@ -19,7 +19,7 @@
     """Effective value and the path at which it is set; ``""`` is the system level."""
 
     name: str
-    value: Scalar
+    value: Value
     origin: str
 
 
--- a/libs/settings/src/cactustiller/settings/tree.py
+++ b/libs/settings/src/cactustiller/settings/tree.py
@@ -16,7 +16,7 @@
 DIGEST_PATTERN = r"^[0-9a-f]{128}$"
 
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
-Scalar = str | int | float | bool
+Value = str | int | float | bool | list[str]
 
 
 class StoredKey(StrictRecord):
