Evacuate zones by HTTP and command line; enforce it at gateways and pools

Cause: nothing acts on evacuated_zones yet. Change: GET /v1/zones, POST /v1/zones/ZONE/evacuate and .../restore, the commands zones, evacuate and restore. A repeated change commits no new version, but is confirmed by a majority like a new one. Pools grant no permit in an evacuated zone and share out only the other slots; gateways return idle permits there at once, send no request or retry there, and send none while their settings may be out of date. Two builders of gateway tests pass the evacuations on.

--- a/libs/cli/src/cactustiller/cli/client.py
+++ b/libs/cli/src/cactustiller/cli/client.py
@@ -228,6 +228,22 @@
         call = Call("drain instance", "POST", path, repeatable=True)
         return await self._call(replies.Acknowledgement, call)
 
+    async def list_zones(self) -> Result[replies.ZoneList, Failure]:
+        """Return the availability zones of the cell."""
+        return await self._get(replies.ZoneList, "list zones", "/v1/zones")
+
+    async def evacuate_zone(
+        self, zone: str, note=""
+    ) -> Result[replies.ZoneState, Failure]:
+        """Let nothing new start in a zone; doing it twice is doing it once."""
+        return await self._change_zone("evacuate", zone, note)
+
+    async def restore_zone(
+        self, zone: str, note=""
+    ) -> Result[replies.ZoneState, Failure]:
+        """Let work start in a zone again; doing it twice is doing it once."""
+        return await self._change_zone("restore", zone, note)
+
     async def get_stats(self) -> Result[replies.Acknowledgement, Failure]:
         """Return counters and histograms of the cell."""
         return await self._get(replies.Acknowledgement, "read stats", "/v1/stats")
@@ -236,6 +252,12 @@
         """Return whether a gateway has settings in force and knows the owners."""
         return await self._get(replies.Acknowledgement, "check ready", "/readyz")
 
+    async def _change_zone(self, verb, zone, note):
+        path = f"/v1/zones/{_quote(zone)}/{verb}"
+        body = {"note": note}
+        call = Call(f"{verb} zone", "POST", path, body=body, repeatable=True)
+        return await self._call(replies.ZoneState, call)
+
     async def _get(self, reply: type[ReplyT], step, route, /, **query):
         return await self._call(reply, Call(step, "GET", route, query=query))
 
--- a/libs/cli/src/cactustiller/cli/commands/__init__.py
+++ b/libs/cli/src/cactustiller/cli/commands/__init__.py
@@ -13,6 +13,7 @@
     stats,
     team,
     trace,
+    zones,
 )
 
 GROUPS = {
@@ -30,6 +31,9 @@
     "request": requests.send_request,
     "instances": instances.list_instances,
     "drain": instances.drain,
+    "evacuate": zones.evacuate,
+    "restore": zones.restore,
+    "zones": zones.list_zones,
     "load": load.run_load,
     "stats": stats.show_stats,
     "trace": trace.trace,
--- a/libs/cli/src/cactustiller/cli/replies.py
+++ b/libs/cli/src/cactustiller/cli/replies.py
@@ -163,5 +163,31 @@
     members: list[MemberDescription]
 
 
+class ZoneDescription(Reply):
+    """Availability zone with the numbers of its members, workers and executors."""
+
+    zone: str
+    evacuated: bool
+    members: int = 0
+    workers: int = 0
+    executors: int = 0
+
+
+class ZoneList(Reply):
+    """Zones of the cell."""
+
+    zones: list[ZoneDescription]
+
+
+class ZoneState(Reply):
+    """Version in force after the evacuation or the restoration of a zone."""
+
+    version: Version
+    zone: str
+    evacuated: bool
+    workers: int = 0
+    executors: int = 0
+
+
 class Acknowledgement(Reply):
     """Answer whose names the caller only displays."""
--- a/libs/gateway/src/cactustiller/gateway/bodies.py
+++ b/libs/gateway/src/cactustiller/gateway/bodies.py
@@ -56,6 +56,13 @@
     note: str = Field(default="", max_length=500)
 
 
+class ZoneChange(Record):
+    """Body of ``POST /v1/zones/<zone>/evacuate`` and ``.../restore``."""
+
+    expected_version: int | None = None
+    note: str = Field(default="", max_length=500)
+
+
 class TeamCreation(Record):
     """Body of ``POST /v1/teams``."""
 
--- a/libs/gateway/src/cactustiller/gateway/context.py
+++ b/libs/gateway/src/cactustiller/gateway/context.py
@@ -6,7 +6,13 @@
 
 from aiohttp import web
 
-from cactustiller.ownership import Member, Metrics, SettingsEditor, SettingsReplica
+from cactustiller.ownership import (
+    Member,
+    Metrics,
+    SettingsEditor,
+    SettingsReplica,
+    ZoneEvacuations,
+)
 
 from .access import AccessControl
 from .deduplication import RequestRecordStore
@@ -32,6 +38,7 @@
     replica: SettingsReplica
     editor: SettingsEditor
     access_control: AccessControl
+    evacuations: ZoneEvacuations
     owner_client: OwnerClient
     directory: ExecutorDirectory
     router: RequestRouter
--- a/libs/gateway/src/cactustiller/gateway/executors.py
+++ b/libs/gateway/src/cactustiller/gateway/executors.py
@@ -18,10 +18,12 @@
     Parameters
     ----------
     port : InstanceListPort
+    evacuations : ZoneEvacuations
     """
 
-    def __init__(self, port):
+    def __init__(self, port, evacuations):
         self.listing = InstanceListing()
+        self.evacuations = evacuations
         self._port = port
         self._executors = {}
         self._leaving = set()
@@ -61,8 +63,25 @@
             info is not None
             and info.state is InstanceState.LIVE
             and executor not in self._leaving
+            and not self.is_evacuated(executor)
         )
 
+    def is_evacuated(self, executor):
+        """Return whether a listed executor is in a zone that is being evacuated."""
+        info = self._executors.get(executor)
+        return info is not None and info.zone in self.evacuations.zones
+
+    def list_evacuated(self, service):
+        """Return the ids of a service's executors in evacuated zones."""
+        zones = self.evacuations.zones
+        if not zones:
+            return []
+        return [
+            info.executor
+            for info in self._executors.values()
+            if info.service == service and info.zone in zones
+        ]
+
     def get(self, executor):
         """Return the `BackendInfo` of an executor, ``None`` if it is not listed."""
         return self._executors.get(executor)
--- a/libs/gateway/src/cactustiller/gateway/permits.py
+++ b/libs/gateway/src/cactustiller/gateway/permits.py
@@ -20,6 +20,7 @@
 from .admission import AdmissionControl
 from .confirmations import confirm_ballot
 from .queueing import RequestQueue
+from .selection import choose_executor
 from .slots import Slot
 
 SPARE_PERMITS = 2
@@ -101,6 +102,14 @@
         idle = sum(map(len, self._idle.values()))
         return idle + len(self._in_use) + len(self._withheld)
 
+    @property
+    def usable_count(self):
+        """Number of permits held outside evacuated zones."""
+        if not self._directory.evacuations.zones:
+            return self.held_count
+        is_evacuated = self._directory.is_evacuated
+        return sum(not is_evacuated(permit.executor) for permit in self._list_held())
+
     @property
     def acknowledged_timeout_seconds(self):
         """Longest request timeout that the pool's owner has acknowledged."""
@@ -129,9 +138,9 @@
             await asyncio.gather(self._task, return_exceptions=True)
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
-        slots = [slot for slots in self._idle.values() for slot in slots]
+        closing = [slot.close() for slots in self._idle.values() for slot in slots]
         self._idle.clear()
-        await asyncio.gather(*(slot.close() for slot in slots), *self._closing)
+        await asyncio.gather(*closing, *self._closing)
         await self._call_owner(0)
 
     def take_idle(self, excluded=()):
@@ -139,7 +148,13 @@
         self._last_request_at = asyncio.get_running_loop().time()
         if self._last_request_at >= self._valid_until:
             return None
-        executor = self._choose_executor(excluded)
+        executor = choose_executor(
+            (name for name in self._idle if name not in excluded),
+            self._directory,
+            self._health,
+            self._member.record.zone,
+            self._random,
+        )
         if executor is None:
             return None
         slots = self._idle[executor]
@@ -160,7 +175,7 @@
         """
         ahead = self._queue.count_ahead(urgency)
         self.admission.check(
-            ahead, self.queue_length, self.held_count, seconds, max_queued
+            ahead, self.queue_length, self.usable_count, seconds, max_queued
         )
         waiter = self._queue.add(urgency, tuple(excluded))
         self._wake.set()
@@ -205,6 +220,11 @@
             free_at + WITHHOLD_MARGIN_SECONDS, self._release_withheld, slot
         )
 
+    def renew_soon(self):
+        """Return unusable idle permits and renew the others without delay."""
+        self._must_renew = True
+        self._wake.set()
+
     def list_candidates(self):
         """Return the executors that have idle permits, sorted."""
         return sorted(self._idle)
@@ -254,8 +274,7 @@
         self._requested_timeout_ms = max(
             self._requested_timeout_ms, math.ceil(timeout_seconds * 1000)
         )
-        self._must_renew = True
-        self._wake.set()
+        self.renew_soon()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(min(CALL_TIMEOUT_SECONDS, timeout_seconds / 2)):
                 while self._acknowledged_timeout_ms < timeout_seconds * 1000:
@@ -263,27 +282,6 @@
                     await self._renewed.wait()
         return min(timeout_seconds, self._acknowledged_timeout_ms / 1000)
 
-    def _choose_executor(self, excluded):
-        """Return the less loaded of two random executors with idle permits.
-
-        Executors in the gateway's own availability zone are preferred.
-        """
-        names = [
-            name
-            for name in self._idle
-            if name not in excluded
-            and self._directory.is_usable(name)
-            and self._health.is_admitted(name)
-        ]
-        if not names:
-            return None
-        zone = self._member.record.zone
-        same_zone = [name for name in names if self._directory.get(name).zone == zone]
-        names = same_zone or names
-        if len(names) > 2:
-            names = self._random.sample(names, 2)
-        return min(names, key=self._health.count_outstanding)
-
     def _mark_in_use(self, slot):
         self._in_use[slot.permit.number] = slot
         slot.task = asyncio.current_task()
@@ -294,7 +292,7 @@
 
         A slot above the gateway's share is closed, and so returned to the pool.
         """
-        if self._share_limit and self.held_count >= self._share_limit:
+        if self._share_limit and self.usable_count >= self._share_limit:
             self._close_in_background(slot)
             self._wake.set()
             return
@@ -355,7 +353,8 @@
         return max(0, self.queue_length + spare - self._count_idle())
 
     def _count_idle(self):
-        return sum(map(len, self._idle.values()))
+        is_evacuated = self._directory.is_evacuated
+        return sum(len(s) for name, s in self._idle.items() if not is_evacuated(name))
 
     async def _renew(self, needed):
         """Return surplus permits, renew the others and request `needed` more.
@@ -393,6 +392,7 @@
 
     async def _call_owner(self, count):
         self._sequence += 1
+        evacuated = self._directory.list_evacuated(self._service)
         message = AcquirePermits(
             service=self._service,
             count=count,
@@ -401,7 +401,7 @@
             sequence=self._sequence,
             longest_ms=self._requested_timeout_ms,
             held=self._list_held(),
-            avoid=self._health.list_ejected(),
+            avoid=[*self._health.list_ejected(), *evacuated],
         )
         return await self._member.call_owner(
             self._partition, message, CALL_TIMEOUT_SECONDS
--- a/libs/gateway/src/cactustiller/gateway/routes/__init__.py
+++ b/libs/gateway/src/cactustiller/gateway/routes/__init__.py
@@ -1,8 +1,8 @@
 """Routes of the HTTP interface, one module per group of paths."""
 
-from . import health, instances, jobs, keys, requests, settings
+from . import health, instances, jobs, keys, requests, settings, zones
 
-ROUTE_GROUPS = (health, jobs, requests, settings, keys, instances)
+ROUTE_GROUPS = (health, jobs, requests, settings, keys, instances, zones)
 
 
 def list_routes():
--- a/libs/gateway/src/cactustiller/gateway/routes/settings.py
+++ b/libs/gateway/src/cactustiller/gateway/routes/settings.py
@@ -107,13 +107,26 @@
     return web.json_response({"version": version})
 
 
-async def commit_edit(request, edit, note, expected_version=None, status=200, **fields):
-    """Commit an operator's edit; respond with its version and the given fields."""
+async def commit_edit(
+    request,
+    edit,
+    note,
+    expected_version=None,
+    status=200,
+    skip_unchanged=False,
+    **fields,
+):
+    """Commit an operator's edit; respond with its version and the given fields.
+
+    With `skip_unchanged`, an edit that changes nothing commits no new version.
+    """
     gateway = get_gateway(request)
     operator = gateway.access_control.identify_operator(get_authorization(request))
     author = format_author(operator)
     version = unwrap_or_raise(
-        await gateway.editor.change(edit, author, note, expected_version)
+        await gateway.editor.change(
+            edit, author, note, expected_version, skip_unchanged
+        )
     )
     gateway.metrics.count("settings_changes")
     return web.json_response({"version": version, **fields}, status=status)
--- a/libs/gateway/src/cactustiller/gateway/routing.py
+++ b/libs/gateway/src/cactustiller/gateway/routing.py
@@ -18,6 +18,7 @@
 MAX_RETRY_TOKENS = 10.0
 RETRY_DELAY_SECONDS = 0.05
 SERVICE_POLL_INTERVAL_SECONDS = 1.0
+ZONE_RETRY_AFTER_MS = 1000
 # A request may crash the executors that run it, so it is sent to no more once this many
 # broke the connection instead of answering.
 MAX_BROKEN_ATTEMPTS = 3
@@ -67,6 +68,8 @@
         self._health = {}
         self._budget = RetryBudget()
         self._store_task = None
+        self._evacuations = directory.evacuations
+        self._subscription = self._evacuations.subscribe(self._on_zone_change)
 
     def start(self):
         """Start a permit store for each listed service, in the background."""
@@ -74,6 +77,7 @@
 
     async def stop(self):
         """Stop every permit store, which returns its permits."""
+        self._subscription.dispose()
         if self._store_task is not None:
             self._store_task.cancel()
             await asyncio.gather(self._store_task, return_exceptions=True)
@@ -164,6 +168,10 @@
         if info is None:
             store.release(slot)
             return Err(_make_unlisted_failure(executor))
+        reason = self._evacuations.find_refusal(info.zone)
+        if reason:
+            store.release(slot)
+            return Err(_make_zone_failure(executor, reason))
         log.info(
             "route_decided",
             request=request.id,
@@ -209,6 +217,10 @@
             return False
         return self._budget.spend()
 
+    def _on_zone_change(self, _evacuated, _restored):
+        for store in self._stores.values():
+            store.renew_soon()
+
     async def _open_stores_regularly(self):
         # A gateway without requests also confirms ballots for other gateways.
         while True:
@@ -248,6 +260,16 @@
     )
 
 
+def _make_zone_failure(executor, reason):
+    return Failure(
+        code=ErrorCode.UNAVAILABLE,
+        step="send request",
+        peer=executor,
+        reason=reason,
+        retry_after_ms=ZONE_RETRY_AFTER_MS,
+    )
+
+
 def _make_revoked_failure(info):
     return Failure(
         code=ErrorCode.UNAVAILABLE,
--- a/libs/gateway/src/cactustiller/gateway/serving.py
+++ b/libs/gateway/src/cactustiller/gateway/serving.py
@@ -9,7 +9,13 @@
 from aiohttp import web
 
 from cactustiller.model import MemberRecord, Role
-from cactustiller.ownership import Member, Metrics, SettingsEditor, SettingsReplica
+from cactustiller.ownership import (
+    Member,
+    Metrics,
+    SettingsEditor,
+    SettingsReplica,
+    ZoneEvacuations,
+)
 from cactustiller.ports import HttpInstanceList, HttpTable
 
 from .access import AccessControl
@@ -49,7 +55,8 @@
     member = Member(_make_member_record(settings), table, settings.timing, handle)
     replica = SettingsReplica(member, settings.timing, settings.peers)
     instances = HttpInstanceList(session, settings.platform.instances)
-    directory = ExecutorDirectory(instances)
+    evacuations = ZoneEvacuations(replica, settings.site, settings.cell)
+    directory = ExecutorDirectory(instances, evacuations)
     metrics = Metrics()
     gateway = Gateway(
         member=member,
@@ -58,6 +65,7 @@
         access_control=AccessControl(
             replica, settings.site, settings.cell, settings.first_operator_key_file
         ),
+        evacuations=evacuations,
         owner_client=OwnerClient(member),
         directory=directory,
         router=RequestRouter(member, directory, metrics, replica),
--- a/libs/ownership/src/cactustiller/ownership/__init__.py
+++ b/libs/ownership/src/cactustiller/ownership/__init__.py
@@ -2,6 +2,7 @@
 
 from .control import collect_control_counters
 from .editor import SettingsEditor
+from .evacuation import ZoneEvacuations
 from .member import Member
 from .metrics import Metrics, merge_stats
 from .partitions import (
@@ -26,6 +27,7 @@
     "SettingsChange",
     "SettingsEditor",
     "SettingsReplica",
+    "ZoneEvacuations",
     "collect_control_counters",
     "home_of_team",
     "list_homes",
--- a/libs/ownership/src/cactustiller/ownership/editor.py
+++ b/libs/ownership/src/cactustiller/ownership/editor.py
@@ -84,7 +84,9 @@
             log.info("default_settings_not_written", reason=str(result.err()))
             await self._replica.poll()
 
-    async def change(self, edit, author, note="", expected_version=None):
+    async def change(
+        self, edit, author, note="", expected_version=None, skip_unchanged=False
+    ):
         """Commit an edited tree and return ``Ok(version)`` or ``Err(Failure)``.
 
         ``Ok`` means that more than half of the members have the version in force. A
@@ -103,6 +105,9 @@
             Version that the edit is based on; another one in force is a conflict.
             Without it the edit is applied to the newest version and retried after a
             conflict, up to `MAX_EDIT_ATTEMPTS` times in all.
+        skip_unchanged : bool
+            Whether an edit that returns the current tree commits no new version. The
+            version in force is then confirmed by a majority, as a new one would be.
         """
         replica = self._replica
         for _ in range(MAX_EDIT_ATTEMPTS):
@@ -117,6 +122,8 @@
             if edited.is_err():
                 reason = "; ".join(str(error) for error in edited.unwrap_err())
                 return Err(_make_failure(reason, ErrorCode.INVALID))
+            if skip_unchanged and edited.unwrap() is replica.tree:
+                return await self._replicate(self._make_repetition())
             result = await self._commit(edited.unwrap(), author, note)
             if result.is_ok() or result.unwrap_err().code is not ErrorCode.CONFLICT:
                 return result
@@ -213,14 +220,18 @@
         )
 
     async def _adopt_and_replicate(self, version):
-        """Adopt a committed version and replicate it to a majority of the members.
+        """Adopt a committed version and replicate it to a majority of the members."""
+        message = self._make_announcement(version)
+        self._replica.adopt(version.head.version, version.text)
+        return await self._replicate(message)
+
+    async def _replicate(self, message):
+        """Return ``Ok(version)`` once a majority has the announced version.
 
         Announces the version up to `REPLICATION_ROUNDS` times, with the member list
         refreshed in between.
         """
-        number = version.head.version
-        message = self._make_announcement(version)
-        self._replica.adopt(number, version.text)
+        number = message.version
         for _ in range(REPLICATION_ROUNDS):
             records = self._member.list_members()
             answers = await asyncio.gather(
@@ -248,6 +259,16 @@
             digest=version.head.digest,
         )
 
+    def _make_repetition(self):
+        """Return the announcement of the version in force, without a patch."""
+        return AnnounceSettings(
+            version=self._replica.version,
+            origin=self._member.record.member,
+            base_version=self._replica.version,
+            patch="",
+            digest=digest_text(self._replica.text),
+        )
+
     async def _resolve_commit_failure(self, failure, version):
         """Resolve a failed commit.
 
--- a/libs/scheduler/src/cactustiller/scheduler/grants.py
+++ b/libs/scheduler/src/cactustiller/scheduler/grants.py
@@ -4,6 +4,10 @@
 
 PERMIT_LIFETIME_SECONDS = 4.0
 EXPIRY_MARGIN_SECONDS = 0.5
+WAITING_TTL_SECONDS = 0.5
+# A permit number holds, from its highest bits, the epoch, the generation and a count.
+EPOCH_SHIFT = 44
+GENERATION_SHIFT = 32
 
 
 @dataclass(slots=True)
@@ -36,6 +40,10 @@
     waiting: int = 0
     last_seen_at: float = float("-inf")
 
+    def get_unmet_demand(self, now):
+        """Return how many slots it still waits for at loop time `now`."""
+        return self.waiting if now - self.last_seen_at < WAITING_TTL_SECONDS else 0
+
 
 @dataclass(slots=True)
 class Release:
@@ -48,3 +56,8 @@
 def find_expiry(now):
     """Return the loop time at which a permit granted or renewed now has expired."""
     return now + PERMIT_LIFETIME_SECONDS + EXPIRY_MARGIN_SECONDS
+
+
+def find_first_number(epoch, generation):
+    """Return the number that precedes the permits of a pool's epoch and generation."""
+    return (epoch << EPOCH_SHIFT) + (generation << GENERATION_SHIFT)
--- a/libs/scheduler/src/cactustiller/scheduler/pools.py
+++ b/libs/scheduler/src/cactustiller/scheduler/pools.py
@@ -12,10 +12,11 @@
 
 import structlog
 
-from cactustiller.model import ErrorCode, Failure, InstanceState
+from cactustiller.model import ErrorCode, Failure
 from cactustiller.model.messages import Permit, Permits
 
 from .ballots import CONFIRMED_SECONDS, Ballots
+from .executor_slots import ExecutorSlots
 from .fairness import find_fair_share
 from .grants import (
     EXPIRY_MARGIN_SECONDS,
@@ -24,14 +25,11 @@
     Holder,
     Release,
     find_expiry,
+    find_first_number,
 )
 
-WAITING_TTL_SECONDS = 0.5
 CHECK_INTERVAL_SECONDS = 0.5
 HOLDER_TTL_SECONDS = 60.0
-# A permit number holds, from its highest bits, the epoch, the generation and a count.
-EPOCH_SHIFT = 44
-GENERATION_SHIFT = 32
 
 log = structlog.get_logger(__name__)
 
@@ -62,7 +60,7 @@
         self.epoch = epoch
         self.ballots = Ballots(service, epoch, generation)
         self._has_lease = has_lease
-        self._executors = {}
+        self._executors = ExecutorSlots(service)
         self._grants = {}
         self._used = Counter()
         self._reported_slots = Counter()
@@ -73,16 +71,18 @@
         self._release = None
         self._longest_ms = 0
         self._limit_ms = 0
-        self._first_number = (epoch << EPOCH_SHIFT) + (generation << GENERATION_SHIFT)
+        self._first_number = find_first_number(epoch, generation)
         self._next_number = self._first_number
         self._task = None
         self.set_executors(executors)
 
-    def set_executors(self, executors):
-        """Set the listed executors; grants on unlisted ones still count as used."""
-        self._executors = {
-            info.executor: info for info in executors if info.service == self.service
-        }
+    def set_executors(self, executors, evacuated_zones=frozenset()):
+        """Set the listed executors; grants on unlisted ones still count as used.
+
+        Slots in evacuated zones are not granted, and count neither as slots nor as
+        used ones when the slots are shared out.
+        """
+        self._executors.set_listing(executors, evacuated_zones)
 
     def start(self, call_gateways):
         """Start the task that confirms ballots and frees expired grants."""
@@ -129,11 +129,11 @@
         while len(permits) < message.count:
             if (
                 share
-                and len(holder.numbers) >= share
+                and self._count_held(holder) >= share
                 and self._are_free_slots_owed(share, now)
             ):
                 break
-            info = self._choose_executor(message)
+            info = self._executors.choose(message.zone, message.avoid, self._count_free)
             if info is None:
                 break
             permits.append(self._grant(info, message.gateway, now))
@@ -281,29 +281,17 @@
             return False
         if permit.number >= self._first_number:
             return False
-        info = self._executors.get(permit.executor)
+        info = self._executors.infos.get(permit.executor)
         if info is not None and self._reported_slots[permit.executor] >= info.slots:
             return False
         self._reported_slots[permit.executor] += 1
         self._add_grant(permit.number, permit.executor, gateway, now)
         return True
 
-    def _choose_executor(self, message):
-        """Return the executor to use, None if no slot is free.
-
-        Prefers the gateway's zone, then the executor with the most free slots.
-        """
-        best = None
-        best_rank = (False, 0, "")
-        for name, info in self._executors.items():
-            most = self._reported_slots[name] if self._is_recovering else info.slots
-            free = min(most, info.slots) - self._used[name]
-            if free <= 0 or info.state is not InstanceState.LIVE:
-                continue
-            rank = (info.zone == message.zone, free, name)
-            if rank > best_rank and name not in message.avoid:
-                best, best_rank = info, rank
-        return best
+    def _count_free(self, info):
+        reported = self._reported_slots[info.executor]
+        most = reported if self._is_recovering else info.slots
+        return min(most, info.slots) - self._used[info.executor]
 
     def _grant(self, info, gateway, now):
         self._next_number += 1
@@ -327,31 +315,28 @@
     def _find_share(self, now):
         """Return the fair share of a gateway, 0 while the slots suffice for all."""
         wanted = [
-            len(holder.numbers) + self._get_unmet_demand(holder, now)
+            self._count_held(holder) + holder.get_unmet_demand(now)
             for holder in self._holders.values()
         ]
-        return find_fair_share(wanted, self._count_slots())
+        return find_fair_share(wanted, self._executors.count_slots())
 
     def _are_free_slots_owed(self, share, now):
         """Return whether gateways below the share need all of the free slots."""
         owed = sum(
-            max(0, min(share - held, self._get_unmet_demand(holder, now)))
+            max(0, min(share - held, holder.get_unmet_demand(now)))
             for holder in self._holders.values()
-            if (held := len(holder.numbers)) < share
+            if (held := self._count_held(holder)) < share
         )
-        return owed > 0 and self._count_slots() - self._used.total() <= owed
+        evacuated = self._executors.evacuated
+        used = self._used.total() - sum(self._used[name] for name in evacuated)
+        return owed > 0 and self._executors.count_slots() - used <= owed
 
-    def _count_slots(self):
-        return sum(
-            info.slots
-            for info in self._executors.values()
-            if info.state is InstanceState.LIVE
-        )
-
-    def _get_unmet_demand(self, holder, now):
-        return holder.waiting if now - holder.last_seen_at < WAITING_TTL_SECONDS else 0
+    def _count_held(self, holder):
+        """Return the number of a gateway's permits outside evacuated zones."""
+        evacuated = self._executors.evacuated
+        if not evacuated:
+            return len(holder.numbers)
+        return sum(self._grants[n].executor not in evacuated for n in holder.numbers)
 
     def _sum_unmet_demand(self, now):
-        return sum(
-            self._get_unmet_demand(holder, now) for holder in self._holders.values()
-        )
+        return sum(holder.get_unmet_demand(now) for holder in self._holders.values())
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -31,6 +31,7 @@
     Ownership,
     SettingsEditor,
     SettingsReplica,
+    ZoneEvacuations,
     list_homes,
     pool_of_service,
 )
@@ -304,7 +305,8 @@
         editor = SettingsEditor(replica, member, "demo", "main")
         await replica.start()
         await editor.create_default()
-        directory = ExecutorDirectory(FakeInstanceList(backends))
+        evacuations = ZoneEvacuations(replica, "demo", "main")
+        directory = ExecutorDirectory(FakeInstanceList(backends), evacuations)
         await directory.start()
         metrics = Metrics()
         return Gateway(
@@ -312,6 +314,7 @@
             replica=replica,
             editor=editor,
             access_control=AccessControl(replica, "demo", "main"),
+            evacuations=evacuations,
             owner_client=OwnerClient(member),
             directory=directory,
             router=RequestRouter(member, directory, metrics, replica),
--- a/tests/gateway/simulated_cell.py
+++ b/tests/gateway/simulated_cell.py
@@ -87,7 +87,13 @@
         self.lease_until = float("inf")
         infos = {info.executor: info for info in cell.executors}
         health = ExecutorHealth(lambda: set(infos))
-        directory = SimpleNamespace(is_usable=infos.__contains__, get=infos.get)
+        directory = SimpleNamespace(
+            is_usable=infos.__contains__,
+            get=infos.get,
+            is_evacuated=lambda executor: False,
+            list_evacuated=lambda service: [],
+            evacuations=SimpleNamespace(zones=frozenset()),
+        )
         self.store = PermitStore(
             SERVICE, self, directory, health, lambda: TIMEOUT_LIMIT_MS
         )
