Enforce evacuated zones at shards and homes

Cause: a shard's owner starts runs in a zone that is being evacuated, and homes wait for capacity there. Change: owners refuse reservations on workers of an evacuated zone, send no start there, and withdraw starts that were not sent; a start that was sent is not repeated, and its run keeps its capacity until the message can no longer take effect. The home places the task elsewhere, without a counted failure. Digests show the worker as not usable and are published at once. Owners send no start while their settings are not confirmed within freshness_seconds; a new owner of a shard or pool reads the settings before it acts. Workers of such zones are not eligible for placements, claims and preemption, and explain names the evacuation if it keeps a job from fitting. Log lines zone_evacuated and zone_restored; gauge evacuated_zones (members by zone). Fakes of three existing tests get the new method or parameter; no assertion of theirs is changed.

--- a/libs/gateway/src/cactustiller/gateway/handlers.py
+++ b/libs/gateway/src/cactustiller/gateway/handlers.py
@@ -50,7 +50,8 @@
 
 
 def export_stats(gateway):
-    """Return the counters and histograms of a gateway."""
+    """Return the counters, gauges and histograms of a gateway."""
     export = gateway.metrics.export()
+    export["gauges"] = {"evacuated_zones": gateway.evacuations.export()}
     export["counters"] |= collect_control_counters(gateway.member, gateway.ports)
     return export
--- a/libs/ownership/src/cactustiller/ownership/evacuation.py
+++ b/libs/ownership/src/cactustiller/ownership/evacuation.py
@@ -1,5 +1,7 @@
 """Evacuated availability zones of a cell, as one daemon enforces them."""
 
+import asyncio
+
 from cactustiller.settings import has_path, resolve
 
 STALE_REASON = "the settings, which name the evacuated zones, may be out of date"
@@ -41,7 +43,12 @@
 
         A cell whose settings were never written has not evacuated any zone.
         """
-        return not (self._replica.is_fresh or self._replica.is_missing)
+        was_never_written = self._replica.is_missing and not self._replica.version
+        return not (self._replica.is_fresh or was_never_written)
+
+    def export(self):
+        """Return a gauge: 1 by evacuated zone, so that the sum counts the members."""
+        return dict.fromkeys(sorted(self.zones), 1)
 
     def find_reason(self, zone):
         """Return why nothing may start in a zone, or an empty string."""
@@ -54,6 +61,10 @@
         """
         return self.find_reason(zone) or (STALE_REASON if self.is_stale else "")
 
+    async def refresh(self):
+        """Read the settings as of now or later, from the table service if possible."""
+        await self._replica.poll_since(asyncio.get_running_loop().time())
+
     def subscribe(self, on_change):
         """Call `on_change` with the evacuated and the restored zones of each change.
 
--- a/libs/ownership/src/cactustiller/ownership/replica.py
+++ b/libs/ownership/src/cactustiller/ownership/replica.py
@@ -81,6 +81,8 @@
         self._confirmed_at = float("-inf")
         self._table_down = False
         self._task = None
+        self._polled_at = float("-inf")
+        self._lock = asyncio.Lock()
 
     @property
     def age_seconds(self):
@@ -110,7 +112,7 @@
 
         Confirming means establishing that the version in force is the newest.
         """
-        started = asyncio.get_running_loop().time()
+        started = self._polled_at = asyncio.get_running_loop().time()
         answer = await self._member.table.read_row(HEAD_KEY, self.head_row_version)
         self._table_down = answer.is_err()
         if answer.is_err():
@@ -130,6 +132,15 @@
             self.head_row_version = max(self.head_row_version, row.version)
             self.confirm(started)
 
+    async def poll_since(self, moment):
+        """Poll unless a poll has begun since a loop time; concurrent callers share it.
+
+        Nothing is retried: whether the poll succeeded shows in `is_fresh` later.
+        """
+        async with self._lock:
+            if self._polled_at < moment:
+                await self.poll()
+
     async def answer(self, message, hello):
         """Return the `SettingsBody` that answers a peer's message.
 
--- a/libs/policy/src/cactustiller/policy/claims.py
+++ b/libs/policy/src/cactustiller/policy/claims.py
@@ -135,7 +135,7 @@
             self._refreshed_at = now
         for claim in sorted(self.own.values(), key=lambda claim: claim.precedence):
             shape_queue = state.get_shape_queue(claim.job)
-            is_gone = any(worker not in state.fleet for worker in claim.tasks)
+            is_gone = not all(map(state.fleet.has_open, claim.tasks))
             is_missed = is_due and now > claim.start_at
             if (is_missed or is_gone) and not self._predict(
                 state, shape_queue, claim, now
@@ -188,7 +188,7 @@
         found = []
         for (job, index), (owner, ends_at) in list(self._backfilled.items()):
             task = state.running.get(job, {}).get(index)
-            if task is None:
+            if task is None or not state.fleet.has_open(task.worker):
                 del self._backfilled[(job, index)]
             elif len(found) >= MAX_OVERRUN_PREEMPTIONS:
                 break
--- a/libs/policy/src/cactustiller/policy/explaining.py
+++ b/libs/policy/src/cactustiller/policy/explaining.py
@@ -1,5 +1,9 @@
 """Explanation of why a job is pending."""
 
+import numpy as np
+
+from .snapshots import Amounts
+
 
 def explain_waiting(planner, job, now):
     """Return lines that explain why a job is pending and what precedes it.
@@ -24,7 +28,11 @@
     is_limited = allowed is not None and allowed < (
         shape_queue.shape.key.gang_size or 1
     )
-    reason = team.describe_limit() if is_limited else shape_queue.find_reason()
+    if is_limited:
+        reason = team.describe_limit()
+    else:
+        evacuation = _describe_evacuation(state.fleet, shape_queue.shape)
+        reason = evacuation or shape_queue.find_reason()
     lines = [f"waits: {reason}"]
     lines.append(_describe_order(state, team, waiting, key))
     lines.append(_describe_share(state, team))
@@ -38,6 +46,35 @@
     return lines
 
 
+def _describe_evacuation(fleet, shape):
+    """Return the evacuation that keeps a shape from fitting, or an empty string.
+
+    It is the reason if the tasks that have to start together fit with the capacity
+    withheld in evacuated zones and do not fit without, or if every worker is in such a
+    zone.
+    """
+    fleet.refresh()
+    closed = [fleet.get_snapshot(row) for row in np.flatnonzero(~fleet.is_open)]
+    if not closed:
+        return ""
+    size = shape.key.gang_size or 1
+    counts = fleet.count_fitting(shape.amounts, fleet.free)
+    fitting = int(counts[shape.get_eligible(fleet)].sum())
+    if fitting >= size:
+        return ""
+    required = dict(shape.key.required)
+    eligible = fleet.find_eligible(required)[~fleet.is_open]
+    withheld = np.array([Amounts.of(worker.withheld) for worker in closed]).T
+    counts = np.where(eligible, fleet.count_fitting(shape.amounts, withheld), 0)
+    if fitting + counts.sum() < size and fleet.is_open.any():
+        return ""
+    zones = ", ".join(sorted({worker.zone for worker in closed}))
+    return (
+        f"zones being evacuated: {zones}; {int((counts > 0).sum())} of their workers "
+        "have free capacity for a task"
+    )
+
+
 def _describe_order(state, team, waiting, key):
     same = [
         shape_queue
--- a/libs/policy/src/cactustiller/policy/fleet.py
+++ b/libs/policy/src/cactustiller/policy/fleet.py
@@ -32,6 +32,8 @@
     ----------
     names : list of WorkerId
     total, free : ndarray of shape (3, workers)
+    is_open : ndarray of bool
+        Which rows are not in an evacuated zone.
     version : int
         Grows whenever the set of workers or a constant property of one changes.
     """
@@ -65,6 +67,11 @@
     def __contains__(self, worker):
         return worker in self._snapshots
 
+    def has_open(self, worker):
+        """Return whether a worker is listed and not in an evacuated zone."""
+        snapshot = self._snapshots.get(worker)
+        return snapshot is not None and not snapshot.is_evacuated
+
     def __iter__(self):
         return iter(self._snapshots)
 
@@ -109,8 +116,8 @@
         return mask
 
     def count_fitting(self, amounts, capacity):
-        """Return how many tasks fit into `capacity` on each row."""
-        counts = np.full(len(self.names), MAX_TASKS_PER_JOB)
+        """Return how many tasks fit into each column of `capacity`."""
+        counts = np.full(capacity.shape[1], MAX_TASKS_PER_JOB)
         counts[(capacity < 0).any(axis=0)] = 0
         for available, amount in zip(capacity, amounts, strict=True):
             if amount:
@@ -166,6 +173,7 @@
         snapshots = [self._snapshots[worker] for worker in self.names]
         self.total = _stack(snapshot.total for snapshot in snapshots)
         self.free = _stack(snapshot.free for snapshot in snapshots)
+        self.is_open = np.array([not s.is_evacuated for s in snapshots], dtype=bool)
         self._reserved = dict.fromkeys(CapacityClass)
         self.inverse_total = 1.0 / np.maximum(self.total[:2], 1)
         self.cell_capacity = np.maximum(self.total.sum(axis=1), 1)
@@ -192,6 +200,7 @@
         snapshot.make,
         snapshot.attributes,
         snapshot.total,
+        snapshot.is_evacuated,
     )
 
 
--- a/libs/policy/src/cactustiller/policy/shapes.py
+++ b/libs/policy/src/cactustiller/policy/shapes.py
@@ -50,7 +50,11 @@
         self.reason = ""
 
     def get_eligible(self, fleet):
-        """Return the mask of eligible workers, regardless of their free capacity."""
+        """Return the mask of eligible workers, regardless of their free capacity.
+
+        Workers in evacuated zones are not eligible: nothing is placed there, and
+        capacity is neither awaited nor freed there.
+        """
         self._refresh(fleet)
         return self._eligible
 
@@ -89,6 +93,7 @@
             # The job failed on every worker that can run it: avoiding them would
             # leave none, so it is retried until it runs out of attempts.
             self._eligible = eligible
+        self._eligible = self._eligible & fleet.is_open
         self._static_score = PREFERRED_BONUS * fleet.count_preferred(
             dict(key.preferred)
         )
--- a/libs/policy/src/cactustiller/policy/snapshots.py
+++ b/libs/policy/src/cactustiller/policy/snapshots.py
@@ -19,7 +19,11 @@
 
 @dataclass(slots=True)
 class WorkerSnapshot:
-    """Usable worker with its attributes, total and free capacity."""
+    """Usable worker with its attributes, total and free capacity.
+
+    In an evacuated zone, `free` is what a worker that is not usable has, and
+    `withheld` is the capacity that would be free otherwise; elsewhere it is None.
+    """
 
     worker: WorkerId
     shard: PartitionId
@@ -29,6 +33,12 @@
     attributes: dict[str, str]
     total: Resources
     free: Resources
+    withheld: Resources | None = None
+
+    @property
+    def is_evacuated(self):
+        """Whether the worker's zone is being evacuated."""
+        return self.withheld is not None
 
 
 @dataclass(slots=True)
--- a/libs/scheduler/src/cactustiller/scheduler/authority.py
+++ b/libs/scheduler/src/cactustiller/scheduler/authority.py
@@ -23,23 +23,39 @@
     shard : PartitionId
     epoch : int
     member : Member
+    evacuations : ZoneEvacuations
     """
 
-    def __init__(self, shard, epoch, member):
+    def __init__(self, shard, epoch, member, evacuations):
         self.shard = shard
         self.epoch = epoch
         self.is_fenced = False
         self._member = member
+        self._evacuations = evacuations
 
     @property
     def owner(self):
         """Id of the member that owns the shard."""
         return self._member.member
 
+    def find_evacuation(self, zone):
+        """Return the evacuation that closes a zone to new runs, or an empty string."""
+        return self._evacuations.find_reason(zone)
+
+    @property
+    def is_stale(self):
+        """Whether a zone may have been evacuated without this owner's knowledge."""
+        return self._evacuations.is_stale
+
     def latest_start(self, info, now):
-        """Return the loop time until which the owner may start runs on a worker."""
+        """Return the loop time until which the owner may start runs on a worker.
+
+        It is `now` in an evacuated zone, and while the settings may be out of date.
+        """
         if self.is_fenced or self._member.is_fenced:
             return now
+        if self._evacuations.find_refusal(info.zone):
+            return now
         if info.honours_epochs:
             return self._member.committer.confirmed_at + OUTAGE_GRANT_SECONDS
         return self._member.lease_until
--- a/libs/scheduler/src/cactustiller/scheduler/exchange.py
+++ b/libs/scheduler/src/cactustiller/scheduler/exchange.py
@@ -1,6 +1,7 @@
 """Exchange of run reports and capacity digests with peers."""
 
 import asyncio
+import contextlib
 
 import structlog
 
@@ -35,6 +36,7 @@
         self._receive_views = receive_views
         self._list_usage = list_usage
         self._wake = asyncio.Event()
+        self._must_publish = asyncio.Event()
         self._known_members = set()
         self._full_published_at = float("-inf")
         self._reporting = set()
@@ -43,6 +45,10 @@
         """Request that reports are sent soon."""
         self._wake.set()
 
+    def publish_soon(self):
+        """Request that digests of changed workers are published without delay."""
+        self._must_publish.set()
+
     async def run_report_loop(self):
         """Send new reports to homes until cancelled."""
         while True:
@@ -56,7 +62,10 @@
     async def run_publish_loop(self):
         """Publish digests of changed workers until cancelled."""
         while True:
-            await asyncio.sleep(PUBLISH_INTERVAL_SECONDS)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PUBLISH_INTERVAL_SECONDS):
+                    await self._must_publish.wait()
+            self._must_publish.clear()
             await self._publish()
 
     async def run_usage_loop(self):
--- a/libs/scheduler/src/cactustiller/scheduler/failures.py
+++ b/libs/scheduler/src/cactustiller/scheduler/failures.py
@@ -1,6 +1,7 @@
-"""Failures that a home returns to its callers."""
+"""Failures that a home or a shard returns to its callers."""
 
 from cactustiller.model import TABLE_PEER, ErrorCode, Failure, Outcome
+from cactustiller.ownership.evacuation import STALE_REASON
 
 
 def fail_handed_over(home, purpose):
@@ -49,3 +50,24 @@
         outcome=Outcome.UNKNOWN,
         retry_after_ms=1000,
     )
+
+
+def fail_unverified(shard):
+    """Return the failure of a start whose assignment cannot be verified."""
+    return Failure(
+        code=ErrorCode.UNAVAILABLE,
+        step=f"verify an assignment to {shard}",
+        peer=TABLE_PEER,
+        reason="the table service is unavailable, so the assignment is unverified",
+        retry_after_ms=500,
+    )
+
+
+def fail_stale(shard):
+    """Return the failure of a start while the evacuated zones may be out of date."""
+    return Failure(
+        code=ErrorCode.UNAVAILABLE,
+        step=f"start runs of {shard}",
+        reason=STALE_REASON,
+        retry_after_ms=500,
+    )
--- a/libs/scheduler/src/cactustiller/scheduler/incarnation.py
+++ b/libs/scheduler/src/cactustiller/scheduler/incarnation.py
@@ -12,6 +12,7 @@
     Metrics,
     OwnershipReconciler,
     SettingsReplica,
+    ZoneEvacuations,
     collect_control_counters,
     list_partitions,
 )
@@ -67,9 +68,15 @@
             record, ports.table, settings.timing, self._handle, **transport
         )
         self.replica = SettingsReplica(self.member, settings.timing, settings.peers)
-        self.view = CellView()
+        self.evacuations = ZoneEvacuations(self.replica, settings.site, settings.cell)
+        self.view = CellView(lambda: self.evacuations.zones)
         self.partitions = Partitions(
-            self.member, ports.workers, settings.timing, WallClock(), self._on_failure
+            self.member,
+            ports.workers,
+            settings.timing,
+            WallClock(),
+            self._on_failure,
+            self.evacuations,
         )
         self.dispatcher = Dispatcher(
             self.member,
@@ -131,6 +138,7 @@
         return True
 
     async def _work(self, stop):
+        self.evacuations.subscribe(self._on_zone_change)
         await self.replica.start()
         self.member.ownership_changes.subscribe(self.partitions.on_ownership_change)
         self.partitions.on_ownership_change(self.member.ownership)
@@ -225,6 +233,7 @@
         control = collect_control_counters(self.member, self._ports._asdict())
         export = export_capacity_stats(self.partitions, self.find_values)
         counted = self.metrics.export()
+        export["gauges"]["evacuated_zones"] = self.evacuations.export()
         export["histograms"] |= counted["histograms"]
         export["counters"] = (
             counted["counters"] | control | {"decisions": self.dispatcher.decisions}
@@ -235,6 +244,12 @@
         self.view.receive_views(views)
         self.dispatcher.wake()
 
+    def _on_zone_change(self, evacuated, restored):
+        self.view.mark_zones(evacuated | restored)
+        self.partitions.update_zones(evacuated, restored)
+        self.exchange.publish_soon()
+        self.dispatcher.wake()
+
     async def _handle(self, message, hello):
         return await self.handlers.handle(message, hello)
 
--- a/libs/scheduler/src/cactustiller/scheduler/partitions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/partitions.py
@@ -35,6 +35,7 @@
     clock : WallClock
     on_failure : callable
         Called with an exception that has ended a background task.
+    evacuations : ZoneEvacuations
 
     Attributes
     ----------
@@ -48,7 +49,7 @@
         the submission.
     """
 
-    def __init__(self, member, worker_port, timing, clock, on_failure):
+    def __init__(self, member, worker_port, timing, clock, on_failure, evacuations):
         self.homes = {}
         self.shards = {}
         self.pools = {}
@@ -61,6 +62,7 @@
         self._member = member
         self._worker_port = worker_port
         self._timing = timing
+        self._evacuations = evacuations
         self._listing = InstanceListing()
         self._changed = asyncio.Event()
         self._has_listing = asyncio.Event()
@@ -112,7 +114,25 @@
         for shard in list(self.shards.values()):
             await shard.set_workers(self._list_workers(shard.shard))
         for pool in self.pools.values():
-            pool.set_executors(listing.backends)
+            pool.set_executors(listing.backends, self._evacuations.zones)
+
+    def update_zones(self, evacuated, restored):
+        """Enforce a change of the evacuated zones.
+
+        Parameters
+        ----------
+        evacuated, restored : frozenset of str
+        """
+        for pool in self.pools.values():
+            pool.set_executors(self._listing.backends, self._evacuations.zones)
+        shards = list(self.shards.values())
+        for event, zones in (
+            ("zone_evacuated", evacuated),
+            ("zone_restored", restored),
+        ):
+            for zone in sorted(zones):
+                workers = sum(shard.update_zones({zone}) for shard in shards)
+                self._log_zone(event, zone, workers)
 
     def find(self, group, partition):
         """Return a partition that this member serves, else None."""
@@ -184,15 +204,27 @@
         self.resume_home(home)
 
     async def _start_shard(self, partition, epoch):
-        shard = Shard(partition, epoch, self._member, self._worker_port, self._timing)
+        shard = Shard(
+            partition,
+            epoch,
+            self._member,
+            self._worker_port,
+            self._timing,
+            self._evacuations,
+        )
         shard.on_change = self.wake_exchange
         shard.on_failure = self._on_failure
+        await self._evacuations.refresh()
         # Without a list all workers would be treated as removed.
         await self._has_listing.wait()
         while not await shard.recover():
             await asyncio.sleep(RECOVER_RETRY_SECONDS)
         self.shards[partition] = shard
         await shard.set_workers(self._list_workers(partition))
+        for zone in sorted(self._evacuations.zones):
+            workers = shard.update_zones({zone})
+            if workers:
+                self._log_zone("zone_evacuated", zone, workers)
 
     async def _start_pool(self, partition, epoch):
         def has_lease():
@@ -202,13 +234,18 @@
         # refresh makes the list of gateways to ask complete.
         while not await self._member.refresh():
             await asyncio.sleep(RECOVER_RETRY_SECONDS)
+        await self._evacuations.refresh()
         service = partition.removeprefix(POOL_PREFIX)
         generation = next(self._generations)
         pool = Pool(service, epoch, self._listing.backends, has_lease, generation)
         await pool.recover(self._call_gateways)
+        pool.set_executors(self._listing.backends, self._evacuations.zones)
         pool.start(self._call_gateways)
         self.pools[partition] = pool
 
+    def _log_zone(self, event, zone, workers):
+        log.info(event, zone=zone, version=self._evacuations.version, workers=workers)
+
     async def _call_gateways(self, message):
         records = self._member.list_members(Role.GATEWAY)
         answers = await asyncio.gather(
--- a/libs/scheduler/src/cactustiller/scheduler/runs.py
+++ b/libs/scheduler/src/cactustiller/scheduler/runs.py
@@ -80,6 +80,16 @@
         """Whether the run counts against its worker's capacity."""
         return self.phase is not RunPhase.ENDED
 
+    def is_surely_not_started(self, watched_at):
+        """Return whether no start message that was sent can take effect any more.
+
+        Parameters
+        ----------
+        watched_at : float
+            The worker's clock when it last reported its runs, without this one.
+        """
+        return not self.unanswered_starts or watched_at > self.start_before
+
     def set_state(self, state, reason="", run_seconds=0.0):
         """Set the run's state and a new report of it for the home."""
         self.report = RunReport(
--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -17,9 +17,9 @@
     InstanceState,
     RunState,
 )
-from cactustiller.ports import Apply, TaskStop, Watch
+from cactustiller.ports import TaskStop
 
-from .apply_items import make_renewal, make_start, make_stop
+from .apply_items import ApplyLimits, build_apply, make_watch
 from .clock import CLOCK_RATE_MARGIN, WorkerClock
 from .runs import RunPhase, make_run_key
 from .supervision import watch_task
@@ -62,6 +62,7 @@
         self._on_change = on_change
         self._clock = WorkerClock()
         self._sequence = 0
+        self._watched_at = float("-inf")
         self._boot = ""
         self._has_restarted = False
         self._wake = asyncio.Event()
@@ -76,11 +77,17 @@
     @property
     def is_usable(self):
         """Whether new runs may be reserved here."""
-        return (
-            self.is_reconciled
-            and self.is_reachable
-            and self.info.state is InstanceState.LIVE
-        )
+        return self._is_available and not self.evacuation
+
+    @property
+    def evacuation(self):
+        """Why the zone is closed to new runs, an empty string if it is not."""
+        return self._authority.find_evacuation(self.info.zone)
+
+    @property
+    def _is_available(self):
+        is_live = self.info.state is InstanceState.LIVE
+        return is_live and self.is_reconciled and self.is_reachable
 
     @property
     def is_starting(self):
@@ -101,8 +108,11 @@
 
     @property
     def free(self):
-        """Capacity that no run holds; `NO_RESOURCES` while the worker is not usable."""
-        if not self.is_usable:
+        """Capacity that no run holds; `NO_RESOURCES` if it is unknown or leaving.
+
+        In an evacuated zone it is the capacity that would be free otherwise.
+        """
+        if not self._is_available:
             return NO_RESOURCES
         return self.info.resources - self.used
 
@@ -251,12 +261,8 @@
             if self._needs_full_watch:
                 self._needs_full_watch = False
                 await asyncio.sleep(MIN_RETRY_SECONDS)
-            watch = Watch(
-                shard=self._authority.shard,
-                epoch=self._authority.epoch,
-                after=0 if is_first else self._sequence,
-                wait_ms=0 if is_first else int(LONG_POLL_SECONDS * 1000),
-            )
+            after, seconds = (0, 0) if is_first else (self._sequence, LONG_POLL_SECONDS)
+            watch = make_watch(self._authority, after, seconds)
             answer = await self._port.watch(self.info, watch)
             if answer.is_ok():
                 retry_seconds = MIN_RETRY_SECONDS
@@ -290,6 +296,7 @@
             return
         self._boot = reply.boot
         self._sequence = reply.sequence
+        self._watched_at = reply.now
         was_usable = self.is_usable
         self.is_reachable = True
         if not self.info.honours_epochs:
@@ -428,53 +435,45 @@
 
     async def _check_worker(self):
         """Ask for changes without waiting, which shows whether the worker restarted."""
-        watch = Watch(
-            shard=self._authority.shard,
-            epoch=self._authority.epoch,
-            after=self._sequence,
-            wait_ms=0,
-        )
+        watch = make_watch(self._authority, self._sequence)
         answer = await self._port.watch(self.info, watch)
         if answer.is_ok():
             self._handle_watch_reply(answer.unwrap(), False)
         return answer
 
     def _build_apply(self):
-        """Return an `Apply` with all pending changes; None if there are none.
-
-        An unreachable worker is sent no starts and renewals. If it has only these, the
-        `Apply` is empty and probes whether it answers again.
-        """
         now = asyncio.get_running_loop().time()
-        starts, renewals, stops = [], [], list(self._orphan_stops)
-        is_probe = False
-        for entry in self.entries.values():
-            if not entry.needs_apply or not entry.holds_capacity:
-                continue
-            if entry.is_stopping:
-                stops.append(make_stop(entry))
-            if not self.is_reachable:
-                is_probe = True
-            elif entry.phase is RunPhase.STARTING and not entry.is_stopping:
-                latest = self._authority.latest_start(self.info, now)
-                window_seconds = min(latest - now, self._timing.start_window_seconds)
-                if window_seconds > 0:
-                    lease = self._timing.task_lease_seconds
-                    estimate = self._clock.estimate(now)
-                    starts.append(make_start(entry, estimate, window_seconds, lease))
-            elif self._may_renew(entry):
-                granted = self._clock.estimate(now) + self._timing.task_lease_seconds
-                renewals.append(make_renewal(entry, granted))
-        if not (starts or renewals or stops or is_probe):
-            return None
-        return Apply(
-            shard=self._authority.shard,
-            epoch=self._authority.epoch,
-            owner=self._authority.owner,
-            starts=starts,
-            renew=renewals,
-            stops=stops,
+        self._withdraw_starts()
+        window_seconds = self._authority.latest_start(self.info, now) - now
+        limits = ApplyLimits(
+            now=self._clock.estimate(now),
+            start_window_seconds=min(window_seconds, self._timing.start_window_seconds),
+            lease_seconds=self._timing.task_lease_seconds,
+            may_renew=self._may_renew,
         )
+        return build_apply(
+            self._authority,
+            self.entries.values(),
+            self._orphan_stops,
+            self.is_reachable,
+            limits,
+        )
+
+    def _withdraw_starts(self):
+        """End the runs that may not start because the zone is being evacuated.
+
+        A start that was sent is not repeated, and its run keeps its capacity until the
+        message can no longer take effect.
+        """
+        reason = self.evacuation
+        for entry in list(self.entries.values()) if reason else ():
+            is_pending = entry.phase is RunPhase.STARTING and entry.needs_apply
+            if (
+                is_pending
+                and not entry.is_stopping
+                and entry.is_surely_not_started(self._watched_at)
+            ):
+                self.end(entry, RunState.LAPSED, f"not started: {reason}")
 
     def _handle_apply_reply(self, apply, reply):
         self._clock = WorkerClock(reply.now, asyncio.get_running_loop().time())
--- a/libs/scheduler/src/cactustiller/scheduler/shard.py
+++ b/libs/scheduler/src/cactustiller/scheduler/shard.py
@@ -13,9 +13,6 @@
 
 from cactustiller.model import (
     NO_RESOURCES,
-    TABLE_PEER,
-    ErrorCode,
-    Failure,
     FailureError,
     InstanceState,
     RunRecord,
@@ -32,13 +29,14 @@
 from cactustiller.ports import WorkerInfo
 
 from .authority import ShardAuthority
+from .failures import fail_stale, fail_unverified
+from .removals import RemovalTracker
 from .runs import RunEntry, RunPhase, make_run_key, run_row_key
 from .sessions import WorkerSession
 from .supervision import watch_task
 
 CHECK_INTERVAL_SECONDS = 0.5
 MAX_FINISHED_KEYS = 50_000
-REMOVAL_GRACE_SECONDS = 60.0
 RELEASE_POLL_SECONDS = 0.05
 
 log = structlog.get_logger(__name__)
@@ -55,9 +53,10 @@
     member : Member
     port : WorkerPort
     timing : TimingSettings
+    evacuations : ZoneEvacuations
     """
 
-    def __init__(self, shard, epoch, member, port, timing):
+    def __init__(self, shard, epoch, member, port, timing, evacuations):
         self.shard = shard
         self.epoch = epoch
         self.sessions = {}
@@ -65,12 +64,12 @@
         self.is_recovered = False
         self.on_change = lambda: None
         self.on_failure = lambda error: None
-        self._authority = ShardAuthority(shard, epoch, member)
+        self._authority = ShardAuthority(shard, epoch, member, evacuations)
         self._member = member
         self._port = port
         self._timing = timing
         self._recovered_runs = {}
-        self._missing_since = {}
+        self._removals = RemovalTracker()
         self._finished_keys = OrderedDict()
         self._is_releasing = False
         self._task = None
@@ -124,12 +123,24 @@
             elif session.info != info:
                 session.info = info
                 self._on_session_change(session)
-        for worker in self._list_removed(infos):
+        known = self.sessions.keys() | self._recovered_runs.keys()
+        for worker in self._removals.list_removed(known - infos.keys()):
             if worker in self._recovered_runs:
                 self._add_removed_session(worker)
             else:
                 await self._drop_removed(worker)
 
+    def update_zones(self, zones):
+        """Apply a change of the evacuated zones; return the number of their workers.
+
+        Starts that have not been sent are withdrawn, and new digests are published.
+        """
+        found = [item for item in self.sessions.values() if item.info.zone in zones]
+        for session in found:
+            session.wake()
+            self._on_session_change(session)
+        return len(found)
+
     def reserve(self, message):
         """Reserve capacity for the runs of a `ReserveRuns`; return `Reservations`."""
         results = []
@@ -227,7 +238,9 @@
             shard=self.shard,
             free=session.free,
             usable=session.is_usable,
-            reason="" if session.is_usable else session.failure_reason,
+            reason=""
+            if session.is_usable
+            else session.evacuation or session.failure_reason,
         )
 
     def _add_session(self, info):
@@ -242,22 +255,6 @@
             session.add(entry)
         session.start(self.on_failure)
 
-    def _list_removed(self, infos):
-        """Return the workers missing from the list for `REMOVAL_GRACE_SECONDS`.
-
-        The platform's list lags behind, so it may not contain a new worker yet.
-        """
-        now = asyncio.get_running_loop().time()
-        missing = (self.sessions.keys() | self._recovered_runs.keys()) - infos.keys()
-        self._missing_since = {
-            worker: self._missing_since.get(worker, now) for worker in sorted(missing)
-        }
-        return [
-            worker
-            for worker, since in self._missing_since.items()
-            if now - since >= REMOVAL_GRACE_SECONDS
-        ]
-
     async def _drop_removed(self, worker):
         """End the runs of an unlisted worker that is unreachable as well."""
         session = self.sessions[worker]
@@ -307,7 +304,8 @@
         if key in self._finished_keys:
             return "this attempt has ended"
         if session is None or not session.is_usable:
-            return "the worker is not usable"
+            closed = session.evacuation if session is not None else ""
+            return closed or "the worker is not usable"
         if key in session.entries:
             return "this attempt already exists on the worker"
         if not run.template.resources.fits_within(session.free):
@@ -325,9 +323,14 @@
         session, entry = self._find_run(key)
         if entry is not None and entry.phase is not RunPhase.RESERVED:
             return ""
+        if self._authority.is_stale:
+            raise FailureError(fail_stale(self.shard))
         if entry is not None and epoch == self.epoch and not self._is_releasing:
-            session.request_start(entry)
-            return ""
+            if session.evacuation:
+                session.remove(key)
+            else:
+                session.request_start(entry)
+            return session.evacuation
         if key in self._finished_keys:
             return "this attempt has ended"
         return await self._start_unreserved(run)
@@ -337,7 +340,7 @@
         row_key = run_row_key(self.shard, run.job, run.index)
         answer = await self._member.table.read_row(row_key)
         if answer.is_err():
-            raise FailureError(_fail_unverified(self.shard))
+            raise FailureError(fail_unverified(self.shard))
         row = answer.unwrap()
         if row.value is None or row.value["attempt"] != run.attempt:
             return "the assignment is not committed"
@@ -364,13 +367,3 @@
             for session in list(self.sessions.values()):
                 session.check_deadlines()
             self.on_change()
-
-
-def _fail_unverified(shard):
-    return Failure(
-        code=ErrorCode.UNAVAILABLE,
-        step=f"verify an assignment to {shard}",
-        peer=TABLE_PEER,
-        reason="the table service is unavailable, so the assignment is unverified",
-        retry_after_ms=500,
-    )
--- a/libs/scheduler/src/cactustiller/scheduler/views.py
+++ b/libs/scheduler/src/cactustiller/scheduler/views.py
@@ -1,6 +1,11 @@
 """View of all workers of the cell, those of this member's and of its peers' shards."""
 
-from cactustiller.model import InstanceState, PartitionId, Resources
+from cactustiller.model import (
+    NO_RESOURCES,
+    InstanceState,
+    PartitionId,
+    Resources,
+)
 from cactustiller.policy import WorkerSnapshot
 
 # Negative, so that even a task that requests no resources does not fit.
@@ -10,14 +15,20 @@
 class CellView:
     """Workers of the platform's list, joined with the digests of the shards.
 
+    Parameters
+    ----------
+    list_evacuated : callable
+        Returns the evacuated zones.
+
     Attributes
     ----------
     changed : set of WorkerId
         Workers to read again with `find_worker`; the reader clears it.
     """
 
-    def __init__(self):
+    def __init__(self, list_evacuated=frozenset):
         self.infos = {}
+        self._list_evacuated = list_evacuated
         self.changed = set()
         self._views = {}
 
@@ -51,6 +62,12 @@
             self._views[worker] = view.with_changes(free=UNUSABLE)
             self.changed.add(worker)
 
+    def mark_zones(self, zones):
+        """Mark the workers of zones whose evacuation has changed."""
+        self.changed.update(
+            worker for worker, info in self.infos.items() if info.zone in zones
+        )
+
     def find_worker(self, worker):
         """Return the `WorkerSnapshot` of a worker.
 
@@ -62,6 +79,8 @@
             return None
         view = self._views.get(worker)
         is_usable = view is not None and view.usable
+        free = view.free if view is not None else NO_RESOURCES
+        is_evacuated = info.zone in self._list_evacuated()
         return WorkerSnapshot(
             worker=worker,
             shard=view.shard if view else PartitionId(""),
@@ -70,5 +89,6 @@
             make=info.make,
             attributes=info.attributes,
             total=info.resources,
-            free=view.free if is_usable else UNUSABLE,
+            free=free if is_usable and not is_evacuated else UNUSABLE,
+            withheld=free if is_evacuated else None,
         )
--- a/tests/scheduler/memory.py
+++ b/tests/scheduler/memory.py
@@ -77,6 +77,21 @@
 )
 
 
+class NoEvacuations:
+    """Evacuations of a cell that has evacuated no zone."""
+
+    zones = frozenset()
+    is_stale = False
+
+    def find_reason(self, zone):
+        return ""
+
+    find_refusal = find_reason
+
+    async def refresh(self):
+        return
+
+
 async def refuse_all(message, hello):
     raise AssertionError("no peer calls here")
 
--- a/tests/scheduler/test_previous_owners.py
+++ b/tests/scheduler/test_previous_owners.py
@@ -60,6 +60,9 @@
     def may_renew(self):
         return False
 
+    def find_evacuation(self, zone):
+        return ""
+
 
 def build_entry(index, phase, **fields):
     record = RunRecord(
--- a/tests/scheduler/test_removed_workers.py
+++ b/tests/scheduler/test_removed_workers.py
@@ -7,8 +7,10 @@
 from cactustiller.ports import InstanceListing, Put, WorkerInfo, Write
 from cactustiller.scheduler.clock import WallClock
 from cactustiller.scheduler.partitions import Partitions
-from cactustiller.scheduler.shard import REMOVAL_GRACE_SECONDS, Shard
+from cactustiller.scheduler.removals import REMOVAL_GRACE_SECONDS
+from cactustiller.scheduler.shard import Shard
 from cactustiller.settings import TimingSettings
+from tests.scheduler.memory import NoEvacuations
 from tests.scheduler.test_handover import member  # noqa: F401
 
 pytestmark = pytest.mark.looptime
@@ -39,7 +41,7 @@
 async def shard(member):  # noqa: F811
     put = Put(key=f"run/{SHARD}/j1/0", value=RUN.model_dump(mode="json"))
     await member.committer.commit(Write(puts=[put]), "test")
-    shard = Shard(SHARD, 1, member, SilentWorkers(), TimingSettings())
+    shard = Shard(SHARD, 1, member, SilentWorkers(), TimingSettings(), NoEvacuations())
     assert await shard.recover()
     yield shard
     await shard.stop()
@@ -68,7 +70,12 @@
     await member.committer.commit(Write(puts=[put]), "test")
     await member.refresh()
     partitions = Partitions(
-        member, SilentWorkers(), TimingSettings(), WallClock(0.0), print
+        member,
+        SilentWorkers(),
+        TimingSettings(),
+        WallClock(0.0),
+        print,
+        NoEvacuations(),
     )
     partitions.on_ownership_change(member.ownership)
     running = asyncio.create_task(partitions.run())
--- a/tests/scheduler/test_sessions.py
+++ b/tests/scheduler/test_sessions.py
@@ -30,6 +30,9 @@
     def may_renew(self):
         return True
 
+    def find_evacuation(self, zone):
+        return ""
+
 
 class CountingWorker:
     """Worker that records each call and asserts that no lease has expired."""
