--- a/tests/gateway/test_zones.py
+++ b/tests/gateway/test_zones.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from cactustiller.model import Urgency
 from cactustiller.ownership import member_key
-from cactustiller.settings import set_zone_evacuated
+from cactustiller.settings import dump_tree, set_zone_evacuated
 from tests.gateway.builders import SERVICE, Cell, build_record
 
 REQUEST = f"/v1/requests/{SERVICE}"
@@ -224,21 +225,59 @@
     assert (await send(zoned)).status == 200
 
 
+async def hold_all_slots(cell):
+    """Return requests in progress on all slots of both executors."""
+    for executor in cell.executors.values():
+        executor.release.clear()
+    requests = [asyncio.create_task(send(cell)) for _ in range(16)]
+    await wait_until(
+        lambda: [len(e.requests) for e in cell.executors.values()] == [8, 8]
+    )
+    return requests
+
+
+async def finish(cell, requests):
+    for executor in cell.executors.values():
+        executor.release.set()
+    assert {response.status for response in await asyncio.gather(*requests)} == {200}
+
+
 async def test_evacuated_slots_do_not_shorten_the_expected_wait(zoned):
     """Guards against a Retry-After that counts slots which are not used again."""
-    for executor in zoned.executors.values():
-        executor.release.clear()
-    requests = [asyncio.create_task(send(zoned)) for _ in range(10)]
+    requests = await hold_all_slots(zoned)
     store = zoned.gateway.router.get_store(SERVICE)
-    await wait_until(lambda: sum(len(e.requests) for e in zoned.executors.values()) > 9)
-    in_zone = len(zoned.executors["x1"].requests)
-    assert 0 < in_zone < 10
-    held = store.held_count
+    store.admission.record(0.5)
     await evacuate(zoned, "a")
-    await wait_until(lambda: store.usable_count <= held - in_zone)
-    for executor in zoned.executors.values():
-        executor.release.set()
-    assert {response.status for response in await asyncio.gather(*requests)} == {200}
+    estimates = []
+    estimate = store.admission.estimate_wait
+
+    def record(ahead, slots):
+        estimates.append(slots)
+        return estimate(ahead, slots)
+
+    store.admission.estimate_wait = record
+    assert (await send(zoned, **{"X-Deadline-Ms": "300"})).status == 503
+    assert estimates == [8]
+    await finish(zoned, requests)
+
+
+async def test_idle_permits_there_do_not_delay_a_request(zoned):
+    """Guards against a request that waits because idle permits seem to suffice.
+
+    It is queued in the same step of the loop in which the version comes into force.
+    """
+    executor = zoned.executors["x1"]
+    executor.release.clear()
+    requests = [asyncio.create_task(send(zoned)) for _ in range(6)]
+    await wait_until(lambda: len(executor.requests) == 6)
+    await finish(zoned, requests)
+    replica = zoned.gateway.replica
+    tree = set_zone_evacuated(replica.tree, "demo/main", "a", True).unwrap()
+    assert replica.adopt(replica.version + 1, dump_tree(tree))
+    store = zoned.gateway.router.get_store(SERVICE)
+    slot = await store.wait_for_slot(Urgency.NORMAL, 1.0, 100)
+    assert slot.executor == "x2"
+    store.release(slot)
 
 
 async def test_request_that_waits_at_a_stale_gateway_is_not_sent(zoned):
@@ -246,21 +285,14 @@
 
     The gateway may have missed the evacuation of any zone.
     """
-    for executor in zoned.executors.values():
-        executor.release.clear()
-    requests = [asyncio.create_task(send(zoned)) for _ in range(16)]
-    await wait_until(
-        lambda: sum(len(e.requests) for e in zoned.executors.values()) == 16
-    )
+    requests = await hold_all_slots(zoned)
     waiting = asyncio.create_task(send(zoned))
     store = zoned.gateway.router.get_store(SERVICE)
     await wait_until(lambda: store.queue_length == 1)
     zoned.table.is_down = True
     zoned.peers.handlers.clear()
     zoned.gateway.replica._confirmed_at = float("-inf")
-    for executor in zoned.executors.values():
-        executor.release.set()
-    assert {response.status for response in await asyncio.gather(*requests)} == {200}
+    await finish(zoned, requests)
     response = await waiting
     assert response.status == 503
     assert "Retry-After" in response.headers
--- a/tests/policy/test_evacuation.py
+++ b/tests/policy/test_evacuation.py
@@ -24,13 +24,13 @@
     return make_worker(name, **(fields | changes))
 
 
-def make_gang(tasks=2):
+def make_gang(tasks=2, cpu=8000):
     return make_job(
         "whole",
         "t-1",
         tasks,
         kind=WorkloadKind.ALL_AT_ONCE,
-        resources=make_resources(8000, 1024),
+        resources=make_resources(cpu, 1024),
     )
 
 
@@ -59,17 +59,18 @@
         worker="w-1", amounts=Amounts(8000, 1024, 0), expected_end=NOW + 10
     )
     other = make_running(
-        "r-2", worker="w-2", amounts=Amounts(8000, 1024, 0), expected_end=NOW + 100
+        "r-2", worker="w-2", amounts=Amounts(8000, 1024, 0), expected_end=NOW + 1000
     )
     workers = [
         make_worker("w-0"),
         make_evacuated(withheld=FULL),
         make_worker("w-2", free=FULL),
     ]
-    planner = make_planner(workers, [make_gang()], running=[ending, other])
+    gang = make_gang(cpu=7000)
+    planner = make_planner(workers, [gang], running=[ending, other])
     planner.plan(NOW)
     claim = planner.claims.own["whole"]
-    assert (set(claim.tasks), claim.start_at) == ({"w-0", "w-2"}, NOW + 100)
+    assert (set(claim.tasks), claim.start_at) == ({"w-0", "w-2"}, NOW + 1000)
 
 
 def test_claim_leaves_a_zone_that_is_evacuated_later():
@@ -95,12 +96,20 @@
 
 def test_backfilled_task_is_not_stopped_in_a_zone_that_is_evacuated_later():
     """Guards against preemption for capacity that nothing may use."""
-    busy = make_running(
-        worker="w-1", amounts=Amounts(8000, 1024, 0), expected_end=NOW + 100
-    )
+    busy = [
+        make_running(
+            f"r-{number}",
+            worker=f"w-{number}",
+            amounts=Amounts(8000, 1024, 0),
+            expected_end=NOW + seconds,
+            is_preemptible=False,
+        )
+        for number, seconds in ((1, 100), (2, 1000))
+    ]
     free = make_resources(0, 15_360)
-    workers = [make_worker("w-0"), make_worker("w-1", free=free)]
-    planner = make_planner(workers, [make_gang()], running=[busy])
+    workers = [make_worker("w-0")]
+    workers += [make_worker(f"w-{number}", free=free) for number in (1, 2)]
+    planner = make_planner(workers, [make_gang()], running=busy)
     planner.plan(NOW)
     planner.state.put_job(make_job("short", p90_seconds=50.0))
     planner.plan(NOW + 1)
@@ -108,14 +117,16 @@
     planner.state.put_running("short", [filling])
     planner.plan(NOW + 2)
     planner.state.fleet.put_worker(make_evacuated("w-0"))
-    for seconds in (120, 160, 400):
-        assert not planner.plan(NOW + seconds).preemptions
+    planner.plan(NOW + 3)
+    assert set(planner.claims.own["whole"].tasks) == {"w-1", "w-2"}
+    assert not planner.plan(NOW + 120).preemptions
 
 
 def test_urgent_job_preempts_nothing_in_an_evacuated_zone():
     """Guards against stopped tasks whose capacity the urgent job cannot use."""
     urgent = make_job("urgent", "t-1", urgency=Urgency.URGENT)
-    running = [make_running("idle", worker="w-1", urgency=Urgency.IDLE)]
+    idle = {"worker": "w-1", "urgency": Urgency.IDLE}
+    running = [make_running("idle", amounts=Amounts(2000, 2048, 0), **idle)]
     workers = [make_worker("w-0", free=FULL), make_evacuated(withheld=FULL)]
     planner = make_planner(workers, [urgent], running=running)
     assert not planner.plan(NOW).preemptions
@@ -133,7 +144,7 @@
         make_evacuated(withheld=FULL),
         make_worker("w-2", free=FULL),
     ]
-    planner = make_planner(workers, [make_gang()], running=running)
+    planner = make_planner(workers, [make_gang(cpu=7000)], running=running)
     for seconds in (0, 700, 1400):
         assert not planner.plan(NOW + seconds).preemptions
 
--- a/tests/scheduler/test_evacuation.py
+++ b/tests/scheduler/test_evacuation.py
@@ -189,6 +189,23 @@
         assert daemon.incarnation.view._views["w00"].usable
 
 
+async def test_home_with_the_version_needs_no_digest(cell):
+    """Guards against claims and preemption there while a shard's owner lacks it."""
+    await start(cell)
+
+    async def skip():
+        return
+
+    for daemon in cell.daemons:
+        daemon.incarnation.exchange._publish = skip
+    await change(cell, "a")
+    await asyncio.sleep(0.1)
+    for daemon in cell.daemons:
+        fleet = daemon.incarnation.dispatcher.feed.planner.state.fleet
+        assert not fleet.has_open("w00")
+        assert fleet.has_open("w10")
+
+
 async def test_all_zones_evacuated_jobs_are_accepted_and_wait(cell):
     """Guards against refusals and parked jobs, and a wait without a reason."""
     await start(cell)
--- a/tests/scheduler/test_pool_evacuation.py
+++ b/tests/scheduler/test_pool_evacuation.py
@@ -1,5 +1,6 @@
 import pytest
 
+from cactustiller.model.messages import AcquirePermits
 from tests.scheduler.test_pools import SLOTS, Holder, build_executor, build_pool
 
 pytestmark = pytest.mark.looptime
@@ -39,6 +40,32 @@
     assert first.ask(pool, SLOTS).share == SLOTS // 2
 
 
+async def test_used_slots_there_do_not_count_as_used():
+    """Guards against free slots that nobody gets while requests run in the zone.
+
+    Three slots are free and one is owed to the third gateway, which waits for another
+    executor, so the first one gets two although it has its share.
+    """
+    pool = build_pool(*EXECUTORS)
+    Holder("g0").acquire(pool, SLOTS)
+    pool.set_executors(EXECUTORS, frozenset("a"))
+    first, second, third = (Holder(name) for name in ("g1", "g2", "g3"))
+    for holder, count in ((first, 2), (second, 2), (third, 1)):
+        assert len(holder.acquire(pool, count)) == count
+    waiting = AcquirePermits(
+        service="prices",
+        count=SLOTS,
+        zone="a",
+        gateway="g3",
+        sequence=2,
+        held=third.held,
+        longest_ms=1000,
+        avoid=["x2"],
+    )
+    assert pool.acquire(waiting).permits == []
+    assert len(first.acquire(pool, SLOTS)) == 2
+
+
 async def test_every_zone_evacuated_and_restored():
     """Guards against a pool that grants again only after its next takeover."""
     pool = build_pool(*EXECUTORS)
