Test takeovers of pools, the gauge and the owners' log lines under evacuation

Cause: trials showed that no test missed the read of the settings at a pool's takeover, the log line of a new owner and the gauge of gateways.

--- a/tests/gateway/test_zones.py
+++ b/tests/gateway/test_zones.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cactustiller.gateway.handlers import export_stats
 from cactustiller.model import Urgency
 from cactustiller.ownership import member_key
 from cactustiller.settings import dump_tree, set_zone_evacuated
@@ -64,6 +65,7 @@
         {"zone": "a", "evacuated": False, "members": 2, "workers": 0, "executors": 1},
         {"zone": "b", "evacuated": True, "members": 0, "workers": 0, "executors": 1},
     ]
+    assert export_stats(zoned.gateway)["gauges"] == {"evacuated_zones": {"b": 1}}
     _, history = await zoned.call("GET", "/v1/settings/history", "operator")
     assert history["versions"][0]["note"] == "power work"
     status, answer = await change(zoned, "b", "restore")
--- a/tests/scheduler/test_evacuation_failures.py
+++ b/tests/scheduler/test_evacuation_failures.py
@@ -3,8 +3,11 @@
 import asyncio
 
 import pytest
+from result import Ok
+from structlog.testing import capture_logs
 
-from cactustiller.model.messages import StartRuns
+from cactustiller.model.messages import AcquirePermits, StartRuns
+from cactustiller.ports import BackendInfo, InstanceListing
 from cactustiller.scheduler.runs import make_run_key
 from tests.scheduler.builders import MemoryCell
 from tests.scheduler.evacuations import (
@@ -53,7 +56,11 @@
     lost_at = now()
     for daemon in (owner, other):
         await daemon.kill()
-    await cell.wait_for(lambda: cell.find_owner("shard-r0") is successor)
+    with capture_logs() as lines:
+        await cell.wait_for(lambda: cell.find_owner("shard-r0") is successor)
+        await asyncio.sleep(0.5)
+    named = [line for line in lines if line["event"] == "zone_evacuated"]
+    assert [line["workers"] for line in named if line["workers"]] == [2]
     assert successor.incarnation.evacuations.zones == {"a"}
     await replica.start()
     await cell.wait_for(lambda: is_over(cell, "j1"), 400.0)
@@ -61,6 +68,73 @@
     assert cell.assert_safe().succeeded_twice == 0
 
 
+def list_executors(cell):
+    """Let the platform list an executor in zone a and one in zone b, and no worker.
+
+    A new owner of shards as well would read the settings for these.
+    """
+    backends = [
+        BackendInfo(
+            executor=f"x-{zone}",
+            service="prices",
+            address="127.0.0.1:1",
+            zone=zone,
+            slots=2,
+            connections=8,
+        )
+        for zone in "ab"
+    ]
+    cell.listing.workers.clear()
+
+    async def list_instances():
+        return Ok(InstanceListing(backends=backends))
+
+    cell.listing.list_instances = list_instances
+
+
+def find_pool_owner(cell, *excluded):
+    for daemon in cell.daemons:
+        if daemon.is_running and daemon not in excluded:
+            pools = daemon.incarnation.partitions.pools
+            if pools:
+                return daemon, *pools.values()
+    return None
+
+
+def acquire(pool, sequence):
+    message = AcquirePermits(
+        service="prices",
+        count=4,
+        zone="a",
+        gateway="g1/1",
+        sequence=sequence,
+        longest_ms=1000,
+        held=[],
+    )
+    return {permit.executor for permit in pool.acquire(message).permits}
+
+
+async def test_successor_of_a_pool_has_the_version_before_it_grants(cell):
+    """Guards against permits in the zone from an owner that missed the announcement."""
+    list_executors(cell)
+    await start(cell)
+    await cell.wait_for(lambda: find_pool_owner(cell))
+    owner, pool = find_pool_owner(cell)
+    assert acquire(pool, 1) == {"x-a", "x-b"}
+    successor, other = (daemon for daemon in cell.daemons if daemon is not owner)
+    replica = successor.incarnation.replica
+    replica._task.cancel()
+    replica.answer = refuse
+    await change(cell, "a", daemon=owner)
+    # The owner enforces the list at once, without the next list of the platform.
+    assert acquire(pool, 2) == {"x-b"}
+    for daemon in (owner, other):
+        await daemon.kill()
+    await cell.wait_for(lambda: find_pool_owner(cell, owner, other))
+    _, pool = find_pool_owner(cell, owner, other)
+    assert acquire(pool, 1) == {"x-b"}
+
+
 async def test_evacuation_survives_the_restart_of_every_process(cell):
     """Guards against a list that only running members know."""
     await start(cell)
