Wait for a settings poll in progress at a takeover

Cause: a new owner took a regular poll that had begun, but was not answered, for a read of the settings, and could act on the version before. Change: only a poll that is done counts.

--- a/libs/ownership/src/cactustiller/ownership/replica.py
+++ b/libs/ownership/src/cactustiller/ownership/replica.py
@@ -112,7 +112,11 @@
 
         Confirming means establishing that the version in force is the newest.
         """
-        started = self._polled_at = asyncio.get_running_loop().time()
+        started = asyncio.get_running_loop().time()
+        await self._poll(started)
+        self._polled_at = max(self._polled_at, started)
+
+    async def _poll(self, started):
         answer = await self._member.table.read_row(HEAD_KEY, self.head_row_version)
         self._table_down = answer.is_err()
         if answer.is_err():
@@ -133,7 +137,7 @@
             self.confirm(started)
 
     async def poll_since(self, moment):
-        """Poll unless a poll has begun since a loop time; concurrent callers share it.
+        """Poll unless one that began since a loop time is done; callers share a poll.
 
         Nothing is retried: whether the poll succeeded shows in `is_fresh` later.
         """
