--- a/libs/ownership/src/cactustiller/ownership/replica.py
+++ b/libs/ownership/src/cactustiller/ownership/replica.py
@@ -81,6 +81,8 @@
         self._confirmed_at = float("-inf")
         self._table_down = False
         self._task = None
+        self._polled_at = float("-inf")
+        self._lock = asyncio.Lock()
 
     @property
     def age_seconds(self):
@@ -111,6 +113,10 @@
         Confirming means establishing that the version in force is the newest.
         """
         started = asyncio.get_running_loop().time()
+        await self._poll(started)
+        self._polled_at = max(self._polled_at, started)
+
+    async def _poll(self, started):
         answer = await self._member.table.read_row(HEAD_KEY, self.head_row_version)
         self._table_down = answer.is_err()
         if answer.is_err():
@@ -130,6 +136,15 @@
             self.head_row_version = max(self.head_row_version, row.version)
             self.confirm(started)
 
+    async def poll_since(self, moment):
+        """Poll unless one that began since a loop time is done; callers share a poll.
+
+        Nothing is retried: whether the poll succeeded shows in `is_fresh` later.
+        """
+        async with self._lock:
+            if self._polled_at < moment:
+                await self.poll()
+
     async def answer(self, message, hello):
         """Return the `SettingsBody` that answers a peer's message.
 
