Keep a worker full while a stored run of it cannot be read

Cause: one malformed row run/SHARD/JOB/INDEX raised in Shard.recover. That ended the scheduler, and then each successor of the shard, without end.

Change: malformed rows are skipped one by one and logged as row_unreadable with step and key (ports/decoding.py). The worker that the row names, or that reports the run, accepts no run until the run's home has described it again by its StartRuns after a recovery; its run is not stopped as an orphan meanwhile.

--- a/libs/ports/src/cactustiller/ports/__init__.py
+++ b/libs/ports/src/cactustiller/ports/__init__.py
@@ -1,6 +1,7 @@
 """Clients of the platform: table service, object store, instance list and workers."""
 
 from .commits import Committer, Conflict
+from .decoding import decode_row, decode_rows, report_unreadable
 from .http import CallCounters
 from .records import (
     Apply,
@@ -65,4 +66,7 @@
     "WorkerInfo",
     "WorkerPort",
     "Write",
+    "decode_row",
+    "decode_rows",
+    "report_unreadable",
 ]
--- a/libs/scheduler/src/cactustiller/scheduler/failures.py
+++ b/libs/scheduler/src/cactustiller/scheduler/failures.py
@@ -49,3 +49,14 @@
         outcome=Outcome.UNKNOWN,
         retry_after_ms=1000,
     )
+
+
+def fail_unverified(shard):
+    """Return the failure of a start during an outage of the table service."""
+    return Failure(
+        code=ErrorCode.UNAVAILABLE,
+        step=f"verify an assignment to {shard}",
+        peer=TABLE_PEER,
+        reason="the table service is unavailable, so the assignment is unverified",
+        retry_after_ms=500,
+    )
--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -11,12 +11,7 @@
 import structlog
 from result import Ok
 
-from cactustiller.model import (
-    NO_RESOURCES,
-    ErrorCode,
-    InstanceState,
-    RunState,
-)
+from cactustiller.model import NO_RESOURCES, ErrorCode, InstanceState, RunState
 from cactustiller.ports import Apply, TaskStop, Watch
 
 from .apply_items import make_renewal, make_start, make_stop
@@ -56,6 +51,8 @@
         self.is_reconciled = False
         self.is_reachable = False
         self.failure_reason = "the worker has not answered yet"
+        self.block_reason = ""
+        self.is_orphan = lambda status, boot: status.state is RunState.RUNNING
         self._authority = authority
         self._port = port
         self._timing = timing
@@ -79,6 +76,7 @@
         return (
             self.is_reconciled
             and self.is_reachable
+            and not self.block_reason
             and self.info.state is InstanceState.LIVE
         )
 
@@ -128,6 +126,14 @@
             self.used = self.used + entry.record.template.resources
         self._on_change(self)
 
+    def claim(self, entry, status, boot):
+        """Add a run whose row is malformed, with its last status since a boot."""
+        self.add(entry)
+        if status is not None and boot == self._boot:
+            self._handle_status(status, 0.0)
+        elif self.is_reconciled:
+            self._start_recovered(entry)
+
     def remove(self, key):
         """Remove a run and free its capacity."""
         entry = self.entries.pop(key)
@@ -313,7 +319,7 @@
     def _handle_status(self, status, answered_at):
         entry = self.entries.get(make_run_key(status))
         if entry is None:
-            if status.state is RunState.RUNNING:
+            if self.is_orphan(status, self._boot):
                 self._stop_orphan(status)
             return
         if not entry.holds_capacity:
@@ -332,15 +338,9 @@
 
     def _stop_orphan(self, status):
         """Request the stop of a run that the owner has no record of."""
-        log.warning(
-            "orphan_stopped",
-            worker=self.info.worker,
-            job=status.job,
-            index=status.index,
-            attempt=status.attempt,
-        )
-        stop = TaskStop(job=status.job, index=status.index, attempt=status.attempt)
-        self._orphan_stops.append(stop)
+        run = make_run_key(status).model_dump()
+        log.warning("orphan_stopped", worker=self.info.worker, **run)
+        self._orphan_stops.append(TaskStop(**run))
         self.wake()
 
     def _reconcile(self, seen, answered_at):
--- a/libs/scheduler/src/cactustiller/scheduler/shard.py
+++ b/libs/scheduler/src/cactustiller/scheduler/shard.py
@@ -13,12 +13,8 @@
 
 from cactustiller.model import (
     NO_RESOURCES,
-    TABLE_PEER,
-    ErrorCode,
-    Failure,
     FailureError,
     InstanceState,
-    RunRecord,
     RunState,
 )
 from cactustiller.model.messages import (
@@ -32,9 +28,11 @@
 from cactustiller.ports import WorkerInfo
 
 from .authority import ShardAuthority
+from .failures import fail_unverified
 from .runs import RunEntry, RunPhase, make_run_key, run_row_key
 from .sessions import WorkerSession
 from .supervision import watch_task
+from .unreadable import UnreadableRuns
 
 CHECK_INTERVAL_SECONDS = 0.5
 MAX_FINISHED_KEYS = 50_000
@@ -70,6 +68,7 @@
         self._port = port
         self._timing = timing
         self._recovered_runs = {}
+        self._unreadable = UnreadableRuns(shard, self._on_session_change)
         self._missing_since = {}
         self._finished_keys = OrderedDict()
         self._is_releasing = False
@@ -80,8 +79,7 @@
         answer = await self._member.table.scan_rows(f"run/{self.shard}/")
         if answer.is_err():
             return False
-        for row in answer.unwrap():
-            record = RunRecord.model_validate(row.value)
+        for record in self._unreadable.read(answer.unwrap()):
             self._recovered_runs.setdefault(record.worker, []).append(record)
         log.info("shard_recovered", shard=self.shard, runs=len(answer.unwrap()))
         self.is_recovered = True
@@ -227,7 +225,9 @@
             shard=self.shard,
             free=session.free,
             usable=session.is_usable,
-            reason="" if session.is_usable else session.failure_reason,
+            reason=""
+            if session.is_usable
+            else session.block_reason or session.failure_reason,
         )
 
     def _add_session(self, info):
@@ -240,6 +240,7 @@
                 record, RunPhase.RECOVERED, lease_until=None, is_inherited=True
             )
             session.add(entry)
+        self._unreadable.watch(session)
         session.start(self.on_failure)
 
     def _list_removed(self, infos):
@@ -322,6 +323,9 @@
     async def _start_run(self, run, epoch):
         """Start a run; return the reason for a final refusal, or an empty string."""
         key = make_run_key(run)
+        if self._unreadable.has(run):
+            self._unreadable.claim(run, self.sessions)
+            return ""
         session, entry = self._find_run(key)
         if entry is not None and entry.phase is not RunPhase.RESERVED:
             return ""
@@ -337,7 +341,7 @@
         row_key = run_row_key(self.shard, run.job, run.index)
         answer = await self._member.table.read_row(row_key)
         if answer.is_err():
-            raise FailureError(_fail_unverified(self.shard))
+            raise FailureError(fail_unverified(self.shard))
         row = answer.unwrap()
         if row.value is None or row.value["attempt"] != run.attempt:
             return "the assignment is not committed"
@@ -364,13 +368,3 @@
             for session in list(self.sessions.values()):
                 session.check_deadlines()
             self.on_change()
-
-
-def _fail_unverified(shard):
-    return Failure(
-        code=ErrorCode.UNAVAILABLE,
-        step=f"verify an assignment to {shard}",
-        peer=TABLE_PEER,
-        reason="the table service is unavailable, so the assignment is unverified",
-        retry_after_ms=500,
-    )
