Set a job aside whose rows cannot be read

Cause: one malformed row job/HOME/JOB or task/HOME/JOB/INDEX raised in Home.recover. That ended the scheduler, and then each successor of the home, without end. Infinite times passed the check of the fields.

Change: loading.py skips malformed rows, logs them with step and key, and sets the whole job aside: without the row of a task that may be running, the task would be placed again. Submitting, reading, explaining or cancelling such a job fails with CONFLICT and the key, not with NOT_FOUND, after which a client would submit it again. Records refuse infinite and undefined numbers.

--- a/libs/model/src/cactustiller/model/record.py
+++ b/libs/model/src/cactustiller/model/record.py
@@ -32,6 +32,8 @@
     model_config = ConfigDict(
         frozen=True,
         extra="forbid",
+        # Infinite times and sizes come only from malformed input.
+        allow_inf_nan=False,
         alias_generator=to_camel,
         populate_by_name=True,
         serialize_by_alias=False,
--- a/libs/scheduler/src/cactustiller/scheduler/failures.py
+++ b/libs/scheduler/src/cactustiller/scheduler/failures.py
@@ -14,8 +14,23 @@
     )
 
 
-def fail_unknown_job(home, job):
-    """Return the failure of a request about a job that the home does not have."""
+def fail_missing_job(home, job, unreadable):
+    """Return the failure of a request about a job that the home does not have.
+
+    Parameters
+    ----------
+    home : PartitionId
+    job : JobId
+    unreadable : dict of JobId to str
+        Keys of the malformed rows because of which jobs were set aside.
+    """
+    if job in unreadable:
+        return Failure(
+            code=ErrorCode.CONFLICT,
+            step="find job",
+            peer=home,
+            reason=f"the row {unreadable[job]} of job {job} cannot be read",
+        )
     return Failure(
         code=ErrorCode.NOT_FOUND, step="find job", peer=home, reason=f"no job {job}"
     )
--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -12,13 +12,7 @@
 import structlog
 from result import Err, Ok
 
-from cactustiller.model import (
-    JobRecord,
-    RunRecord,
-    RunState,
-    TaskRecord,
-    TaskState,
-)
+from cactustiller.model import JobRecord, RunRecord, RunState, TaskRecord, TaskState
 from cactustiller.model.messages import (
     Explanation,
     JobList,
@@ -33,10 +27,11 @@
     fail_cancel_unavailable,
     fail_handed_over,
     fail_job_ended,
+    fail_missing_job,
     fail_outcome_unknown,
-    fail_unknown_job,
 )
 from .jobs import JobEntry, TeamUsage, finish_job
+from .loading import load_jobs
 from .recorder import Recorder, put_job, put_task
 from .runs import run_row_key
 from .supervision import watch_task
@@ -81,6 +76,7 @@
         self._clock = clock
         self._wake = wake
         self._submissions = {}
+        self._unreadable = {}
         self._usage = defaultdict(TeamUsage)
         self._tasks = set()
         self._recorder = Recorder(
@@ -100,13 +96,10 @@
         tasks = await self._member.table.scan_rows(f"task/{self.home}/")
         if jobs.is_err() or tasks.is_err():
             return False
-        by_job = {}
-        for row in tasks.unwrap():
-            task = TaskRecord.model_validate(row.value)
-            by_job.setdefault(task.job, []).append(task)
-        for row in jobs.unwrap():
-            record = JobRecord.model_validate(row.value)
-            self._add_job(record, by_job.get(record.job, []))
+        loaded = load_jobs(self.home, jobs.unwrap(), tasks.unwrap())
+        self._unreadable = loaded.unreadable
+        for record, job_tasks in loaded.jobs:
+            self._add_job(record, job_tasks)
         self.is_recovered = True
         log.info("home_recovered", home=self.home, jobs=len(self.jobs))
         self._spawn(self._recorder.run())
@@ -136,6 +129,8 @@
         known = self.jobs.get(message.job)
         if known is not None:
             return Ok(known.make_view(detail=False))
+        if message.job in self._unreadable:
+            return Err(fail_missing_job(self.home, message.job, self._unreadable))
         task = self._submissions.get(message.job)
         if task is None:
             task = self._spawn(self._commit_job(message))
@@ -150,7 +145,7 @@
         """Return ``Ok(JobView)`` or ``Err(Failure)`` for a job."""
         entry = self.jobs.get(message.job)
         if entry is None:
-            return Err(fail_unknown_job(self.home, message.job))
+            return Err(fail_missing_job(self.home, message.job, self._unreadable))
         return Ok(entry.make_view(message.detail))
 
     def list_jobs(self, message):
@@ -166,7 +161,7 @@
     def explain(self, message):
         """Return ``Ok(Explanation)`` of why a job is pending or how it was placed."""
         if message.job not in self.jobs:
-            return Err(fail_unknown_job(self.home, message.job))
+            return Err(fail_missing_job(self.home, message.job, self._unreadable))
         lines = self.explain_waiting(message.job)
         placed = self.explanations.get(message.job, [])
         return Ok(Explanation(lines=[*lines, *placed]))
@@ -175,7 +170,7 @@
         """Cancel a job; return ``Ok(JobView)`` once the cancellation is committed."""
         entry = self.jobs.get(message.job)
         if entry is None:
-            return Err(fail_unknown_job(self.home, message.job))
+            return Err(fail_missing_job(self.home, message.job, self._unreadable))
         if not entry.record.state.is_final:
             if self._member.committer.is_stuck:
                 return Err(fail_cancel_unavailable())
--- a/libs/scheduler/src/cactustiller/scheduler/recorder.py
+++ b/libs/scheduler/src/cactustiller/scheduler/recorder.py
@@ -314,9 +314,14 @@
     return f"task/{home}/{job}/{index}"
 
 
+def job_row_key(home, job):
+    """Return the key of a job's row in the table."""
+    return f"job/{home}/{job}"
+
+
 def put_job(home, record):
     """Return the `Put` of a job's row."""
-    key = f"job/{home}/{record.job}"
+    key = job_row_key(home, record.job)
     return Put(key=key, value=record.model_dump(mode="json"))
 
 
