Keep the last good rows of members and of the ownership

Cause: one malformed row of a member, or of the ownership, raised in Member.refresh. A daemon did not start, and the refresh of a running one ended without a line. An ownership row without its field was read as one without owners, after which epochs start at 1.

Change: such rows are logged once with step and key, and the last good ones stay in use. No partition is assigned while the ownership row cannot be read; a home's writes then wait 0.2 s between their attempts. A member whose row this version cannot read keeps its partitions until its lease has expired; before, they were taken over at once.

--- a/libs/ownership/src/cactustiller/ownership/member.py
+++ b/libs/ownership/src/cactustiller/ownership/member.py
@@ -13,19 +13,8 @@
 from reactivex.subject import Subject
 from result import Err, Ok
 
-from cactustiller.model import (
-    TABLE_PEER,
-    ErrorCode,
-    Failure,
-    FailureError,
-    MemberRecord,
-    Role,
-)
-from cactustiller.model.messages import (
-    AnnounceOwnership,
-    Done,
-    Hello,
-)
+from cactustiller.model import TABLE_PEER, ErrorCode, Failure, FailureError, Role
+from cactustiller.model.messages import AnnounceOwnership, Done, Hello
 from cactustiller.peers import PeerClient, PeerServer, Traffic
 from cactustiller.ports import (
     Check,
@@ -40,7 +29,15 @@
 
 from .lease_monitor import LeaseMonitor
 from .planning import list_watched
-from .records import MEMBER_PREFIX, OWNERSHIP_KEY, Ownership, member_key
+from .records import (
+    MEMBER_PREFIX,
+    OWNERSHIP_KEY,
+    Ownership,
+    decode_member,
+    decode_ownership,
+    differs_ignoring_token,
+    member_key,
+)
 
 JOIN_RETRY_SECONDS = 0.5
 SCAN_INTERVAL_SECONDS = 2.0
@@ -110,7 +107,7 @@
         )
         # Whether a row of an earlier process of this member was found at the start.
         self.has_predecessor = False
-        self.ownership = Ownership()
+        self.ownership = Ownership(owners={})
         self.ownership_version = 0
         self.members = {}
         self.ownership_changes = Subject()
@@ -130,6 +127,7 @@
         self._timing = timing
         self._handle = handle
         self._versions = {}
+        self._unreadable = set()
         self._scanned_at = float("-inf")
         self._tasks = []
 
@@ -218,6 +216,10 @@
         owner = self.ownership.owners.get(partition)
         return owner.epoch if owner else 0
 
+    def is_unreadable(self, member):
+        """Return whether the newest row of a member is malformed."""
+        return member_key(member) in self._unreadable
+
     def row_version_of(self, member):
         """Return the cached row version of a member, 0 if it has none."""
         return self._versions.get(member, 0)
@@ -378,22 +380,20 @@
             if row.value is None or self._versions.get(name) == row.version:
                 continue
             self._versions[name] = row.version
-            record = MemberRecord.model_validate(row.value)
+            record = decode_member(row, self._unreadable)
+            if record is None:
+                continue
             previous = self.members.get(name)
             self.members[name] = record
-            changed = changed or _differs_ignoring_token(previous, record)
+            changed = changed or differs_ignoring_token(previous, record)
         if changed:
             self.member_changes.on_next(self.members)
 
     def _update_ownership(self, row):
-        if row.unchanged or row.version <= self.ownership_version:
+        is_known = row.unchanged or row.version <= self.ownership_version
+        found = None if is_known else decode_ownership(row, self._unreadable)
+        if found is None:
             return
         self.ownership_version = row.version
-        self.ownership = Ownership.model_validate(row.value)
+        self.ownership = found
         self.ownership_changes.on_next(self.ownership)
-
-
-def _differs_ignoring_token(previous, record):
-    if previous is None:
-        return True
-    return previous.with_changes(token="") != record.with_changes(token="")
--- a/libs/ownership/src/cactustiller/ownership/reconciler.py
+++ b/libs/ownership/src/cactustiller/ownership/reconciler.py
@@ -122,6 +122,9 @@
         record = self._member.members.get(owner.member)
         if owner.member == self._member.member:
             record = self._member.record
+        # A row that this version cannot read may belong to a live member.
+        elif record is None and self._member.is_unreadable(owner.member):
+            return self._member.lease_monitor.has_expired(owner.member)
         return (
             record is None or record.fenced or record.incarnation != owner.incarnation
         )
--- a/libs/ports/src/cactustiller/ports/decoding.py
+++ b/libs/ports/src/cactustiller/ports/decoding.py
@@ -6,7 +6,7 @@
 log = structlog.get_logger(__name__)
 
 
-def decode_row(row, record_class, step, make_key=None):
+def decode_row(row, record_class, step, make_key=None, reported=None):
     """Return the record in a row, ``None`` if it is malformed.
 
     Logs one error line with step, key and reason for a malformed row.
@@ -19,16 +19,26 @@
         Step that reads the row, for the log line.
     make_key : callable, optional
         Returns the key at which a record has to be stored.
+    reported : set of str, optional
+        Keys of rows that are malformed and logged already, for rows that are read
+        again and again; this function keeps it up to date.
     """
+    reason, record = "", None
     try:
         record = record_class.model_validate(row.value)
+        if make_key is not None and make_key(record) != row.key:
+            reason = f"it holds {make_key(record)}"
     except (ValidationError, RecursionError) as error:
-        report_unreadable(row.key, step, _describe(error))
-        return None
-    if make_key is not None and make_key(record) != row.key:
-        report_unreadable(row.key, step, f"it holds {make_key(record)}")
-        return None
-    return record
+        reason = _describe(error)
+    if reported is None:
+        reported = set()
+    if not reason:
+        reported.discard(row.key)
+        return record
+    if row.key not in reported:
+        report_unreadable(row.key, step, reason)
+    reported.add(row.key)
+    return None
 
 
 def decode_rows(rows, record_class, step, make_key=None):
--- a/libs/scheduler/src/cactustiller/scheduler/home.py
+++ b/libs/scheduler/src/cactustiller/scheduler/home.py
@@ -39,6 +39,7 @@
 SUBMIT_TIMEOUT_SECONDS = 3.0
 WAIT_FOREVER_SECONDS = 86_400.0
 STOP_RETRY_SECONDS = 1.0
+CONFLICT_RETRY_SECONDS = 0.2
 FIRST_ATTEMPT = 1
 MAX_DECISIONS_PER_JOB = 32
 MAX_EXPLAINED_JOBS = 2000
@@ -342,7 +343,11 @@
             )
             if answer.is_ok() or not isinstance(answer.unwrap_err(), Conflict):
                 return answer
+            known = self._member.ownership_version
             await self._member.refresh()
+            if self._member.ownership_version == known:
+                # The row cannot be read, so the next commit will fail as well.
+                await asyncio.sleep(CONFLICT_RETRY_SECONDS)
         return Err(fail_handed_over(self.home, purpose))
 
     def _has_epochs(self, epochs):
