Keep the settings in force while a row of them cannot be read

Cause: a malformed row settings/head or settings/body raised in SettingsReplica.poll. No daemon could start, and the poll of the running ones ended without a line, after which no key was accepted. A malformed log row made each request for the history fail.

Change: such rows are logged once with step and key. With an unreadable head row the peers confirm the version in force, as in an outage; no change can be committed until the row is repaired. The history leaves malformed entries out; a rollback to an unreadable version is refused with its key.

--- a/libs/ownership/src/cactustiller/ownership/editor.py
+++ b/libs/ownership/src/cactustiller/ownership/editor.py
@@ -15,7 +15,7 @@
 
 from cactustiller.model import ErrorCode, Failure, Outcome
 from cactustiller.model.messages import AnnounceSettings, SettingsBody
-from cactustiller.ports import Check, Put, Write
+from cactustiller.ports import Check, Put, Write, decode_row, decode_rows
 from cactustiller.settings import (
     default_tree,
     diff_trees,
@@ -126,9 +126,9 @@
         """Return ``Ok`` of the list of `SettingsLogEntry`, newest first."""
         rows = await self._member.table.scan_rows(LOG_PREFIX)
         return rows.map(
-            lambda found: [
-                SettingsLogEntry.model_validate(row.value) for row in reversed(found)
-            ]
+            lambda found: decode_rows(
+                found[::-1], SettingsLogEntry, "read settings history"
+            )[0]
         )
 
     async def read_tree(self, version):
@@ -139,8 +139,11 @@
         if answer.unwrap().value is None:
             reason = f"version {version} is not stored; the last {RETAINED_BODIES} are"
             return Err(_make_failure(reason, ErrorCode.NOT_FOUND))
-        text = SettingsBodyRow.model_validate(answer.unwrap().value).text
-        return parse_tree(text, f"settings version {version}").map_err(
+        row = decode_row(answer.unwrap(), SettingsBodyRow, "read settings")
+        if row is None:
+            reason = f"the row {body_key(version)} cannot be read"
+            return Err(_make_failure(reason, ErrorCode.CONFLICT))
+        return parse_tree(row.text, f"settings version {version}").map_err(
             lambda errors: _make_failure("; ".join(map(str, errors)), ErrorCode.INVALID)
         )
 
@@ -261,7 +264,7 @@
             return Err(failure)
         answer = await self._member.table.read_row(body_key(number))
         if answer.is_ok() and answer.unwrap().value is not None:
-            if answer.unwrap().value["token"] == version.head.token:
+            if answer.unwrap().value.get("token") == version.head.token:
                 return await self._adopt_and_replicate(version)
             return Err(await self._describe_conflict(number - 1))
         reason = f"version {number} may have been committed; read it to find out"
@@ -271,8 +274,10 @@
         """Return a conflict failure that names the concurrent change."""
         answer = await self._member.table.read_row(log_key(expected_version + 1))
         reason = f"version {expected_version} is not in force"
+        other = None
         if answer.is_ok() and answer.unwrap().value is not None:
-            other = SettingsLogEntry.model_validate(answer.unwrap().value)
+            other = decode_row(answer.unwrap(), SettingsLogEntry, "describe conflict")
+        if other is not None:
             at = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(other.at))
             reason = (
                 f"{other.author} committed version {other.version} at {at}"
--- a/libs/ownership/src/cactustiller/ownership/replica.py
+++ b/libs/ownership/src/cactustiller/ownership/replica.py
@@ -13,6 +13,7 @@
 
 from cactustiller.model import Record
 from cactustiller.model.messages import AnnounceSettings, GetSettings, SettingsBody
+from cactustiller.ports import decode_row
 from cactustiller.settings import apply_patch, dump_tree, parse_tree
 
 from .freshness import PeerAnswer, find_confirmation_time
@@ -80,6 +81,7 @@
         self._random = random.Random(seed)
         self._confirmed_at = float("-inf")
         self._table_down = False
+        self._unreadable = set()
         self._task = None
 
     @property
@@ -125,7 +127,12 @@
         if row.unchanged:
             self.confirm(started)
             return
-        head = SettingsHead.model_validate(row.value)
+        head = decode_row(row, SettingsHead, "poll settings", reported=self._unreadable)
+        if head is None:
+            # As in an outage, only the peers can confirm the version in force.
+            self._table_down = True
+            await self._poll_peers()
+            return
         if await self._load(head):
             self.head_row_version = max(self.head_row_version, row.version)
             self.confirm(started)
@@ -207,7 +214,15 @@
         answer = await self._member.table.read_row(body_key(head.version))
         if answer.is_err() or answer.unwrap().value is None:
             return False
-        row = SettingsBodyRow.model_validate(answer.unwrap().value)
+        row = decode_row(
+            answer.unwrap(),
+            SettingsBodyRow,
+            "load settings",
+            lambda row: body_key(row.version),
+            self._unreadable,
+        )
+        if row is None:
+            return False
         if digest_text(row.text) != head.digest:
             log.error("settings_body_damaged", version=head.version)
             return False
--- a/libs/ownership/src/cactustiller/ownership/settings_rows.py
+++ b/libs/ownership/src/cactustiller/ownership/settings_rows.py
@@ -7,6 +7,8 @@
 
 import hashlib
 
+from pydantic import Field
+
 from cactustiller.model import Record
 
 HEAD_KEY = "settings/head"
@@ -24,7 +26,7 @@
     repeated in the body row.
     """
 
-    version: int
+    version: int = Field(ge=1)
     author: str
     note: str = ""
     at: float
