Restart the background tasks of members, settings and writers

Cause: an exception in the renewal of the lease, the refresh, the poll of the settings or the commit loop ended that task without a line.

Change: they run under keep_running (model/supervision.py, after the pattern of libs/cell), which logs task_failed and restarts them. A call of the table service that raises counts as one with an unknown outcome, and operations of a batch that cannot be sent fail with an unknown outcome.

--- a/libs/ownership/src/cactustiller/ownership/member.py
+++ b/libs/ownership/src/cactustiller/ownership/member.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import secrets
+from functools import partial
 
 import structlog
 from reactivex.subject import Subject
@@ -15,6 +16,7 @@
 
 from cactustiller.model import TABLE_PEER, ErrorCode, Failure, FailureError, Role
 from cactustiller.model.messages import AnnounceOwnership, Done, Hello
+from cactustiller.model.supervision import keep_running
 from cactustiller.peers import PeerClient, PeerServer, Traffic
 from cactustiller.ports import (
     Check,
@@ -163,11 +165,12 @@
         await self.refresh()
         # A peer without this member's record refreshes on the announcement.
         announcement = AnnounceOwnership(version=self.ownership_version)
-        self._tasks = [
-            asyncio.create_task(self.announce(announcement)),
-            asyncio.create_task(self._renew_lease()),
-            asyncio.create_task(self._refresh_periodically()),
-        ]
+        runs = {
+            "announce member": partial(self.announce, announcement),
+            "renew lease": self._renew_lease,
+            "refresh members": self._refresh_periodically,
+        }
+        self._tasks = [asyncio.create_task(keep_running(*run)) for run in runs.items()]
 
     async def stop(self):
         """Stop without notifying the other members, as in a crash."""
@@ -292,10 +295,7 @@
         return True
 
     async def announce(self, message, records=None):
-        """Send a message to the other members; ignore failures.
-
-        `records` restricts the recipients; by default they are all members.
-        """
+        """Send a message to the other members, or to `records`; ignore failures."""
         calls = [
             self.peers.call(record.peer_address, message, ANNOUNCE_TIMEOUT_SECONDS)
             for record in (records or self.list_members())
--- a/libs/ownership/src/cactustiller/ownership/replica.py
+++ b/libs/ownership/src/cactustiller/ownership/replica.py
@@ -13,6 +13,7 @@
 
 from cactustiller.model import Record
 from cactustiller.model.messages import AnnounceSettings, GetSettings, SettingsBody
+from cactustiller.model.supervision import keep_running
 from cactustiller.ports import decode_row
 from cactustiller.settings import apply_patch, dump_tree, parse_tree
 
@@ -99,7 +100,9 @@
     async def start(self):
         """Poll once, then continue in a background task."""
         await self.poll()
-        self._task = asyncio.create_task(self._poll_periodically())
+        self._task = asyncio.create_task(
+            keep_running("poll settings", self._poll_periodically)
+        )
 
     async def stop(self):
         """Stop polling."""
--- a/libs/ports/src/cactustiller/ports/commits.py
+++ b/libs/ports/src/cactustiller/ports/commits.py
@@ -19,6 +19,7 @@
 from result import Err, Ok
 
 from cactustiller.model import TABLE_PEER, ErrorCode, Failure, Outcome
+from cactustiller.model.supervision import keep_running
 
 from .batches import Batch, Operation
 from .records import Check, Put, TransactReply, Write
@@ -97,7 +98,7 @@
     def start(self, fence_version):
         """Start the commit loop; `fence_version` is the fence row's current version."""
         self._version = fence_version
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(keep_running("commit writes", self._run))
 
     async def stop(self):
         """Stop; queued writes fail with `NOT_RUN`, those in flight with `UNKNOWN`."""
@@ -166,8 +167,13 @@
             await asyncio.sleep(self._delay_seconds)
             self._wake.clear()
             batch = self._take_batch()
-            while batch and not self.is_fenced:
-                batch = await self._commit_batch(batch)
+            try:
+                while batch and not self.is_fenced:
+                    batch = await self._commit_batch(batch)
+            except Exception:
+                for operation in batch:
+                    _resolve(operation, _fail_in_flight(operation))
+                raise
             if self._queue:
                 self._wake.set()
 
@@ -216,7 +222,13 @@
         while True:
             sent_at = loop.time()
             self.counters.transactions += 1
-            answer = await self._port.transact(write)
+            try:
+                answer = await self._port.transact(write)
+            except Exception as error:
+                # The token shows later whether the transaction took effect.
+                log.exception("commit_failed", step="commit", peer=TABLE_PEER)
+                failure = _refuse(f"{type(error).__name__}: {error}").unwrap_err()
+                answer = Err(failure.with_changes(outcome=Outcome.UNKNOWN))
             if answer.is_ok():
                 self._stuck_since = None
                 since = first_sent_at if may_have_run else sent_at
