Restart a gateway's background tasks; answer for unreadable request records

Change: the four tasks run under keep_running. A malformed record is named once and kept; requests with its key get 504, since the earlier request may have run.

The fake scheduler of these tests answers AnnounceOwnership, which it did not know; the error was lost so far.

--- a/libs/gateway/src/cactustiller/gateway/deduplication.py
+++ b/libs/gateway/src/cactustiller/gateway/deduplication.py
@@ -12,9 +12,11 @@
 from hashlib import blake2b
 
 import structlog
+from pydantic import Field
 
 from cactustiller.model import ErrorCode, Failure, FailureError, Outcome, Record, Role
-from cactustiller.ports import Check, Put, Read, Scan, Write
+from cactustiller.model.supervision import keep_running
+from cactustiller.ports import Check, Put, Read, Scan, Write, decode_row
 
 from .errors import make_refusal
 from .forwarding import ServiceResponse
@@ -49,9 +51,9 @@
     request: str
     digest: str
     at: float
-    status: int = 0
+    status: int = Field(default=0, ge=0, le=599)
     body: str = ""
-    content_type: str = ""
+    content_type: str = Field(default="", pattern=r"^[ -~]*$")
     executor: str = ""
     failure: Failure | None = None
 
@@ -66,11 +68,14 @@
 
     def __init__(self, member):
         self._member = member
+        self._unreadable = set()
         self._task = None
 
     def start(self):
         """Start removing old records in the background."""
-        self._task = asyncio.create_task(self._sweep_regularly())
+        self._task = asyncio.create_task(
+            keep_running("sweep request records", self._sweep_regularly)
+        )
 
     async def stop(self):
         """Stop removing old records."""
@@ -118,7 +123,7 @@
                 return
             page = answer.unwrap().scans[0]
             cutoff = time.time() - RETENTION_SECONDS
-            old = [row for row in page.rows if row.value["at"] < cutoff]
+            old = [row for row in page.rows if self._is_older(row, cutoff)]
             if old:
                 checks = [Check(key=row.key, version=row.version) for row in old]
                 write = Write(checks=checks, deletes=[row.key for row in old])
@@ -127,6 +132,12 @@
                 return
             scan = scan.with_changes(after=page.next)
 
+    def _is_older(self, row, cutoff):
+        """Return whether a record is older than a time; False if it is malformed."""
+        step = "sweep request records"
+        record = decode_row(row, RequestRecord, step, reported=self._unreadable)
+        return record is not None and record.at < cutoff
+
     async def _claim(self, key, record):
         """Insert the row; return its version, ``None`` if it already exists."""
         write = Write(
@@ -184,7 +195,11 @@
             if answer.is_ok() and answer.unwrap().value is None:
                 return None
             if answer.is_ok():
-                found = RequestRecord.model_validate(answer.unwrap().value)
+                found = decode_row(
+                    answer.unwrap(), RequestRecord, STEP, reported=self._unreadable
+                )
+                if found is None:
+                    raise _build_unknown_outcome(f"the row {key} cannot be read")
                 _check_same_body(found, record)
                 if found.state is not RequestState.CLAIMED:
                     return _replay(found)
@@ -229,7 +244,11 @@
         raise FailureError(found.failure)
     if found.state is RequestState.UNKNOWN:
         raise _build_unknown_outcome("the response to the earlier request is unknown")
-    body = base64.b64decode(found.body)
+    try:
+        body = base64.b64decode(found.body, validate=True)
+    except ValueError:
+        reason = "the stored response to the earlier request cannot be read"
+        raise _build_unknown_outcome(reason) from None
     return ServiceResponse(
         found.status, body, found.content_type, found.executor, False
     )
--- a/libs/gateway/src/cactustiller/gateway/executors.py
+++ b/libs/gateway/src/cactustiller/gateway/executors.py
@@ -5,6 +5,7 @@
 import structlog
 
 from cactustiller.model import InstanceState
+from cactustiller.model.supervision import keep_running
 from cactustiller.ports import InstanceListing
 
 POLL_INTERVAL_SECONDS = 0.5
@@ -30,7 +31,9 @@
     async def start(self):
         """Load the list once, then poll it in the background."""
         await self.poll()
-        self._task = asyncio.create_task(self._poll_regularly())
+        self._task = asyncio.create_task(
+            keep_running("poll instance list", self._poll_regularly)
+        )
 
     async def stop(self):
         """Stop polling."""
--- a/libs/gateway/src/cactustiller/gateway/permits.py
+++ b/libs/gateway/src/cactustiller/gateway/permits.py
@@ -14,6 +14,7 @@
 
 from cactustiller.model import ErrorCode, Failure
 from cactustiller.model.messages import AcquirePermits, HeldPermits, Permits
+from cactustiller.model.supervision import keep_running
 from cactustiller.ownership import pool_of_service
 from cactustiller.scheduler.ballots import make_ballot
 
@@ -120,7 +121,8 @@
 
     def start(self):
         """Start acquiring and renewing permits in the background."""
-        self._task = asyncio.create_task(self._run())
+        step = f"renew permits of {self._service}"
+        self._task = asyncio.create_task(keep_running(step, self._run))
 
     async def stop(self):
         """Stop and return every idle permit to the owner."""
@@ -339,9 +341,8 @@
             if granted >= needed:
                 backoff_seconds = MIN_BACKOFF_SECONDS
                 continue
-            await asyncio.sleep(
-                self._random.uniform(backoff_seconds / 2, backoff_seconds)
-            )
+            pause = self._random.uniform(backoff_seconds / 2, backoff_seconds)
+            await asyncio.sleep(pause)
             backoff_seconds = min(2 * backoff_seconds, MAX_BACKOFF_SECONDS)
             if self.queue_length:
                 self._wake.set()
@@ -360,10 +361,7 @@
     async def _renew(self, needed):
         """Return surplus permits, renew the others and request `needed` more.
 
-        Returns
-        -------
-        int
-            Number of permits granted.
+        Returns the number of permits granted.
         """
         await self._close_surplus()
         self._must_renew = False
--- a/libs/gateway/src/cactustiller/gateway/routing.py
+++ b/libs/gateway/src/cactustiller/gateway/routing.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from cactustiller.model import ErrorCode, Failure, FailureError, Outcome
+from cactustiller.model.supervision import keep_running
 from cactustiller.settings import find_largest
 
 from .ejection import ExecutorHealth
@@ -70,7 +71,9 @@
 
     def start(self):
         """Start a permit store for each listed service, in the background."""
-        self._store_task = asyncio.create_task(self._open_stores_regularly())
+        self._store_task = asyncio.create_task(
+            keep_running("open permit stores", self._open_stores_regularly)
+        )
 
     async def stop(self):
         """Stop every permit store, which returns its permits."""
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -16,6 +16,7 @@
 from cactustiller.model import ErrorCode, Failure, MemberRecord, Outcome
 from cactustiller.model.messages import (
     AcquirePermits,
+    AnnounceOwnership,
     AnnounceSettings,
     Done,
     GetSettings,
@@ -145,7 +146,7 @@
             return self._submit(message)
         if isinstance(message, AnnounceSettings):
             return SettingsBody(version=message.version)
-        if isinstance(message, GetSettings):
+        if isinstance(message, GetSettings | AnnounceOwnership):
             return Done()
         if message.job not in self.jobs:
             return Failure(code=ErrorCode.NOT_FOUND, step="find job", reason="no job")
