Restart a scheduler's pool checks, reports and calls to workers

Cause: an exception in the check of a pool, or in a report to a home, ended that task without a line. One in the calls to a worker ended the scheduler, and so one worker could end each successor of its shard in turn. One at the start of an incarnation ended the process.

Change: these tasks run under keep_running; a worker is reconciled anew afterwards. The other tasks still end the incarnation, which is now also followed by another after an exception outside them. The simulated worker does not repeat waits below the resolution of the virtual clock, where its poll did not end and the test hung.

The tests of sessions no longer pass on_failure; what it raised in a callback failed no test.

--- a/libs/scheduler/src/cactustiller/scheduler/daemon.py
+++ b/libs/scheduler/src/cactustiller/scheduler/daemon.py
@@ -47,7 +47,14 @@
     stop : asyncio.Event
     """
     while not stop.is_set():
-        await create_incarnation().run(stop)
+        try:
+            await create_incarnation().run(stop)
+        except Exception as error:
+            log.exception(
+                "incarnation_failed",
+                step="run incarnation",
+                reason=f"{type(error).__name__}: {error}",
+            )
         log.info("scheduler_incarnation_ended", graceful=stop.is_set())
         if not stop.is_set():
             # A programming error may recur at once.
--- a/libs/scheduler/src/cactustiller/scheduler/exchange.py
+++ b/libs/scheduler/src/cactustiller/scheduler/exchange.py
@@ -1,11 +1,13 @@
 """Exchange of run reports and capacity digests with peers."""
 
 import asyncio
+from functools import partial
 
 import structlog
 
 from cactustiller.model import Role
 from cactustiller.model.messages import PublishWorkers, ReportRuns
+from cactustiller.model.supervision import keep_running
 
 REPORT_DELAY_SECONDS = 0.03
 REPORT_RETRY_SECONDS = 0.5
@@ -81,7 +83,8 @@
         if (shard.shard, home) in self._reporting:
             return
         self._reporting.add((shard.shard, home))
-        task = asyncio.create_task(self._report(shard, home, reports))
+        run = partial(self._report, shard, home, reports)
+        task = asyncio.create_task(keep_running(f"report to {home}", run))
         task.add_done_callback(lambda _: self._reporting.discard((shard.shard, home)))
 
     async def _report(self, shard, home, reports):
--- a/libs/scheduler/src/cactustiller/scheduler/pools.py
+++ b/libs/scheduler/src/cactustiller/scheduler/pools.py
@@ -7,13 +7,14 @@
 """
 
 import asyncio
-import contextlib
 from collections import Counter
+from functools import partial
 
 import structlog
 
 from cactustiller.model import ErrorCode, Failure, InstanceState
 from cactustiller.model.messages import Permit, Permits
+from cactustiller.model.supervision import keep_running
 
 from .ballots import CONFIRMED_SECONDS, Ballots
 from .fairness import find_fair_share
@@ -86,15 +87,16 @@
 
     def start(self, call_gateways):
         """Start the task that confirms ballots and frees expired grants."""
-        self._task = asyncio.create_task(self._run(call_gateways))
+        step = f"check pool {self.service}"
+        run = partial(self._run, call_gateways)
+        self._task = asyncio.create_task(keep_running(step, run))
 
     async def stop(self):
         """Stop granting and renewing permits."""
         self.ballots.supersede()
         if self._task is not None:
             self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+            await asyncio.gather(self._task, return_exceptions=True)
 
     def may_grant(self, now):
         """Return whether no newer owner can have granted slots by `now`."""
@@ -207,12 +209,10 @@
             self._is_recovering = self._has_silent_gateways or now < self._busy_until
         if must_release and outcome.has_majority:
             # Executors may work until the deadline of the last request sent to them.
-            seconds = (
-                CONFIRMED_SECONDS + PERMIT_LIFETIME_SECONDS + EXPIRY_MARGIN_SECONDS
-            )
+            seconds = CONFIRMED_SECONDS + PERMIT_LIFETIME_SECONDS
             # Only the previous owner knew the longest deadline of a silent gateway.
             limit_ms = self._limit_ms if self._is_recovering else 0
-            seconds += max(self._longest_ms, limit_ms) / 1000
+            seconds += EXPIRY_MARGIN_SECONDS + max(self._longest_ms, limit_ms) / 1000
             self._release = Release(now + seconds, expired_before)
         return outcome.unconfirmed
 
--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -12,12 +12,12 @@
 from result import Ok
 
 from cactustiller.model import NO_RESOURCES, ErrorCode, InstanceState, RunState
+from cactustiller.model.supervision import keep_running
 from cactustiller.ports import Apply, TaskStop, Watch
 
 from .apply_items import make_renewal, make_start, make_stop
 from .clock import CLOCK_RATE_MARGIN, WorkerClock
 from .runs import RunPhase, make_run_key
-from .supervision import watch_task
 
 LONG_POLL_SECONDS = 15.0
 MIN_RETRY_SECONDS = 0.1
@@ -104,14 +104,13 @@
             return NO_RESOURCES
         return self.info.resources - self.used
 
-    def start(self, on_failure):
-        """Start the calls to the worker; pass the exception of a failed task on."""
+    def start(self):
+        """Start the calls to the worker, which are restarted after an exception."""
+        runs = {"watch": self._run_watch_loop, "apply to": self._run_apply_loop}
         self._tasks = [
-            asyncio.create_task(self._run_watch_loop()),
-            asyncio.create_task(self._run_apply_loop()),
+            asyncio.create_task(keep_running(f"{step} {self.info.worker}", run))
+            for step, run in runs.items()
         ]
-        for task in self._tasks:
-            watch_task(task, on_failure)
 
     async def stop(self):
         """Cancel all calls to the worker."""
@@ -251,6 +250,7 @@
         self._renew_at = min(self._renew_at, now + due_in)
 
     async def _run_watch_loop(self):
+        self.is_reconciled = False  # after an exception, runs may be out of date
         retry_seconds = MIN_RETRY_SECONDS
         while True:
             is_first = not self.is_reconciled or self._needs_full_watch
--- a/libs/scheduler/src/cactustiller/scheduler/shard.py
+++ b/libs/scheduler/src/cactustiller/scheduler/shard.py
@@ -241,7 +241,7 @@
             )
             session.add(entry)
         self._unreadable.watch(session)
-        session.start(self.on_failure)
+        session.start()
 
     def _list_removed(self, infos):
         """Return the workers missing from the list for `REMOVAL_GRACE_SECONDS`.
--- a/standins/simulation.py
+++ b/standins/simulation.py
@@ -22,6 +22,8 @@
 FAIL_AFTER_SECONDS = 0.2
 SHORTEST_TIMER_SECONDS = 0.0001
 FIRST_SEQUENCE = 1  # above 0, so that an idle worker's caller waits
+# On a virtual clock a shorter wait returns at once, so the poll would never end.
+MIN_WAIT_SECONDS = 1e-6
 
 
 class SimulatedWorker:
@@ -81,7 +83,7 @@
                 after = 0
             changed, sequence = self._collect_changes(after)
             remaining = deadline - loop.time()
-            if changed or after == 0 or remaining <= 0:
+            if changed or after == 0 or remaining < MIN_WAIT_SECONDS:
                 break
             waiter = loop.create_future()
             self._waiters.add(waiter)
--- a/tests/scheduler/test_previous_owners.py
+++ b/tests/scheduler/test_previous_owners.py
@@ -21,10 +21,6 @@
 CAPACITY = Resources(cpu_millis=1)
 
 
-def on_failure(error):
-    raise AssertionError(error)
-
-
 class Worker:
     """Worker port whose answers the test sets; its clock is the loop's."""
 
@@ -102,7 +98,7 @@
         session = WorkerSession(info, Authority(), worker, TIMING, lambda _: None)
         for entry in entries:
             session.add(entry)
-        session.start(on_failure)
+        session.start()
         sessions.append(session)
         return session
 
--- a/tests/scheduler/test_sessions.py
+++ b/tests/scheduler/test_sessions.py
@@ -15,10 +15,6 @@
 RUNS = 5
 
 
-def on_failure(error):
-    raise AssertionError(error)
-
-
 class FreeAuthority:
     """Authority that allows all starts and renewals."""
 
@@ -83,7 +79,7 @@
     worker = CountingWorker()
     changes = []
     session = WorkerSession(info, FreeAuthority(), worker, TIMING, changes.append)
-    session.start(on_failure)
+    session.start()
     checking = asyncio.create_task(check_regularly(session))
     await asyncio.sleep(1)
     for index in range(RUNS):
@@ -114,7 +110,7 @@
     )
     worker = CountingWorker()
     session = WorkerSession(info, FreeAuthority(), worker, TIMING, lambda _: None)
-    session.start(on_failure)
+    session.start()
     checking = asyncio.create_task(check_regularly(session))
     await asyncio.sleep(1)
     entry = build_entry(0)
