Return a failure for peer addresses and messages that cannot be used

Cause: the address in a member's row is not checked. A malformed one raised in each announcement, which ended every scheduler of the cell. A message with a number beyond the range of the schema raised at its sender; as a reply, it left the caller waiting until its timeout. A frame that is too long was sent, and the receiver closed the connection.

Change: PeerClient.call returns a failure that names step and peer; the server answers a reply that it cannot encode by a failure and logs it.

--- a/libs/model/src/cactustiller/model/codec.py
+++ b/libs/model/src/cactustiller/model/codec.py
@@ -54,12 +54,21 @@
 
 
 def encode_frame(frame):
-    """Return the bytes of a `Frame`."""
+    """Return the bytes of a `Frame`.
+
+    Raises
+    ------
+    CodecError
+        If a field is out of the range of the schema.
+    """
     message = frame.message
-    fields = message.model_dump(by_alias=True, mode="json", context=CAPNP_CONTEXT)
-    body = {_FIELD_BY_CLASS[type(message)]: fields or None}
     kind = "reply" if frame.is_reply else "request"
-    return _SCHEMA.Frame.new_message(id=frame.id, kind=kind, body=body).to_bytes()
+    try:
+        fields = message.model_dump(by_alias=True, mode="json", context=CAPNP_CONTEXT)
+        body = {_FIELD_BY_CLASS[type(message)]: fields or None}
+        return _SCHEMA.Frame.new_message(id=frame.id, kind=kind, body=body).to_bytes()
+    except (*MALFORMED_ERRORS, OverflowError) as error:
+        raise CodecError(f"cannot encode: {_describe(error)}") from error
 
 
 def decode_frame(data):
@@ -76,6 +85,9 @@
         ((name, body),) = fields["body"].items()
         message = _CLASS_BY_FIELD[name].model_validate(body or {})
     except MALFORMED_ERRORS as error:
-        reason = (str(error) or type(error).__name__).splitlines()[0]
-        raise CodecError(f"malformed frame: {reason}") from error
+        raise CodecError(f"malformed frame: {_describe(error)}") from error
     return Frame(fields["id"], fields["kind"] == "reply", message)
+
+
+def _describe(error):
+    return (str(error) or type(error).__name__).splitlines()[0]
--- a/libs/peers/src/cactustiller/peers/client.py
+++ b/libs/peers/src/cactustiller/peers/client.py
@@ -110,8 +110,9 @@
                 connection = await self._connect(address)
         except (
             OSError,
+            OverflowError,
             TimeoutError,
-            FrameError,
+            ValueError,
             asyncio.IncompleteReadError,
         ) as error:
             reason = f"cannot connect: {error or type(error).__name__}"
@@ -126,6 +127,10 @@
             return _make_failure(
                 ErrorCode.TIMEOUT, step, address, reason, Outcome.UNKNOWN
             )
+        except FrameError as error:
+            return _make_failure(
+                ErrorCode.INVALID, step, address, str(error), Outcome.NOT_RUN
+            )
         if reply is None:
             reason = "connection closed before the reply"
             return _make_failure(
--- a/libs/peers/src/cactustiller/peers/frames.py
+++ b/libs/peers/src/cactustiller/peers/frames.py
@@ -35,8 +35,19 @@
 
 
 def write_frame(writer, frame, traffic):
-    """Append one frame to the writer's buffer."""
-    data = encode_frame(frame)
+    """Append one frame to the writer's buffer.
+
+    Raises
+    ------
+    FrameError
+        If the message cannot be encoded or the frame exceeds `MAX_FRAME_BYTES`.
+    """
+    try:
+        data = encode_frame(frame)
+    except CodecError as error:
+        raise FrameError(str(error)) from error
+    if len(data) > MAX_FRAME_BYTES:
+        raise FrameError(f"frame of {len(data)} bytes exceeds {MAX_FRAME_BYTES}")
     traffic.count_sent(len(data) + _LENGTH.size)
     writer.write(_LENGTH.pack(len(data)) + data)
 
--- a/libs/peers/src/cactustiller/peers/server.py
+++ b/libs/peers/src/cactustiller/peers/server.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from cactustiller.model import ErrorCode, Failure, FailureError
+from cactustiller.model import ErrorCode, Failure, FailureError, Outcome
 from cactustiller.model.codec import Frame
 from cactustiller.model.messages import PROTOCOL_VERSION, Hello
 
@@ -92,7 +92,13 @@
     async def _answer(self, frame, hello, writer, request_limit):
         try:
             reply = await self._handle_safely(frame.message, hello)
-            write_frame(writer, Frame(frame.id, True, reply), self._traffic)
+            try:
+                write_frame(writer, Frame(frame.id, True, reply), self._traffic)
+            except FrameError as error:
+                step = f"reply to {type(frame.message).__name__}"
+                log.error("peer_request_failed", peer=hello.member, step=step)
+                reply = _fail_unexpected(step, str(error))
+                write_frame(writer, Frame(frame.id, True, reply), self._traffic)
             await writer.drain()
         except OSError:
             log.debug("peer_reply_lost", peer=hello.member)
@@ -106,12 +112,8 @@
             return error.failure
         except Exception as error:
             log.exception("peer_request_failed", peer=hello.member)
-            return Failure(
-                code=ErrorCode.PROTOCOL,
-                step=f"handle {type(message).__name__}",
-                reason=f"{type(error).__name__}: {error}",
-                outcome="unknown",
-            )
+            reason = f"{type(error).__name__}: {error}"
+            return _fail_unexpected(f"handle {type(message).__name__}", reason)
 
 
 def check_hello(message):
@@ -128,3 +130,9 @@
         raise FrameError(
             f"protocol version {message.protocol_version}, expected {PROTOCOL_VERSION}"
         )
+
+
+def _fail_unexpected(step, reason):
+    return Failure(
+        code=ErrorCode.PROTOCOL, step=step, reason=reason, outcome=Outcome.UNKNOWN
+    )
