--- a/libs/gateway/src/cactustiller/gateway/routes/settings.py
+++ b/libs/gateway/src/cactustiller/gateway/routes/settings.py
@@ -21,6 +21,9 @@
 HIGHEST_VERSION = 2**62
 MAX_AGE_SECONDS = 1e9  # JSON has no infinity
 
+# The longest version in a message, which has 64 bits.
+MAX_VERSION_DIGITS = 19
+
 
 async def show_tree(request):
     """Respond with the tree in force, without its keys."""
@@ -133,7 +136,8 @@
 
 def _read_version(request, name):
     text = request.query.get(name, "")
-    if not (text.isascii() and text.isdigit()):
+    is_number = text.isascii() and text.isdigit()
+    if not is_number or len(text) > MAX_VERSION_DIGITS:
         reason = f"{name}: must be a version number"
         raise make_refusal(ErrorCode.INVALID, "compare settings", reason)
     return int(text)
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -20,7 +20,9 @@
     AnnounceSettings,
     Done,
     GetSettings,
+    JobList,
     JobView,
+    ListJobs,
     SettingsBody,
     SubmitJob,
 )
@@ -148,6 +150,8 @@
             return SettingsBody(version=message.version)
         if isinstance(message, GetSettings | AnnounceOwnership):
             return Done()
+        if isinstance(message, ListJobs):
+            return JobList(jobs=[])
         if message.job not in self.jobs:
             return Failure(code=ErrorCode.NOT_FOUND, step="find job", reason="no job")
         return self.jobs[message.job]
