Keep published amounts within the range of the messages

Cause: a worker whose listed capacity became smaller than that of its runs had negative free amounts, and sums over many tasks can exceed the schema.

Change: free capacity is at least 0, and amounts in digests are cut to the bounds of the schema.

--- a/libs/model/src/cactustiller/model/resources.py
+++ b/libs/model/src/cactustiller/model/resources.py
@@ -36,6 +36,15 @@
             accelerators=self.accelerators - other.accelerators,
         )
 
+    def subtract_to_zero(self, other):
+        """Return the resources without `other`, with no amount below 0."""
+        rest = self - other
+        return Resources.model_construct(
+            cpu_millis=max(0, rest.cpu_millis),
+            memory_mib=max(0, rest.memory_mib),
+            accelerators=max(0, rest.accelerators),
+        )
+
     def times(self, count):
         """Return the resources multiplied by `count`."""
         return Resources.model_construct(
--- a/libs/scheduler/src/cactustiller/scheduler/digests.py
+++ b/libs/scheduler/src/cactustiller/scheduler/digests.py
@@ -13,6 +13,8 @@
 from cactustiller.policy import Amounts, Claim
 
 MIN_RELATIVE_CHANGE = 0.02
+# Largest amounts that the fields of a message can hold.
+MAX_AMOUNTS = Amounts(2**64 - 1, 2**64 - 1, 2**32 - 1)
 
 
 class UsageDigests:
@@ -143,7 +145,10 @@
 
 
 def _make_resources(amounts):
-    cpu, memory, accelerators = amounts
+    cpu, memory, accelerators = (
+        max(0, min(amount, bound))
+        for amount, bound in zip(amounts, MAX_AMOUNTS, strict=True)
+    )
     return Resources(cpu_millis=cpu, memory_mib=memory, accelerators=accelerators)
 
 
--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -102,7 +102,7 @@
         """Capacity that no run holds; `NO_RESOURCES` while the worker is not usable."""
         if not self.is_usable:
             return NO_RESOURCES
-        return self.info.resources - self.used
+        return self.info.resources.subtract_to_zero(self.used)
 
     def start(self):
         """Start the calls to the worker, which are restarted after an exception."""
