--- a/libs/model/src/cactustiller/model/record.py
+++ b/libs/model/src/cactustiller/model/record.py
@@ -7,9 +7,12 @@
 
 
 def _read_labels(value):
-    if isinstance(value, list):
+    if not isinstance(value, list):
+        return value
+    try:
         return {pair["name"]: pair["value"] for pair in value}
-    return value
+    except (KeyError, TypeError) as error:
+        raise ValueError("must be pairs of name and value") from error
 
 
 def _write_labels(value, info):
--- a/libs/scheduler/src/cactustiller/scheduler/unreadable.py
+++ b/libs/scheduler/src/cactustiller/scheduler/unreadable.py
@@ -45,7 +45,7 @@
         step = f"recover {self._shard}"
         records, unreadable = decode_rows(rows, RunRecord, step, make_key)
         for row in unreadable:
-            worker = (row.value or {}).get("worker")
+            worker = row.value.get("worker") if isinstance(row.value, dict) else None
             self._workers[row.key] = worker if isinstance(worker, str) else None
         return records
 
--- a/tests/gateway/test_malformed.py
+++ b/tests/gateway/test_malformed.py
@@ -20,7 +20,10 @@
 TREE = {"values": {"share_weight": 2.0}, "children": {}, "keys": []}
 BODIES = {
     ("POST", "/v1/jobs"): build_submission(
-        kind="batch", deadline_seconds=5.0, max_attempts=2
+        kind="batch",
+        deadline_seconds=5.0,
+        max_attempts=2,
+        template={"resources": LIMITS, "run_seconds": 1.0, "required": {"a": "b"}},
     ),
     ("PUT", "/v1/settings"): {"expected_version": 1, "tree": TREE, "note": "n"},
     ("PATCH", "/v1/settings"): {"path": "", "name": "share_weight", "value": 2.0},
@@ -32,6 +35,8 @@
 RAW = [
     b"",
     b"{",
+    json.dumps(build_submission(template={"required": [["a"]]})).encode(),
+    json.dumps(build_submission(template={"preferred": [{}]})).encode(),
     b"\xff\xfe",
     b'{"name": "\xff"}',
     b'{"name": "\\ud800"}',
