Refuse ballots that are far beyond a pool's epoch

Cause: a gateway follows the highest ballot that it has seen. One ReportPermits, or one reply to a request for permits, with a senseless number made it ignore all later permits of the service, so each request got 503 until a restart.

Change: a ballot of an epoch that is 1000 or more beyond the last known one is refused with step and peer; a reply with such a ballot is ignored.

Result: two tests in tests/gateway/test_malformed_messages.py, seen to fail before the change (503). Passed: tests/gateway, tests/scheduler/test_pools.py.

--- a/libs/gateway/src/cactustiller/gateway/handlers.py
+++ b/libs/gateway/src/cactustiller/gateway/handlers.py
@@ -3,6 +3,8 @@
 import json
 from functools import singledispatch
 
+import structlog
+
 from cactustiller.model import ErrorCode, Failure
 from cactustiller.model.messages import (
     AnnounceSettings,
@@ -13,7 +15,10 @@
     ReportPermits,
     Stats,
 )
-from cactustiller.ownership import collect_control_counters
+from cactustiller.ownership import collect_control_counters, pool_of_service
+from cactustiller.scheduler.ballots import is_plausible
+
+log = structlog.get_logger(__name__)
 
 
 @singledispatch
@@ -35,6 +40,13 @@
 
 @handle_message.register
 async def _report_permits(message: ReportPermits, gateway, hello):
+    partition = pool_of_service(message.service)
+    if not is_plausible(message.epoch, gateway.member.epoch_of(partition)):
+        reason = f"ballot {message.epoch} is far beyond the epoch of {partition}"
+        step = f"report permits of {message.service}"
+        peer = getattr(hello, "member", "local")
+        log.error("ballot_refused", step=step, peer=peer, reason=reason)
+        return Failure(code=ErrorCode.INVALID, step=step, peer=peer, reason=reason)
     return gateway.router.report_permits(message)
 
 
--- a/libs/gateway/src/cactustiller/gateway/permits.py
+++ b/libs/gateway/src/cactustiller/gateway/permits.py
@@ -16,7 +16,7 @@
 from cactustiller.model.messages import AcquirePermits, HeldPermits, Permits
 from cactustiller.model.supervision import keep_running
 from cactustiller.ownership import pool_of_service
-from cactustiller.scheduler.ballots import make_ballot
+from cactustiller.scheduler.ballots import is_plausible, make_ballot
 
 from .admission import AdmissionControl
 from .confirmations import confirm_ballot
@@ -374,7 +374,9 @@
             await self._member.refresh(scan_members=False)
             return 0
         reply = answer.unwrap()
-        if not isinstance(reply, Permits) or reply.epoch < self._ballot:
+        epoch = self._member.epoch_of(self._partition)
+        is_newer = isinstance(reply, Permits) and reply.epoch >= self._ballot
+        if not is_newer or not is_plausible(reply.epoch, epoch):
             log.warning("permits_ignored", service=self._service, ballot=self._ballot)
             return 0
         self._ballot = self._renewed_ballot = reply.epoch
--- a/libs/scheduler/src/cactustiller/scheduler/ballots.py
+++ b/libs/scheduler/src/cactustiller/scheduler/ballots.py
@@ -15,6 +15,8 @@
 ROUND_BITS = 40
 GENERATION_BITS = 20
 CONFIRMED_SECONDS = 1.5
+# Epochs grow by one with each owner, and gateways read them with each heartbeat.
+MAX_EPOCH_LEAD = 1000
 
 
 def make_ballot(epoch, round_number=0):
@@ -26,6 +28,14 @@
     return (epoch << ROUND_BITS) + round_number
 
 
+def is_plausible(ballot, epoch):
+    """Return whether a ballot can be one of a pool whose last known epoch is `epoch`.
+
+    A gateway follows no lower ballot afterwards, so a malformed one would block it.
+    """
+    return 0 <= ballot < make_ballot(epoch + MAX_EPOCH_LEAD)
+
+
 class BallotOutcome(NamedTuple):
     """Replies of the gateways that confirm a ballot, and names of the others."""
 
