Merge hardening of our own deployment against bad input

Conflicts: the capacity of a worker with an unreadable run and that of an evacuated zone are one condition in WorkerSession; one module supervises background tasks of both deployments. A test's configuration of structlog is undone after it: the recovery machine had silenced the error lines that a later test expects.

--- a/libs/cell/src/cactustiller/cell/supervision.py
+++ b/libs/cell/src/cactustiller/cell/supervision.py
@@ -1,15 +1,10 @@
 """Supervision of background tasks that have to go on whatever happens."""
 
-import asyncio
 import traceback
 
-from .reporting.events import Event, log_event
+from cactustiller.model.supervision import supervise
 
-# Delay before a failed task is restarted, doubled with each further failure.
-MIN_RESTART_SECONDS = 0.2
-MAX_RESTART_SECONDS = 2.0
-# A task that has run for longer than this is restarted with the shortest delay.
-STABLE_SECONDS = 10.0
+from .reporting.events import Event, log_event
 
 
 async def keep_running(name, run):
@@ -22,21 +17,14 @@
     run : callable
         Coroutine function without arguments. Its return ends the supervision.
     """
-    loop = asyncio.get_running_loop()
-    pause = MIN_RESTART_SECONDS
-    while True:
-        started_at = loop.time()
-        try:
-            return await run()
-        except Exception as error:
-            if loop.time() - started_at > STABLE_SECONDS:
-                pause = MIN_RESTART_SECONDS
-            log_event(
-                Event.TASK_FAILED,
-                step=name,
-                reason=repr(error),
-                trace=traceback.format_exc(),
-                restart_seconds=pause,
-            )
-        await asyncio.sleep(pause)
-        pause = min(2 * pause, MAX_RESTART_SECONDS)
+    return await supervise(name, run, _log_failure)
+
+
+def _log_failure(name, error, restart_seconds):
+    log_event(
+        Event.TASK_FAILED,
+        step=name,
+        reason=repr(error),
+        trace=traceback.format_exc(),
+        restart_seconds=restart_seconds,
+    )
--- a/libs/ownership/src/cactustiller/ownership/replica.py
+++ b/libs/ownership/src/cactustiller/ownership/replica.py
@@ -13,6 +13,8 @@
 
 from cactustiller.model import Record
 from cactustiller.model.messages import AnnounceSettings, GetSettings, SettingsBody
+from cactustiller.model.supervision import keep_running
+from cactustiller.ports import decode_row
 from cactustiller.settings import apply_patch, dump_tree, parse_tree
 
 from .freshness import PeerAnswer, find_confirmation_time
@@ -80,6 +82,7 @@
         self._random = random.Random(seed)
         self._confirmed_at = float("-inf")
         self._table_down = False
+        self._unreadable = set()
         self._task = None
         self._polled_at = float("-inf")
         self._lock = asyncio.Lock()
@@ -99,7 +102,9 @@
     async def start(self):
         """Poll once, then continue in a background task."""
         await self.poll()
-        self._task = asyncio.create_task(self._poll_periodically())
+        self._task = asyncio.create_task(
+            keep_running("poll settings", self._poll_periodically)
+        )
 
     async def stop(self):
         """Stop polling."""
@@ -131,7 +136,12 @@
         if row.unchanged:
             self.confirm(started)
             return
-        head = SettingsHead.model_validate(row.value)
+        head = decode_row(row, SettingsHead, "poll settings", reported=self._unreadable)
+        if head is None:
+            # As in an outage, only the peers can confirm the version in force.
+            self._table_down = True
+            await self._poll_peers()
+            return
         if await self._load(head):
             self.head_row_version = max(self.head_row_version, row.version)
             self.confirm(started)
@@ -222,7 +232,15 @@
         answer = await self._member.table.read_row(body_key(head.version))
         if answer.is_err() or answer.unwrap().value is None:
             return False
-        row = SettingsBodyRow.model_validate(answer.unwrap().value)
+        row = decode_row(
+            answer.unwrap(),
+            SettingsBodyRow,
+            "load settings",
+            lambda row: body_key(row.version),
+            self._unreadable,
+        )
+        if row is None:
+            return False
         if digest_text(row.text) != head.digest:
             log.error("settings_body_damaged", version=head.version)
             return False
--- a/libs/scheduler/src/cactustiller/scheduler/sessions.py
+++ b/libs/scheduler/src/cactustiller/scheduler/sessions.py
@@ -11,18 +11,13 @@
 import structlog
 from result import Ok
 
-from cactustiller.model import (
-    NO_RESOURCES,
-    ErrorCode,
-    InstanceState,
-    RunState,
-)
+from cactustiller.model import NO_RESOURCES, ErrorCode, InstanceState, RunState
+from cactustiller.model.supervision import keep_running
 from cactustiller.ports import TaskStop
 
 from .apply_items import ApplyLimits, build_apply, make_watch
 from .clock import CLOCK_RATE_MARGIN, WorkerClock
 from .runs import RunPhase, make_run_key
-from .supervision import watch_task
 
 LONG_POLL_SECONDS = 15.0
 MIN_RETRY_SECONDS = 0.1
@@ -56,6 +51,8 @@
         self.is_reconciled = False
         self.is_reachable = False
         self.failure_reason = "the worker has not answered yet"
+        self.block_reason = ""
+        self.is_orphan = lambda status, boot: status.state is RunState.RUNNING
         self._authority = authority
         self._port = port
         self._timing = timing
@@ -87,7 +84,8 @@
     @property
     def _is_available(self):
         is_live = self.info.state is InstanceState.LIVE
-        return is_live and self.is_reconciled and self.is_reachable
+        is_known = self.is_reconciled and not self.block_reason
+        return is_live and is_known and self.is_reachable
 
     @property
     def is_starting(self):
@@ -114,16 +112,15 @@
         """
         if not self._is_available:
             return NO_RESOURCES
-        return self.info.resources - self.used
+        return self.info.resources.subtract_to_zero(self.used)
 
-    def start(self, on_failure):
-        """Start the calls to the worker; pass the exception of a failed task on."""
+    def start(self):
+        """Start the calls to the worker, which are restarted after an exception."""
+        runs = {"watch": self._run_watch_loop, "apply to": self._run_apply_loop}
         self._tasks = [
-            asyncio.create_task(self._run_watch_loop()),
-            asyncio.create_task(self._run_apply_loop()),
+            asyncio.create_task(keep_running(f"{step} {self.info.worker}", run))
+            for step, run in runs.items()
         ]
-        for task in self._tasks:
-            watch_task(task, on_failure)
 
     async def stop(self):
         """Cancel all calls to the worker."""
@@ -138,6 +135,14 @@
             self.used = self.used + entry.record.template.resources
         self._on_change(self)
 
+    def claim(self, entry, status, boot):
+        """Add a run whose row is malformed, with its last status since a boot."""
+        self.add(entry)
+        if status is not None and boot == self._boot:
+            self._handle_status(status, 0.0)
+        elif self.is_reconciled:
+            self._start_recovered(entry)
+
     def remove(self, key):
         """Remove a run and free its capacity."""
         entry = self.entries.pop(key)
@@ -255,6 +260,7 @@
         self._renew_at = min(self._renew_at, now + due_in)
 
     async def _run_watch_loop(self):
+        self.is_reconciled = False  # after an exception, runs may be out of date
         retry_seconds = MIN_RETRY_SECONDS
         while True:
             is_first = not self.is_reconciled or self._needs_full_watch
@@ -320,7 +326,7 @@
     def _handle_status(self, status, answered_at):
         entry = self.entries.get(make_run_key(status))
         if entry is None:
-            if status.state is RunState.RUNNING:
+            if self.is_orphan(status, self._boot):
                 self._stop_orphan(status)
             return
         if not entry.holds_capacity:
@@ -339,15 +345,9 @@
 
     def _stop_orphan(self, status):
         """Request the stop of a run that the owner has no record of."""
-        log.warning(
-            "orphan_stopped",
-            worker=self.info.worker,
-            job=status.job,
-            index=status.index,
-            attempt=status.attempt,
-        )
-        stop = TaskStop(job=status.job, index=status.index, attempt=status.attempt)
-        self._orphan_stops.append(stop)
+        run = make_run_key(status).model_dump()
+        log.warning("orphan_stopped", worker=self.info.worker, **run)
+        self._orphan_stops.append(TaskStop(**run))
         self.wake()
 
     def _reconcile(self, seen, answered_at):
--- a/libs/scheduler/src/cactustiller/scheduler/shard.py
+++ b/libs/scheduler/src/cactustiller/scheduler/shard.py
@@ -15,7 +15,6 @@
     NO_RESOURCES,
     FailureError,
     InstanceState,
-    RunRecord,
     RunState,
 )
 from cactustiller.model.messages import (
@@ -34,6 +33,7 @@
 from .runs import RunEntry, RunPhase, make_run_key, run_row_key
 from .sessions import WorkerSession
 from .supervision import watch_task
+from .unreadable import UnreadableRuns
 
 CHECK_INTERVAL_SECONDS = 0.5
 MAX_FINISHED_KEYS = 50_000
@@ -70,6 +70,7 @@
         self._timing = timing
         self._recovered_runs = {}
         self._removals = RemovalTracker()
+        self._unreadable = UnreadableRuns(shard, self._on_session_change)
         self._finished_keys = OrderedDict()
         self._is_releasing = False
         self._task = None
@@ -79,8 +80,7 @@
         answer = await self._member.table.scan_rows(f"run/{self.shard}/")
         if answer.is_err():
             return False
-        for row in answer.unwrap():
-            record = RunRecord.model_validate(row.value)
+        for record in self._unreadable.read(answer.unwrap()):
             self._recovered_runs.setdefault(record.worker, []).append(record)
         log.info("shard_recovered", shard=self.shard, runs=len(answer.unwrap()))
         self.is_recovered = True
@@ -240,7 +240,7 @@
             usable=session.is_usable,
             reason=""
             if session.is_usable
-            else session.evacuation or session.failure_reason,
+            else session.block_reason or session.evacuation or session.failure_reason,
         )
 
     def _add_session(self, info):
@@ -253,7 +253,8 @@
                 record, RunPhase.RECOVERED, lease_until=None, is_inherited=True
             )
             session.add(entry)
-        session.start(self.on_failure)
+        self._unreadable.watch(session)
+        session.start()
 
     async def _drop_removed(self, worker):
         """End the runs of an unlisted worker that is unreachable as well."""
@@ -320,6 +321,9 @@
     async def _start_run(self, run, epoch):
         """Start a run; return the reason for a final refusal, or an empty string."""
         key = make_run_key(run)
+        if self._unreadable.has(run):
+            self._unreadable.claim(run, self.sessions)
+            return ""
         session, entry = self._find_run(key)
         if entry is not None and entry.phase is not RunPhase.RESERVED:
             return ""
--- a/tests/cell/test_supervision.py
+++ b/tests/cell/test_supervision.py
@@ -7,8 +7,9 @@
 
 from cactustiller.cell.members.followers import MemberRegistry, encode_member_row
 from cactustiller.cell.reporting.events import EVENT_COUNTS, Event
-from cactustiller.cell.supervision import MAX_RESTART_SECONDS, keep_running
+from cactustiller.cell.supervision import keep_running
 from cactustiller.model import JobState
+from cactustiller.model.supervision import MAX_RESTART_SECONDS
 from standins.fleet import FleetCell, make_job
 from standins.fleet.store import StoreClient
 from standins.fleet.workers import WorkerClient
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,9 @@
-"""Test set-up: strict xfail for KNOWN-RED.txt, a log sampler for each test."""
+"""Test set-up: strict xfail for KNOWN-RED.txt, logs of each test for itself."""
 
 from pathlib import Path
 
 import pytest
+import structlog
 
 from cactustiller.cell.reporting import events
 from cactustiller.cell.reporting.sampling import LogSampler
@@ -32,6 +33,13 @@
 
 
 @pytest.fixture(autouse=True)
-def log_sampler(monkeypatch):
-    """Replace the log sampler, so that no test reports lines suppressed in another."""
+def logs(monkeypatch):
+    """Keep what a test changes about logs from the next ones.
+
+    Replaces the log sampler, so that no test reports lines suppressed in another, and
+    restores the configuration of structlog.
+    """
     monkeypatch.setattr(events, "_sampler", LogSampler())
+    configuration = structlog.get_config()
+    yield
+    structlog.configure(**configuration)
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -16,10 +16,13 @@
 from cactustiller.model import ErrorCode, Failure, MemberRecord, Outcome
 from cactustiller.model.messages import (
     AcquirePermits,
+    AnnounceOwnership,
     AnnounceSettings,
     Done,
     GetSettings,
+    JobList,
     JobView,
+    ListJobs,
     SettingsBody,
     SubmitJob,
 )
@@ -146,8 +149,10 @@
             return self._submit(message)
         if isinstance(message, AnnounceSettings):
             return SettingsBody(version=message.version)
-        if isinstance(message, GetSettings):
+        if isinstance(message, GetSettings | AnnounceOwnership):
             return Done()
+        if isinstance(message, ListJobs):
+            return JobList(jobs=[])
         if message.job not in self.jobs:
             return Failure(code=ErrorCode.NOT_FOUND, step="find job", reason="no job")
         return self.jobs[message.job]
