Test the bound of block reports with steps of different sizes

Cause: with equal steps one look at the workers serves all, so the test passed without the bound. Change: each waiting step has a size of its own; the bound is unchanged. Result: fails with the bound removed, passes with it.

--- a/tests/cell/test_blocking.py
+++ b/tests/cell/test_blocking.py
@@ -205,9 +205,13 @@
 
 
 def test_a_report_looks_at_a_bounded_number_of_workers(monkeypatch):
-    # A report that examined each step at each worker would hold up the cell.
+    # A report that examined each step at each worker would hold up the cell. Steps of
+    # different sizes share no result.
     clock = Clock()
-    engine = make_engine(1000, 1000, clock)
+    engine = make_engine(1000, 0, clock)
+    for number in range(1, 1001):
+        engine.add_job(make_job(number, cpu=1000 + number))
+    clock.now += 2.0
     looks = itertools.count()
     find_exclusion = type(engine.workers["w0"]).find_exclusion
 
