--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,31 +11,39 @@
 from review.common.rig import Rig, Work, run_case  # noqa: E402
 
 EXECUTORS = 2
-STEPS = 10
-TASKS_PER_STEP = 140
+JOBS = 24
+TASKS_PER_JOB = 58
+TASKS = JOBS * TASKS_PER_JOB
 SHORTEST_SECONDS = 6.0
-STEP_SECONDS = 0.4
+# Added to the work of the tasks from one job to the next.
+STEP_SECONDS = 0.15
 OUTAGE_SECONDS = 4.5
-JOB = "5c0e7a21d94b36f8"
+
+
+async def count_open(rig, jobs):
+    """Return the number of jobs that are not shown as completed."""
+    states = await asyncio.gather(*(rig.find_state(job) for job in jobs))
+    return sum(state != "completed" for state in states)
 
 
 async def play(has_trouble):
-    """Hand in one wide job of short tasks; the store is down as they end."""
+    """Hand in jobs of short tasks; the store is down as they end."""
     async with Rig(FOLDER, executors=EXECUTORS) as rig:
-        seconds = [SHORTEST_SECONDS + STEP_SECONDS * n for n in range(STEPS)]
-        steps = [
-            {
-                "Count": TASKS_PER_STEP,
+        jobs = [f"{number:016x}" for number in range(JOBS)]
+        calls = []
+        for number, job in enumerate(jobs):
+            seconds = SHORTEST_SECONDS + STEP_SECONDS * number
+            step = {
+                "Count": TASKS_PER_JOB,
                 "Cpu": 40,
                 "MemMb": 20,
-                "EstimateMs": int(each * 1000),
+                "EstimateMs": int(seconds * 1000),
             }
-            for each in seconds
-        ]
-        if not await rig.submit(JOB, steps, tuple(map(Work, seconds))):
-            raise RuntimeError("the job was not accepted")
+            calls.append(rig.submit(job, [step], Work(seconds)))
+        if not all(await asyncio.gather(*calls)):
+            raise RuntimeError("a job was not accepted")
         async with asyncio.timeout(30):
-            while len(rig.starts) < STEPS * TASKS_PER_STEP:
+            while len(rig.starts) < TASKS:
                 await asyncio.sleep(0.05)
         first = rig.starts[0][0]
         await asyncio.sleep(max(0.0, first + SHORTEST_SECONDS - 0.3 - time.monotonic()))
@@ -46,7 +54,7 @@
         rig.store.mode = "up"
         rig.note("store is up")
         async with asyncio.timeout(40):
-            while await rig.find_state(JOB) != "completed":
+            while await count_open(rig, jobs):
                 await asyncio.sleep(0.5)
         return rig.find_doubles()
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,8 @@
-"""A job whose progress outgrows a row of the store, beside everyday jobs."""
+"""A draining executor is cut off with refusals, outlives its entry and comes back."""
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -9,62 +10,43 @@
 
 from review.common.rig import Rig, Work, run_case  # noqa: E402
 
-EXECUTORS = 24
-LARGE_JOB = "a0c3e9d47b125f60"
-LARGE_TASKS = 2000
-LARGE_SECONDS = 60.0
-EVERYDAY_SECONDS = 0.64
-GAP_SECONDS = 0.5
-TRAFFIC_SECONDS = 20.0
-LARGE_AT_SECONDS = 3.0
-# Bound `finish_s` of the pages.
-FINISH_SECONDS = 14.0
-# Bound of the rule LOST for a job of which nothing runs.
-IDLE_SECONDS = 3.0
+EXECUTORS = 8
+TASKS = 8
+TASK_SECONDS = 6.0
+DRAIN_AT_SECONDS = 4.2
+DRAIN_MS = 2000
+# The cut ends before the lease of 6 s does, and after the entry has expired.
+CUT_SECONDS = 3.7
+CUT_AT_SECONDS = 1.3
+LINGER_SECONDS = 10.0
+JOB = "5c0e7a21d94b36f8"
 
 
 async def play(has_trouble):
-    """Hand in everyday jobs all along and, once, a large job."""
+    """Let an executor drain, and cut it off while its last task ends."""
     async with Rig(FOLDER, executors=EXECUTORS) as rig:
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        calls = []
-        number = 0
-        has_sent_large = not has_trouble
-        while loop.time() < began + TRAFFIC_SECONDS:
-            if not has_sent_large and loop.time() > began + LARGE_AT_SECONDS:
-                has_sent_large = True
-                step = {
-                    "Count": LARGE_TASKS,
-                    "Cpu": 100,
-                    "MemMb": 20,
-                    "EstimateMs": int(LARGE_SECONDS * 1000),
-                }
-                work = Work(LARGE_SECONDS)
-                calls.append(asyncio.create_task(rig.submit(LARGE_JOB, [step], work)))
-            number += 1
-            step = {"Count": 2, "Cpu": 1000, "MemMb": 500, "EstimateMs": 640}
-            calls.append(
-                asyncio.create_task(
-                    rig.submit(f"{number:016x}", [step], Work(EVERYDAY_SECONDS))
-                )
-            )
-            await asyncio.sleep(GAP_SECONDS)
-        await asyncio.gather(*calls)
-        rig.note("the traffic ends")
-        await asyncio.sleep(FINISH_SECONDS + IDLE_SECONDS)
-        broken = []
-        for job in rig.accepted:
-            if job == LARGE_JOB:
-                continue
-            state = await rig.find_state(job)
-            if state != "completed" and rig.is_idle(job, IDLE_SECONDS):
-                starts = sum(start[1].startswith(job) for start in rig.starts)
-                broken.append(f"{job}: shown as {state}, {starts} starts")
-        rig.note(
-            "largest refused value", sizes=sorted(set(rig.store.refused_sizes))[-5:]
-        )
-        return broken
+        step = {"Count": TASKS, "Cpu": 20000, "MemMb": 2000, "EstimateMs": 6000}
+        if not await rig.submit(JOB, [step], Work(TASK_SECONDS)):
+            raise RuntimeError("the job was not accepted")
+        async with asyncio.timeout(10):
+            while len(rig.starts) < TASKS:
+                await asyncio.sleep(0.02)
+        leaving = rig.executors[0]
+        await asyncio.sleep(rig.starts[0][0] + DRAIN_AT_SECONDS - time.monotonic())
+        leaving.drain(DRAIN_MS)
+        drained_at = time.monotonic()
+        if has_trouble:
+            await asyncio.sleep(CUT_AT_SECONDS)
+            await leaving.cut_off()
+            await asyncio.sleep(CUT_SECONDS)
+            await leaving.reconnect()
+        await asyncio.sleep(drained_at + LINGER_SECONDS - time.monotonic())
+        await leaving.leave()
+        async with asyncio.timeout(40):
+            while await rig.find_state(JOB) != "completed":
+                await asyncio.sleep(0.5)
+        await asyncio.sleep(3.0)
+        return rig.find_doubles()
 
 
 if __name__ == "__main__":
