--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -27,6 +27,8 @@
 PREFIX = "/recon/"
 TRIES = 5
 TIME_LIMIT_SECONDS = 3.0
+# A case may take 120 s.
+CASE_SECONDS = 105.0
 SETTINGS = """
 NodeName = "entry-{index}"
 Role = "entry"
@@ -140,6 +142,17 @@
         self._ticker = None
 
     async def __aenter__(self):
+        try:
+            await self._start()
+        except BaseException:
+            await self._stop()
+            raise
+        return self
+
+    async def __aexit__(self, *exception):
+        await self._stop()
+
+    async def _start(self):
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = PlatformStore()
         self._session = aiohttp.ClientSession(
@@ -168,12 +181,12 @@
         for name in self._settings:
             await self.start_daemon(name)
         await self._wait_until_ready()
-        return self
 
-    async def __aexit__(self, *exception):
+    async def _stop(self):
         for name in list(self._processes):
             await self.end_daemon(name)
-        self._ticker.cancel()
+        if self._ticker is not None:
+            self._ticker.cancel()
         for executor in self.executors:
             await executor.stop_listening()
         for relay in self.relays.values():
@@ -510,11 +523,19 @@
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        broken = asyncio.run(play(has_trouble))
-    except Exception as error:
+        broken = asyncio.run(_play_in_time(play(has_trouble)))
+    except (Exception, asyncio.CancelledError) as error:
         print(f"not run: {error!r}")
         raise SystemExit(2) from error
     for line in broken[:20]:
         print(line)
     print(f"{'broken' if broken else 'held'}: {len(broken)} findings")
     raise SystemExit(1 if broken else 0)
+
+
+async def _play_in_time(play):
+    """Run a case; end its processes also if it is terminated or takes too long."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(CASE_SECONDS):
+        return await play
