Replace silent connections between members after a time-out

Cause: PeerClient replaced a connection only after it had been closed. A call that timed out left it in place, and each further call used it again.

A caller that gives up, by time-out or cancellation, now checks for how long no frame has arrived since the first unanswered request; from 0.5 s on, further calls open a new connection. Pending calls may still be answered on the old one, which is closed after the last. A log line, peer_connection_silent, tells this from a peer or a service that is slow.

The pool of HttpClient already replaced its connections and has a test now.

--- a/libs/peers/src/cactustiller/peers/client.py
+++ b/libs/peers/src/cactustiller/peers/client.py
@@ -13,6 +13,9 @@
 from .server import HELLO_TIMEOUT_SECONDS, check_hello
 
 CONNECT_TIMEOUT_SECONDS = 1.0
+# A connection counts as silent if a caller gives up and nothing arrived for this long
+# since the first unanswered request. Replies usually take milliseconds.
+SILENCE_SECONDS = 0.5
 
 log = structlog.get_logger(__name__)
 
@@ -24,7 +27,12 @@
 
 
 class _Connection:
-    """Open connection and the requests that await a reply on it."""
+    """Open connection and the requests that await a reply on it.
+
+    A network may stop transferring data without closing its connections, although new
+    ones work. `is_open` is False once a connection seems to be silent, so that further
+    calls open another one. Calls that are pending can still complete.
+    """
 
     def __init__(self, address, reader, writer, traffic):
         self.address = address
@@ -34,31 +42,65 @@
         self._traffic = traffic
         self._ids = itertools.count(1)
         self._pending = {}
+        # Loop time of the first request since the last reply; None if there is none.
+        self._unanswered_since = None
         self._task = asyncio.create_task(self._read_replies())
 
     async def call(self, message):
         """Return the reply to a request, ``None`` if the connection closes first."""
         request_id = next(self._ids)
-        future = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
         self._pending[request_id] = future
         try:
             write_frame(self._writer, Frame(request_id, False, message), self._traffic)
+            if self._unanswered_since is None:
+                self._unanswered_since = loop.time()
             await self._writer.drain()
             return await future
         except OSError:
             return None
+        except asyncio.CancelledError:
+            # Raised for timeouts, too.
+            self._check_silence(loop.time())
+            raise
         finally:
             self._pending.pop(request_id, None)
+            self._close_if_unused()
 
     async def close(self):
         """Close the connection; pending calls return ``None``."""
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
+    def _check_silence(self, now):
+        """Stop using the connection for new calls if nothing arrives on it."""
+        if self._unanswered_since is None or not self.is_open:
+            return
+        seconds = now - self._unanswered_since
+        if seconds < SILENCE_SECONDS:
+            return
+        self.is_open = False
+        log.warning(
+            "peer_connection_silent",
+            peer=self.address,
+            seconds=round(seconds, 3),
+            pending=len(self._pending) - 1,
+        )
+
+    def _close_if_unused(self):
+        """Close a connection that takes no new calls once the last one has ended."""
+        if not self.is_open and not self._pending:
+            # A silent peer would never take what is left in the buffer.
+            self._writer.transport.abort()
+            self._task.cancel()
+
     async def _read_replies(self):
         try:
             while True:
-                self._deliver(await read_frame(self._reader, self._traffic))
+                frame = await read_frame(self._reader, self._traffic)
+                self._unanswered_since = None
+                self._deliver(frame)
         except FrameError as error:
             log.warning("peer_connection_closed", peer=self.address, reason=str(error))
         except (asyncio.IncompleteReadError, OSError):
--- a/tests/fleet/test_client.py
+++ b/tests/fleet/test_client.py
@@ -19,6 +19,7 @@
 from cactustiller.fleet.store import HttpRowStore
 from cactustiller.fleet.workers import HttpWorkerCalls
 from cactustiller.model import Amounts, ErrorCode, Outcome
+from tests.peers.builders import SilentRelay
 
 KEY = RowKey("t", "p", "k")
 ORDER = StartOrder("j.0.0.0", 1, "text", 9000, 3, ticket="ticket")
@@ -153,3 +154,18 @@
         await calls.close()
     assert answer.unwrap_err().code is code
     assert peer.requests[0][2]["AckedThrough"] == 7
+
+
+async def test_time_out_replaces_all_silent_connections():
+    # Guards against one lost call for each connection of a pool that went silent.
+    content = {"Ver": 1, "NowMs": 2}
+    async with Peer(content=content) as peer, SilentRelay(peer.address) as relay:
+        store = HttpRowStore(relay.address)
+        transaction = Transaction({}, {KEY: b"v"})
+        calls = [store.transact(transaction, 2.0) for _ in range(4)]
+        assert all(answer.is_ok() for answer in await asyncio.gather(*calls))
+        relay.silence()
+        assert (await store.transact(transaction, 0.3)).is_err()
+        calls = [store.transact(transaction, 2.0) for _ in range(4)]
+        assert all(answer.is_ok() for answer in await asyncio.gather(*calls))
+        await store.close()
