Let an owner that reaches no other member make long approval calls

Members that reach the store but not the owner would stop all queues with such calls.

An owner whose calls to every other member have just failed makes one call itself, as in a cell with one member. Members that are only busy are still waited for. The first of two new tests failed before.

--- a/libs/cell/src/cactustiller/cell/owner/approvals.py
+++ b/libs/cell/src/cactustiller/cell/owner/approvals.py
@@ -13,7 +13,7 @@
 from ..ports import Approval
 from ..reporting.events import Event, log_event
 
-# While the cell has other members, this member, the owner, makes only calls with an
+# While it reaches other members, this member, the owner, makes only calls with an
 # expected duration up to this, so that short calls are not queued behind long ones.
 SHORT_CALL_SECONDS = 0.06
 # Added to the expected duration of a call to get its timeout.
@@ -138,18 +138,25 @@
         return len(self._find_free_members()) + ("" not in self._busy_members)
 
     def _find_free_members(self):
+        return [
+            address
+            for address in self._find_reachable_members()
+            if address not in self._busy_members
+        ]
+
+    def _find_reachable_members(self):
+        """Return the other members but those whose latest call has just failed."""
         now = asyncio.get_running_loop().time()
         return [
             address
             for address in self._members()
-            if address not in self._busy_members
-            and self._paused_until.get(address, 0.0) <= now
+            if self._paused_until.get(address, 0.0) <= now
         ]
 
     def _choose_member(self, is_short):
         """Return a free member for a call, or None.
 
-        This member makes long calls only while the cell has no other members.
+        This member makes long calls only while it reaches no other members.
         """
         others = self._find_free_members()
         this_member = [] if "" in self._busy_members else [""]
@@ -157,7 +164,7 @@
             return next(iter(this_member + others), None)
         if others:
             return others[0]
-        return next(iter(this_member), None) if not self._members() else None
+        return None if self._find_reachable_members() else next(iter(this_member), None)
 
     async def _call(self, member, step, workers, expected):
         loop = asyncio.get_running_loop()
--- a/tests/cell/test_approvals.py
+++ b/tests/cell/test_approvals.py
@@ -3,12 +3,14 @@
 import asyncio
 
 import pytest
+from result import Err
 
 from cactustiller.cell.decisions.placement import place_steps
 from cactustiller.cell.owner.approvals import MAX_WORKERS_PER_CALL, ApprovalDispatcher
 from cactustiller.cell.owner.engine import Engine
 from cactustiller.cell.records.listings import Listing
 from cactustiller.cell.records.runs import JobRun
+from cactustiller.model import ErrorCode, Failure
 from standins.fleet import FleetCell, make_job, make_queue
 from tests.cell.builders import make_round, make_worker
 
@@ -24,14 +26,22 @@
         await asyncio.Event().wait()
 
 
-def make_dispatcher(workers, jobs):
-    """Return a dispatcher with one member, its service and the eligible steps."""
+class UnreachablePeers:
+    """Peers that are cut off from this member."""
+
+    async def call(self, address, message, seconds):
+        await asyncio.sleep(seconds)
+        return Err(Failure(code=ErrorCode.TIMEOUT, step="call", reason="no reply"))
+
+
+def make_dispatcher(workers, jobs, queue=QUEUE, peers=None, members=list):
+    """Return a dispatcher, the service of its member and the eligible steps."""
     engine = Engine(lambda: 100.0, lambda: 100_000)
     engine.workers = {worker.info.worker: worker for worker in workers}
     for number in range(1, jobs + 1):
-        engine.add_job(make_job(number, QUEUE))
+        engine.add_job(make_job(number, queue))
     service = Service()
-    dispatcher = ApprovalDispatcher(engine, service, None, list, lambda: None)
+    dispatcher = ApprovalDispatcher(engine, service, peers, members, lambda: None)
     return dispatcher, service, engine.find_eligible_steps()
 
 
@@ -74,6 +84,35 @@
     await dispatcher.close()
 
 
+@pytest.mark.looptime
+async def test_owner_that_reaches_no_other_member_makes_long_calls_itself():
+    # Guards against jobs that never start since their long approval calls are left to
+    # members that are cut off from the owner.
+    queue = make_queue(needs_approval=True, approval_ms=480, approval_worker_ms=7)
+    dispatcher, service, steps = make_dispatcher(
+        [make_worker()], 3, queue, UnreachablePeers(), lambda: ["a", "b"]
+    )
+    for _ in range(20):
+        dispatcher.start_calls(steps)
+        await asyncio.sleep(0.1)
+    assert len(service.asked) == 1
+    await dispatcher.close()
+
+
+@pytest.mark.looptime
+async def test_owner_leaves_long_calls_to_members_that_are_only_busy():
+    # Guards against short approval calls that wait behind a long one at the owner.
+    queue = make_queue(needs_approval=True, approval_ms=480, approval_worker_ms=7)
+    dispatcher, service, steps = make_dispatcher(
+        [make_worker()], 3, queue, UnreachablePeers(), lambda: ["a", "b"]
+    )
+    for _ in range(10):
+        dispatcher.start_calls(steps)
+        await asyncio.sleep(0.1)
+    assert service.asked == []
+    await dispatcher.close()
+
+
 @pytest.mark.parametrize("is_gang", [True, False])
 def test_a_step_that_fits_on_no_approved_worker_requests_more(is_gang):
     full, free = make_worker("w0"), make_worker("w1")
