Settle missing runs only by complete listings

Cause: a worker lists all active runs, but at most 500 ends at a time. A run in neither list counted as over without an end, and its task was placed again.

A listing now says whether it is complete. An incomplete one applies its ends and active runs, settles no missing run, does not synchronize a worker with a new owner (the same fault after a takeover), and does not move the time that stalls are measured by.

--- a/libs/cell/src/cactustiller/cell/owner/run_tracking.py
+++ b/libs/cell/src/cactustiller/cell/owner/run_tracking.py
@@ -38,8 +38,8 @@
         super().__init__(clock)
         self.published_states = {}
         self.desired = DesiredState()
-        self.on_run_ended = _ignore_run_end
-        self.on_copy_settled = _ignore_copy
+        self.on_run_ended = _ignore
+        self.on_copy_settled = _ignore
         self.observers = []
         self._wall_clock_ms = wall_clock_ms
         # Ids of the jobs whose latest progress is not part of a batch yet.
@@ -71,15 +71,24 @@
         worker.born_ms = listing.born_ms or worker.born_ms
         worker.alive_at = max(worker.alive_at, received_at)
         worker.update_clock_offset(listing.clock_ms, received_at)
-        worker.listed_at = max(worker.listed_at, sent_at)
         for end in listing.ended:
             if end.number > worker.processed_through:
                 worker.processed_through = end.number
                 self._apply_end(worker, end)
-        listed = {run.task: run for run in listing.active}
         self._update_orphaned_runs(worker, listing.active)
         for run in listing.active:
             self._apply_listed_run(worker, run, sent_at, received_at)
+        if not listing.is_complete:
+            # A run that is missing may have ended, with an end that is still to come.
+            log_event(
+                Event.LISTING_INCOMPLETE,
+                worker=worker.info.worker,
+                ends=len(listing.ended),
+                runs=len(worker.runs),
+            )
+            return
+        worker.listed_at = max(worker.listed_at, sent_at)
+        listed = {run.task: run for run in listing.active}
         for name, (task, run) in list(worker.runs.items()):
             if name not in listed or listed[name].run < run:
                 self._check_missing(worker, task, sent_at)
@@ -336,9 +345,5 @@
             self.desired = desired
 
 
-def _ignore_run_end(task, end):
-    """Ignore the end of a run; the default of `on_run_ended`."""
-
-
-def _ignore_copy(outcome):
-    """Ignore the outcome of a copy; the default of `on_copy_settled`."""
+def _ignore(*arguments):
+    """Ignore an event; the default of the callbacks."""
--- a/libs/cell/src/cactustiller/cell/records/listings.py
+++ b/libs/cell/src/cactustiller/cell/records/listings.py
@@ -34,9 +34,14 @@
 
 
 class Listing(NamedTuple):
-    """Report of a worker: its clock, active runs and unacknowledged ends."""
+    """Report of a worker: its clock, active runs and unacknowledged ends.
+
+    An incomplete report has all active runs, but only the first of the ends. The others
+    follow once these are acknowledged.
+    """
 
     clock_ms: int
     born_ms: int
     active: tuple[ListedRun, ...]
     ended: tuple[ListedEnd, ...]
+    is_complete: bool = True
--- a/libs/cell/src/cactustiller/cell/records/workers.py
+++ b/libs/cell/src/cactustiller/cell/records/workers.py
@@ -82,7 +82,7 @@
     is_reachable : bool
         The worker answered the last lease renewal.
     is_synchronized : bool
-        The worker has reported its runs to this owner.
+        The worker has reported all its runs and ends to this owner.
     runs : dict of str to (TaskRun, int)
         Runs that may be on the worker, with their number, by task name.
     orphaned_runs : dict of (str, int) to tuple
@@ -97,7 +97,7 @@
     lease_ends_at : float
         Time by which every lease granted so far has certainly expired.
     listed_at : float
-        When the call was sent whose answer last reported the runs.
+        When the call was sent whose answer last reported all runs and ends.
     alive_at : float
         Latest time at which the worker was certainly alive.
     last_placement_at : float
--- a/libs/cell/src/cactustiller/cell/reporting/events.py
+++ b/libs/cell/src/cactustiller/cell/reporting/events.py
@@ -42,6 +42,7 @@
     RUN_UNANSWERED = "run_unanswered"
     RUN_ENDED = "run_ended"
     RUN_SETTLED = "run_settled"
+    LISTING_INCOMPLETE = "listing_incomplete"
     RUN_LOST = "run_lost"
     RUN_STALLED = "run_stalled"
     COPY_PLACED = "copy_placed"
--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -21,6 +21,8 @@
 STOP_SECONDS = 0.2
 TICK_SECONDS = 0.01
 GANG_SECONDS = 3.0
+# The other ends are listed once these are acknowledged.
+MAX_LISTED_ENDS = 500
 # Time from the start of a task that crashes its worker to the crash.
 CRASH_SECONDS = 0.01
 
@@ -198,7 +200,9 @@
             )
             for run in self.runs.values()
         )
-        return Listing(now_ms, self.info.born_ms, active, tuple(self.ends))
+        ended = tuple(self.ends[:MAX_LISTED_ENDS])
+        is_complete = len(ended) < MAX_LISTED_ENDS
+        return Listing(now_ms, self.info.born_ms, active, ended, is_complete)
 
     async def _work(self):
         loop = asyncio.get_running_loop()
--- a/tests/fleet/test_decoding.py
+++ b/tests/fleet/test_decoding.py
@@ -6,7 +6,11 @@
 
 from cactustiller.cell import Admitted, ListedEnd, RunEnd, admit_call
 from cactustiller.fleet.desired import decode_desired, decode_submission
-from cactustiller.fleet.workers import decode_listing, decode_worker
+from cactustiller.fleet.workers import (
+    MAX_LISTED_ENDS,
+    decode_listing,
+    decode_worker,
+)
 
 ENTRY = {
     "Service": "recon",
@@ -137,3 +141,11 @@
     assert listing.active[0].progress == 41
     assert listing.active[1].load == 7
     assert listing.ended == (ListedEnd(58, "j.0.1.9", 1, RunEnd.GANG_BROKEN, ""),)
+
+
+def test_listing_with_as_many_ends_as_fit_is_incomplete():
+    # Guards against runs that count as missing since their ends are in a later listing.
+    rows = [[n, f"j.0.0.{n}", 1, "done", ""] for n in range(1, MAX_LISTED_ENDS + 1)]
+    content = {"ClockMs": 1, "EndedRuns": rows}
+    assert not decode_listing(content).is_complete
+    assert decode_listing(content | {"EndedRuns": rows[1:]}).is_complete
