Release the runs of a draining worker only after its lease

The first run was done behind the cut, and the owner took note of it afterwards.

Cause: a draining worker that was not listed and refused connections counted as exited, and its runs as ended. A cut looks the same. Evidence: lease_lapsed with loss=left and late_seconds=-2.63, and no run_settled line.

The runs are now released when the lease has certainly expired, as those of any other silent worker. "left" stays a description of the loss, which does not count as a crash.

--- a/libs/cell/src/cactustiller/cell/owner/capacity.py
+++ b/libs/cell/src/cactustiller/cell/owner/capacity.py
@@ -130,15 +130,10 @@
         for worker in self.workers.values():
             if worker.is_reachable or not (worker.runs or worker.orphaned_runs):
                 continue
-            # A draining worker that is no longer listed and refuses connections has
-            # exited, and its runs ended with it.
-            has_left = (
-                worker.info.is_draining
-                and not worker.is_listed
-                and worker.refuses_connections
-            )
-            if has_left or now > worker.lease_ends_at:
-                loss = WorkerLoss.LEFT if has_left else _classify_silence(worker)
+            # Nothing else shows that the runs have ended: connections can be refused and
+            # the entry can expire behind a cut, too.
+            if now > worker.lease_ends_at:
+                loss = _classify_silence(worker)
                 log_event(
                     Event.LEASE_EXPIRED,
                     worker=worker.info.worker,
@@ -315,6 +310,9 @@
 
 def _classify_silence(worker):
     """Return the loss of a worker that has not answered for as long as its lease."""
+    is_absent = worker.refuses_connections and not worker.is_listed
+    if worker.info.is_draining and is_absent:
+        return WorkerLoss.LEFT
     if worker.refuses_connections or not worker.is_listed:
         return WorkerLoss.GONE
     return WorkerLoss.SILENT
--- a/libs/cell/src/cactustiller/cell/records/workers.py
+++ b/libs/cell/src/cactustiller/cell/records/workers.py
@@ -16,9 +16,11 @@
 class WorkerLoss(Enum):
     """How the runs of a worker were lost, as far as the owner can tell.
 
-    The first two are certain: the process that had the runs is gone. `GONE` means that
-    nothing listens at the worker's address, or that its entry has been removed;
-    `SILENT` that the worker is still listed and does not answer.
+    Only `RESTARTED` is certain: the process that had the runs is gone. The others are
+    likely causes once a lease has expired. `LEFT` means that a draining worker is no
+    longer listed and nothing listens at its address; `GONE` that nothing listens there,
+    or that the entry has been removed; `SILENT` that the worker is still listed and
+    does not answer.
     """
 
     RESTARTED = "restarted"
--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -37,6 +37,7 @@
     STANDING_STILL = "standingStill"
     CRASHED = "crashed"
     REPLACED = "replaced"
+    CUT_OFF_WITH_REFUSALS = "cutOffWithRefusals"
 
 
 @dataclass
@@ -325,12 +326,10 @@
 
 
 # Failures of calls to a worker that is not there, by its trouble.
+CONNECTION_REFUSED = (ErrorCode.UNAVAILABLE, "connection refused", Outcome.NOT_RUN)
 ABSENT_FAILURES = {
-    WorkerTrouble.CRASHED: (
-        ErrorCode.UNAVAILABLE,
-        "connection refused",
-        Outcome.NOT_RUN,
-    ),
+    WorkerTrouble.CRASHED: CONNECTION_REFUSED,
+    WorkerTrouble.CUT_OFF_WITH_REFUSALS: CONNECTION_REFUSED,
     WorkerTrouble.REPLACED: (
         ErrorCode.REPLACED,
         "another process listens at the address",
--- a/tests/cell/test_outages.py
+++ b/tests/cell/test_outages.py
@@ -161,6 +161,26 @@
         assert len(cell.audit.starts) == 2
 
 
+async def test_a_draining_worker_behind_a_cut_is_not_taken_for_one_that_has_left():
+    # Guards against a second run of a task whose worker drains, refuses connections and
+    # has lost its entry, but runs on behind a cut.
+    async with FleetCell(workers=2) as cell:
+        spec = make_job(count=2, cpu=20_000, estimate_ms=3000)
+        await cell.submit(spec, seconds=3.0)
+        await cell.wait_for_state(spec, JobState.RUNNING)
+        worker = cell.workers["w0"]
+        cell.drain_worker("w0", remaining_ms=4000)
+        await asyncio.sleep(1.5)
+        worker.trouble = WorkerTrouble.CUT_OFF_WITH_REFUSALS
+        cell.remove_entry("w0")
+        await asyncio.sleep(2.5)
+        assert not worker.runs
+        worker.trouble = WorkerTrouble.NONE
+        cell.list_worker(worker)
+        await cell.wait_for_state(spec, JobState.SUCCEEDED)
+        assert len(cell.audit.starts) == 2
+
+
 async def test_rows_of_finished_jobs_and_lost_members_are_removed():
     async with FleetCell() as cell:
         spec = make_job()
