Skip odd entries of workers one by one

Other operators reported that an odd entry in the list of workers (deeply nested, a number too large, a port out of range) ended the machines that read it, or made them stop following the list. Here, with real daemons: no process ended, but with a field of 990 to 1,023 levels no member followed the list any more, and after a loss of the owner an accepted job did not start within 10 s.

Cause: the error about such a field quoted it by repr, which raises RecursionError from some 990 levels on, while the parser takes 1,024. The error stopped the follower of the whole list, again after each restart.

--- a/libs/cell/src/cactustiller/cell/members/followers.py
+++ b/libs/cell/src/cactustiller/cell/members/followers.py
@@ -159,7 +159,17 @@
     def _on_rows(self, rows):
         workers = {}
         for key, value in rows.items():
-            info = self._decode(key, value)
+            try:
+                info = self._decode(key, value)
+            except Exception as error:
+                # An entry that the decoder does not expect must not hide the others.
+                log_event(
+                    Event.ENTRY_UNREADABLE,
+                    what="worker",
+                    worker=key,
+                    reason=type(error).__name__,
+                )
+                continue
             if info is not None:
                 workers[info.worker] = info
         if workers != self.workers:
--- a/libs/cell/src/cactustiller/cell/owner/capacity.py
+++ b/libs/cell/src/cactustiller/cell/owner/capacity.py
@@ -130,8 +130,8 @@
         for worker in self.workers.values():
             if worker.is_reachable or not (worker.runs or worker.orphaned_runs):
                 continue
-            # Nothing else shows that the runs have ended: connections can be refused and
-            # the entry can expire behind a cut, too.
+            # Nothing else shows that the runs have ended: behind a cut, connections can
+            # be refused and the entry can expire, too.
             if now > worker.lease_ends_at:
                 loss = _classify_silence(worker)
                 log_event(
