Skip malformed entries of the instance list one by one

Related to odd entries of workers, in our own deployment: one malformed entry made the whole list of the platform's instances invalid, so that gateways and schedulers kept the last one for as long as it was there. A number of slots of 400 digits was accepted.

Each entry is validated by itself now; a malformed one is logged (instance_skipped) and left out. Slots and connections have bounds. The new test in tests/ports/test_http.py failed before.

--- a/libs/ports/src/cactustiller/ports/records.py
+++ b/libs/ports/src/cactustiller/ports/records.py
@@ -2,7 +2,8 @@
 
 from typing import Any
 
-from pydantic import ConfigDict, Field
+import structlog
+from pydantic import ConfigDict, Field, ValidationError, field_validator
 
 from cactustiller.model import (
     Attempt,
@@ -17,6 +18,11 @@
     WorkerId,
 )
 
+# Largest number of slots or connections of an executor.
+MAX_COUNT = 2**31 - 1
+
+log = structlog.get_logger(__name__)
+
 
 class Reply(Record):
     """Reply of a platform service; unknown fields are ignored for compatibility."""
@@ -127,8 +133,8 @@
     address: str
     zone: str
     region: str = ""
-    slots: int
-    connections: int
+    slots: int = Field(ge=0, le=MAX_COUNT)
+    connections: int = Field(ge=0, le=MAX_COUNT)
     state: InstanceState = InstanceState.LIVE
 
 
@@ -141,12 +147,29 @@
 
 
 class InstanceListing(Reply):
-    """The platform's instance list, which lags behind the actual state."""
+    """The platform's instance list, which lags behind the actual state.
+
+    Malformed entries are logged and left out.
+    """
 
     workers: list[WorkerInfo] = []
     backends: list[BackendInfo] = []
     entries: list[EntryInfo] = []
 
+    @field_validator("*", mode="wrap")
+    @classmethod
+    def _skip_malformed(cls, items, validate, info):
+        if not isinstance(items, list):
+            return validate(items)
+        valid = []
+        for item in items:
+            try:
+                valid += validate([item])
+            except ValidationError as error:
+                reason = str(error).splitlines()[1:3]
+                log.warning("instance_skipped", list=info.field_name, reason=reason)
+        return valid
+
 
 class TaskKey(Reply):
     """Identifies one attempt of one task on a worker."""
--- a/tests/ports/test_http.py
+++ b/tests/ports/test_http.py
@@ -99,3 +99,33 @@
     b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
     b"Content-Length: %d\r\nConnection: close\r\n\r\n" % len(BODY) + BODY
 )
+
+
+async def test_malformed_instance_hides_only_itself():
+    # Guards against a list that is not followed any more since one entry is malformed.
+    entries = [
+        {"instance": "entry-1", "zone": "a"},
+        {"instance": "entry-2", "zone": [[[[]]]]},
+        {"instance": "entry-3"},
+        7,
+        {"instance": "entry-4", "zone": "a", "state": "unknown"},
+    ]
+    backend = {
+        "executor": "e-1",
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "slots": 10**400,
+        "connections": 1,
+    }
+    content = {"entries": entries, "backends": [backend]}
+
+    async def answer(request):
+        return web.json_response(content)
+
+    app = web.Application()
+    app.router.add_get("/v1/instances", answer)
+    async with open_list(app) as port:
+        listing = (await port.list_instances()).unwrap()
+    assert [entry.instance for entry in listing.entries] == ["entry-1"]
+    assert listing.backends == []
