--- a/libs/cell/src/cactustiller/cell/owner/capacity.py
+++ b/libs/cell/src/cactustiller/cell/owner/capacity.py
@@ -310,9 +310,8 @@
 
 def _classify_silence(worker):
     """Return the loss of a worker that has not answered for as long as its lease."""
-    is_absent = worker.refuses_connections and not worker.is_listed
-    if worker.info.is_draining and is_absent:
-        return WorkerLoss.LEFT
+    if worker.refuses_connections and not worker.is_listed:
+        return WorkerLoss.LEFT if worker.info.is_draining else WorkerLoss.GONE
     if worker.refuses_connections or not worker.is_listed:
         return WorkerLoss.GONE
     return WorkerLoss.SILENT
