Fetch the listings of a worker one at a time

Cause: each unanswered start and each acknowledged stop fetched a listing of the worker at once, beside those in flight, so the calls grew with the number of failures. Requests are merged now: one call is in flight for each worker, and one after it serves all who asked meanwhile. A listing is still requested after whatever it has to show, so runs are settled on the same evidence.

--- a/libs/cell/src/cactustiller/cell/owner/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/owner/dispatch.py
@@ -18,6 +18,7 @@
 from ..reporting.metrics import Count, Latency
 from ..supervision import keep_running
 from .capacity import LEASE_SECONDS
+from .listing_calls import ListingFetcher
 
 HOLD_RETRY_SECONDS = 0.25
 # After this wait for the store to commit a worker's ends, the lease is renewed anyway.
@@ -60,6 +61,7 @@
         self._committed = asyncio.Event()
         self._hold_tasks = {}
         self._tasks = set()
+        self._listings = ListingFetcher(self._fetch_listing)
 
     def send_starts(self, placements):
         """Send starts without waiting for their answers."""
@@ -89,6 +91,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self._listings.close()
 
     def follow_workers(self):
         """Start a hold loop for each worker that has none."""
@@ -239,7 +242,7 @@
                 worker.avoided_until, now + UNANSWERED_PAUSE_SECONDS
             )
             # The hold call may wait for longer before it shows that the worker is lost.
-            self._start_task(self._fetch_listing(worker))
+            self._start_task(self._listings.fetch(worker))
         else:
             log_event(Event.RUN_REFUSED, **fields, answer=answer.value)
             self._handle_refusal(placement, run, answer, now)
@@ -285,7 +288,7 @@
             )
             if not self._is_running(stop):
                 # Its absence from a listing shows that the run can no longer start.
-                await self._fetch_listing(stop.worker)
+                await self._listings.fetch(stop.worker)
 
     def _is_running(self, stop):
         """Return whether a run has started, so that the hold call reports its end."""
@@ -306,7 +309,7 @@
     async def _check_after_probation(self, worker):
         """Fetch the listing that shows whether a suspect has crashed its worker."""
         await asyncio.sleep(PROBATION_SECONDS)
-        await self._fetch_listing(worker)
+        await self._listings.fetch(worker)
 
     async def _fetch_listing(self, worker):
         """Fetch a worker's listing by a second call while its hold call is waiting.
