--- a/standins/fleet/http.py
+++ b/standins/fleet/http.py
@@ -36,16 +36,49 @@
 SILENT_SECONDS = 20.0
 
 
-async def serve(handle, host="127.0.0.1"):
-    """Serve a handler on a free port; return its runner and address."""
+async def serve(handle, host="127.0.0.1", port=0):
+    """Serve a handler on a port, by default a free one; return runner and address."""
     runner = web.ServerRunner(web.Server(handle, access_log=None), shutdown_timeout=0.1)
     await runner.setup()
-    site = web.TCPSite(runner, host, 0)
+    site = web.TCPSite(runner, host, port, reuse_address=True)
     await site.start()
     port = site._server.sockets[0].getsockname()[1]
     return runner, f"{host}:{port}"
 
 
+class WorkerServer:
+    """Server of one executor on an address of its own.
+
+    Parameters
+    ----------
+    worker : FleetWorker
+    """
+
+    def __init__(self, worker):
+        self.address = None
+        self._worker = worker
+        self._runner = None
+
+    async def listen(self):
+        """Listen on a free port, and later on the same one again."""
+        host, _, port = (self.address or "127.0.0.1:0").rpartition(":")
+        handle = make_worker_handler(self._worker)
+        self._runner, self.address = await serve(handle, host, int(port))
+
+    async def refuse(self):
+        """Refuse connections, as behind a cut, and break those that are open."""
+        for protocol in list(self._runner.server.connections):
+            if protocol.transport is not None:
+                protocol.transport.abort()
+        await self.cleanup()
+
+    async def cleanup(self):
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+
 def make_store_handler(client):
     """Return the handler of the metadata store, with the troubles of a client."""
 
@@ -178,6 +211,7 @@
             "State": "draining" if info.is_draining else "ready",
             "Capacity": {"Cpu": cpu, "MemMb": memory, "Gpu": accelerators},
             "Labels": list(info.labels),
+            "RemainingMs": info.remaining_ms,
             "SeqNum": 1,
             "born": info.born_ms,
         }
--- a/standins/fleet/processes.py
+++ b/standins/fleet/processes.py
@@ -16,10 +16,10 @@
 
 from .audit import Audit
 from .http import (
+    WorkerServer,
     encode_entry,
     make_approval_handler,
     make_store_handler,
-    make_worker_handler,
     serve,
 )
 from .store import Store, StoreClient
@@ -107,6 +107,7 @@
         self._counts = (members, workers)
         self._runners = []
         self.workers = []
+        self._servers = {}
         self._session = None
 
     async def __aenter__(self):
@@ -223,11 +224,31 @@
         worker = FleetWorker(
             info, self.audit, lambda task: ((1000, 10, 0), self._task_seconds)
         )
-        address = await self._serve(make_worker_handler(worker))
-        worker.info = replace(info, address=address)
+        server = self._servers[name] = WorkerServer(worker)
+        self._runners.append(server)
+        await server.listen()
+        worker.info = replace(info, address=server.address)
         worker.start()
         self.workers.append(worker)
-        self.store.put(RowKey("servers", "", name), encode_entry(worker.info))
+        self.list_worker(worker)
+
+    def list_worker(self, worker, **changes):
+        """Write a worker's entry, after the given changes of its `WorkerInfo`."""
+        worker.info = replace(worker.info, **changes)
+        entry = encode_entry(worker.info)
+        self.store.put(RowKey("servers", "", worker.info.worker), entry)
+
+    def remove_entry(self, worker):
+        """Remove a worker's entry, as the platform does after a time without status."""
+        self.store.remove(RowKey("servers", "", worker.info.worker))
+
+    async def cut_off_worker(self, worker):
+        """Let a worker run on while connections to it are refused."""
+        await self._servers[worker.info.worker].refuse()
+
+    async def reconnect_worker(self, worker):
+        """End the cut of a worker."""
+        await self._servers[worker.info.worker].listen()
 
     def _write_settings(self, name, store, approvals):
         frontend, ready, peer = _find_free_ports(3)
