Log the evidence on which runs are released

A restart now logs what showed it (entry, report, another worker at the address) and both start times; run_lost, run_settled and lease_lapsed log the time since the last sign of life of the worker; a start that isn't sent is logged as refused.

--- a/libs/cell/src/cactustiller/cell/owner/capacity.py
+++ b/libs/cell/src/cactustiller/cell/owner/capacity.py
@@ -99,7 +99,7 @@
             worker.draining_since = self._clock()
         worker.info = info
         if info.born_ms and worker.born_ms and info.born_ms > worker.born_ms:
-            self._end_incarnation(worker, info.born_ms)
+            self._end_incarnation(worker, info.born_ms, "entry")
 
     def _adopt_runs(self, worker):
         """Count the stored runs of a worker that was unknown when they were loaded."""
@@ -140,6 +140,7 @@
                     loss=loss.value,
                     runs=len(worker.runs),
                     late_seconds=round(now - worker.lease_ends_at, 3),
+                    silent_seconds=worker.measure_silence(now),
                 )
                 self._drop_all_runs(worker, loss)
 
@@ -171,6 +172,7 @@
                     run=run,
                     worker=worker.info.worker,
                     loss=loss.value,
+                    silent_seconds=worker.measure_silence(now),
                     seconds=round(now - task.started_at, 3)
                     if task.started_at
                     else None,
@@ -199,32 +201,9 @@
         """Fail a job with a task that crashes its workers."""
         raise NotImplementedError
 
-    def _end_incarnation(self, worker, born_ms):
-        """Handle a worker's restart, which ended all its runs."""
-        log_event(
-            Event.WORKER_RESTARTED,
-            worker=worker.info.worker,
-            born_ms=born_ms,
-            runs=len(worker.runs),
-        )
-        worker.born_ms = born_ms
-        worker.reset_incarnation()
-        for job in self.jobs.values():
-            for step in job.iterate_steps():
-                step.forget_approval(worker.info.worker)
-        self._drop_all_runs(worker, WorkerLoss.RESTARTED)
-        # Answers to calls sent before are those of the previous incarnation.
-        worker.alive_at = self._clock()
-
-    def end_replaced_worker(self, worker):
-        """Release the runs of a worker whose process has been replaced by another."""
-        if worker.runs or worker.orphaned_runs:
-            log_event(
-                Event.WORKER_RESTARTED,
-                worker=worker.info.worker,
-                runs=len(worker.runs),
-            )
-            self._drop_all_runs(worker, WorkerLoss.RESTARTED)
+    def _end_incarnation(self, worker, born_ms, evidence):
+        """Handle a worker's restart, which ended the runs of its former process."""
+        raise NotImplementedError
 
     def _find_isolated_workers(self):
         """Return the ids of the workers on which a suspect is on probation."""
--- a/libs/cell/src/cactustiller/cell/owner/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/owner/dispatch.py
@@ -195,6 +195,14 @@
         deadline_ms = worker.grant_lease_ms(sent_at, LEASE_SECONDS)
         if deadline_ms is None:
             # The worker became unreachable after the placement.
+            log_event(
+                Event.RUN_REFUSED,
+                job=step.job.spec.job,
+                task=task.name,
+                run=run,
+                worker=worker.info.worker,
+                answer="not sent",
+            )
             self._engine.reject_start(worker, task, run, sent_at)
             return
         order = StartOrder(
--- a/libs/cell/src/cactustiller/cell/owner/run_tracking.py
+++ b/libs/cell/src/cactustiller/cell/owner/run_tracking.py
@@ -7,12 +7,12 @@
 from ..records.crashes import prove_run
 from ..records.desired import DesiredState
 from ..records.runs import RunEnd, RunPhase
-from ..records.workers import WorkerLoss
 from ..reporting.events import Event, log_event
-from .capacity import LEASE_SECONDS, CapacityTracker
+from .capacity import LEASE_SECONDS
+from .restarts import RestartTracker
 
 
-class RunTracker(CapacityTracker):
+class RunTracker(RestartTracker):
     """Tracks the latest run of each task, and the state of its job.
 
     Parameters
@@ -59,16 +59,8 @@
         sent_at, received_at : float
             Event loop times at which the call was sent and its answer received.
         """
-        if worker.born_ms and listing.born_ms not in (0, worker.born_ms):
-            # Answers may overtake each other, and the time of day may be set back
-            # between two starts.
-            is_later = sent_at >= worker.alive_at
-            if listing.born_ms < worker.born_ms and not is_later:
-                return
-            self._end_incarnation(worker, listing.born_ms)
-        if not worker.born_ms:
-            self._drop_runs_of_earlier_incarnations(worker, listing.born_ms)
-        worker.born_ms = listing.born_ms or worker.born_ms
+        if not self._recognize_process(worker, listing, sent_at):
+            return
         worker.alive_at = max(worker.alive_at, received_at)
         worker.update_clock_offset(listing.clock_ms, received_at)
         for end in listing.ended:
@@ -213,16 +205,6 @@
                 self._suspects.add(copy)
         self._update_eligible(run.step.job)
 
-    def _drop_runs_of_earlier_incarnations(self, worker, born_ms):
-        """Release the runs that a previous owner placed before the worker restarted."""
-        runs = [
-            (task, run)
-            for task, run in worker.runs.values()
-            if task.run == run and 0 < task.incarnation < born_ms
-        ]
-        if runs:
-            self._drop_runs(worker, runs, WorkerLoss.RESTARTED)
-
     def _apply_listed_run(self, worker, listed, sent_at, now):
         """Update a task from the report of its active run."""
         tracked = worker.runs.get(listed.task)
@@ -270,6 +252,7 @@
             run=task.run,
             worker=worker.info.worker,
             reason=reason,
+            silent_seconds=worker.measure_silence(self._clock()),
         )
         self._remove_run(worker, task)
         self._requeue(task)
--- a/libs/cell/src/cactustiller/cell/records/workers.py
+++ b/libs/cell/src/cactustiller/cell/records/workers.py
@@ -154,6 +154,10 @@
     def __post_init__(self):
         self.free_cpu, self.free_memory, self.free_accelerators = self.info.capacity
 
+    def measure_silence(self, now):
+        """Return the seconds since the last sign of life, None without any."""
+        return round(now - self.alive_at, 3) if self.alive_at else None
+
     def take_capacity(self, amounts):
         """Subtract the amounts of a run that may be on the worker."""
         self.free_cpu -= amounts[0]
