Keep runs that a restarted worker may still start

A worker restarts under its id while a start is under way; the owner releases all runs of the former process at once and starts the task elsewhere, and the new process carries the order out: orders name the worker, a new process has seen no fence and no stops, and a call without an answer may be executed seconds later.

A restart proves the end of those runs only that the former process has listed. The others are now kept: they go on or end as the new process reports, and a start without an answer is settled by a stop that the new process acknowledges and a later complete report without the run. A stop that the former process acknowledged doesn't count, so a stop order names the process. The same holds after a takeover: a run that the new process lists isn't released for its former start time. The new process is asked for its runs at once, since a call that waits for the former one may not break.

A crash is charged to the kept runs as before.

--- a/libs/cell/src/cactustiller/cell/owner/capacity.py
+++ b/libs/cell/src/cactustiller/cell/owner/capacity.py
@@ -144,16 +144,17 @@
                 )
                 self._drop_all_runs(worker, loss)
 
-    def _drop_all_runs(self, worker, loss):
-        """Release all runs of a worker and make their tasks pending again."""
+    def _drop_all_runs(self, worker, loss, kept=()):
+        """Release all runs of a worker but `kept`; make their tasks pending again."""
         for key in list(worker.orphaned_runs):
             self._drop_orphaned_run(worker, key)
-        self._drop_runs(worker, list(worker.runs.values()), loss)
+        self._drop_runs(worker, list(worker.runs.values()), loss, kept)
 
-    def _drop_runs(self, worker, runs, loss):
+    def _drop_runs(self, worker, runs, loss, kept=()):
         """Release some runs of a worker and make their tasks pending again.
 
-        `runs` are pairs of a task and a run number.
+        `runs` and `kept` are pairs of a task and a run number. A crash is charged to
+        the runs that are kept, too.
         """
         now = self._clock()
         lost = [
@@ -163,6 +164,8 @@
         ]
         failed_jobs = self._charge_loss(worker, lost, loss)
         for task, run in runs:
+            if (task, run) in kept:
+                continue
             self._remove_run(worker, task)
             if task.run == run and task.phase is not RunPhase.SUCCEEDED:
                 log_event(
--- a/libs/cell/src/cactustiller/cell/owner/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/owner/dispatch.py
@@ -53,6 +53,9 @@
         self._metrics = metrics
         engine.on_run_ended = self._record_end
         engine.on_copy_settled = self._record_copy
+        engine.on_runs_kept = lambda worker: self._start_task(
+            self._fetch_listing(worker)
+        )
         self._calls = calls
         self._fencing_token = fencing_token
         self._wake = wake
--- a/libs/cell/src/cactustiller/cell/owner/restarts.py
+++ b/libs/cell/src/cactustiller/cell/owner/restarts.py
@@ -1,4 +1,9 @@
-"""Recognition of restarted workers, and what a restart says of their runs."""
+"""Recognition of restarted workers, and what a restart says of their runs.
+
+A restart ends the runs that the former process had. It says nothing of a start that may
+still be under way, since orders name the worker and not its process: the new process
+may carry it out, now or later.
+"""
 
 from ..records.workers import WorkerLoss
 from ..reporting.events import Event, log_event
@@ -6,7 +11,21 @@
 
 
 class RestartTracker(CapacityTracker):
-    """Releases the runs that ended with a former process of their worker."""
+    """Releases the runs that ended with a former process of their worker.
+
+    A run that the former process has not reported is kept until the new one has
+    reported its end, or is known not to have it and not to start it.
+
+    Attributes
+    ----------
+    on_runs_kept : callable
+        Called with a restarted worker whose new process has to report its runs, as a
+        call that waits for the former process may not break.
+    """
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.on_runs_kept = lambda worker: None
 
     def _recognize_process(self, worker, listing, sent_at):
         """Return whether a report comes from the worker's latest process.
@@ -21,21 +40,31 @@
                 return False
             self._end_incarnation(worker, listing.born_ms, "report")
         if not worker.born_ms:
-            self._drop_runs_of_earlier_incarnations(worker, listing.born_ms)
+            self._drop_runs_of_earlier_incarnations(worker, listing)
         worker.born_ms = listing.born_ms or worker.born_ms
         return True
 
     def _end_incarnation(self, worker, born_ms, evidence):
-        """Handle a worker's restart, which ended all its runs."""
+        """Handle a worker's restart, which ended the runs of its former process."""
         self._log_restart(worker, evidence, born_ms)
         worker.born_ms = born_ms
         worker.reset_incarnation()
         for job in self.jobs.values():
             for step in job.iterate_steps():
                 step.forget_approval(worker.info.worker)
-        self._drop_all_runs(worker, WorkerLoss.RESTARTED)
+        kept = [
+            (task, run)
+            for task, run in worker.runs.values()
+            if task.run == run and task.is_start_sent and not task.is_reported
+        ]
+        for task, _ in kept:
+            # The new process has not seen the stop.
+            task.stop_acked_at = 0.0
+        self._drop_all_runs(worker, WorkerLoss.RESTARTED, kept)
         # Answers to calls sent before are those of the previous incarnation.
         worker.alive_at = self._clock()
+        if kept:
+            self.on_runs_kept(worker)
 
     def end_replaced_worker(self, worker):
         """Release the runs of a worker whose process has been replaced by another."""
@@ -54,12 +83,19 @@
             runs=len(worker.runs),
         )
 
-    def _drop_runs_of_earlier_incarnations(self, worker, born_ms):
-        """Release the runs that a previous owner placed before the worker restarted."""
+    def _drop_runs_of_earlier_incarnations(self, worker, listing):
+        """Release the runs that a previous owner placed before the worker restarted.
+
+        The new process has them only if it reports them: it rejects further calls of
+        previous owners, since this owner's call has shown it a higher fencing token.
+        """
+        reported = {(run.task, run.run) for run in (*listing.active, *listing.ended)}
         runs = [
             (task, run)
             for task, run in worker.runs.values()
-            if task.run == run and 0 < task.incarnation < born_ms
+            if task.run == run
+            and 0 < task.incarnation < listing.born_ms
+            and (task.name, run) not in reported
         ]
         if runs:
             self._drop_runs(worker, runs, WorkerLoss.RESTARTED)
--- a/libs/cell/src/cactustiller/cell/owner/run_control.py
+++ b/libs/cell/src/cactustiller/cell/owner/run_control.py
@@ -19,11 +19,12 @@
 
 
 class StopOrder(NamedTuple):
-    """Stop of a run on a worker."""
+    """Stop of a run on a worker, whose process is identified by its start."""
 
     worker: Worker
     task: str
     run: int
+    born_ms: int
 
 
 class PaceOrder(NamedTuple):
@@ -83,9 +84,11 @@
     def confirm_stop(self, stop, now):
         """Record that a worker acknowledged a stop.
 
-        The worker never starts a run after it has acknowledged its stop. A run that had
-        started keeps its capacity until its end is reported.
+        The worker never starts a run after it has acknowledged its stop, unless it
+        restarts. A run that had started keeps its capacity until its end is reported.
         """
+        if stop.born_ms != stop.worker.born_ms:
+            return
         tracked = stop.worker.runs.get(stop.task)
         if tracked is not None and tracked[1] == stop.run:
             # Keeps the first time: a report requested after it that does not list the
@@ -106,9 +109,10 @@
                     and now - task.stop_acked_at < STOP_CONFIRMATION_SECONDS
                 )
                 if task.is_stopping and not is_acked:
-                    stops.append(StopOrder(worker, task.name, run))
+                    stops.append(StopOrder(worker, task.name, run, worker.born_ms))
             stops += [
-                StopOrder(worker, name, run) for name, run in worker.orphaned_runs
+                StopOrder(worker, name, run, worker.born_ms)
+                for name, run in worker.orphaned_runs
             ]
         due = [
             stop
--- a/libs/cell/src/cactustiller/cell/owner/run_tracking.py
+++ b/libs/cell/src/cactustiller/cell/owner/run_tracking.py
@@ -233,9 +233,10 @@
         Makes its task pending again if the run has certainly ended or can no longer
         start; stops the run if its start got no answer and may still be carried out.
         """
-        if not worker.is_synchronized:
+        if not worker.is_synchronized and not task.start_sent_at:
             # The report was requested with this owner's fencing token, so the worker
-            # rejects starts of previous owners from here on.
+            # rejects starts of previous owners from here on. After a restart, starts of
+            # this owner may still be under way.
             self._settle_missing_run(worker, task, "not listed after takeover")
         elif task.started_at and task.started_at < sent_at:
             self._settle_missing_run(worker, task, "no longer listed")
--- a/libs/cell/src/cactustiller/cell/records/runs.py
+++ b/libs/cell/src/cactustiller/cell/records/runs.py
@@ -69,7 +69,7 @@
     started_at : float
         When the run was first known to be running; 0 before that.
     progress, progressed_at : int, float
-        Last reported percentage, and when it last increased.
+        Last reported percentage, -1 before the first, and when it last increased.
     ticket : str
         Approval ticket sent with the start; empty if none is needed.
     latency_ratio : float
@@ -122,6 +122,11 @@
         """Whether a run may use capacity on a worker."""
         return self.phase in (RunPhase.ASSIGNED, RunPhase.RUNNING)
 
+    @property
+    def is_reported(self):
+        """Whether its worker has listed the run as active."""
+        return self.progress >= 0
+
     @property
     def is_isolated(self):
         """Whether nothing else is started on the worker of the run for now."""
--- /dev/null
+++ b/tests/cell/test_restarts.py
@@ -0,0 +1,107 @@
+"""Workers that restart under their id while calls to them are under way."""
+
+import asyncio
+
+import pytest
+
+from cactustiller.cell.owner.run_control import StopOrder
+from cactustiller.cell.records.runs import RunPhase
+from cactustiller.model import JobState
+from standins.fleet import FleetCell, make_job
+from standins.fleet.workers import WorkerTrouble
+from tests.cell.release_builders import (
+    BORN_MS,
+    FORMER_BORN_MS,
+    NOW,
+    list_end,
+    list_runs,
+    make_sent_run,
+)
+
+RESTART_SECONDS = 0.3
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("late_seconds", [0.6, 2.0])
+async def test_order_that_a_restarted_worker_carries_out_late_runs_once(late_seconds):
+    # Guards against two runs: the start got no answer, its worker restarted, and the
+    # new process carried it out.
+    async with FleetCell(workers=2) as cell:
+        await asyncio.sleep(1.0)
+        for worker in cell.workers.values():
+            worker.trouble = WorkerTrouble.ORDERS_LATE
+            worker.late_seconds = late_seconds
+        spec = make_job(estimate_ms=4000)
+        await cell.submit(spec, seconds=4.0)
+        await asyncio.sleep(RESTART_SECONDS)
+        (name,) = {
+            task.worker
+            for step in cell.find_engine().jobs[spec.job].iterate_steps()
+            for task in step.tasks
+        }
+        for worker in cell.workers.values():
+            worker.trouble = WorkerTrouble.NONE
+        cell.workers[name].be_reborn(2)
+        cell.list_worker(cell.workers[name])
+        await cell.wait_for_state(spec, JobState.SUCCEEDED)
+
+
+def test_run_that_the_new_process_lists_goes_on():
+    # Guards against a second run of a task whose start was answered by the new process
+    # before the owner knew of the restart.
+    engine, worker, task = make_sent_run(is_confirmed=True)
+    engine.apply_listing(worker, list_runs(task), NOW, NOW)
+    assert task.phase is RunPhase.RUNNING
+    assert worker.runs[task.name] == (task, 1)
+    assert not worker.orphaned_runs
+
+
+def test_end_that_the_new_process_lists_counts():
+    # Guards against a task that is run again after it was done in the new process.
+    engine, worker, task = make_sent_run(is_confirmed=True)
+    engine.apply_listing(worker, list_end(task), NOW, NOW)
+    assert task.phase is RunPhase.SUCCEEDED
+
+
+def test_end_of_a_former_owners_run_in_the_new_process_counts():
+    # Guards against the same after a takeover, when the order came from the owner
+    # before and the stored row names the former process.
+    engine, worker, task = make_sent_run()
+    worker.born_ms, task.start_sent_at, worker.is_synchronized = 0, 0.0, False
+    engine.apply_listing(worker, list_end(task), NOW, NOW)
+    assert task.phase is RunPhase.SUCCEEDED
+
+
+@pytest.mark.parametrize("is_confirmed", [False, True])
+def test_run_that_the_former_process_listed_ends_with_it(is_confirmed):
+    # Guards against tasks that wait for orders that can't come any more.
+    engine, worker, task = make_sent_run(is_reported=True, is_confirmed=is_confirmed)
+    engine.apply_listing(worker, list_runs(), NOW, NOW)
+    assert task.phase is RunPhase.WAITING
+    assert not worker.runs
+
+
+def test_confirmed_run_that_the_new_process_has_not_ends_with_the_former():
+    # Guards against a task that waits for ever: its start was answered by the former
+    # process, which had not listed the run yet.
+    engine, worker, task = make_sent_run(is_confirmed=True)
+    engine.apply_listing(worker, list_runs(), NOW, NOW)
+    assert task.phase is RunPhase.WAITING
+
+
+def test_unanswered_start_is_settled_by_a_stop_of_the_new_process():
+    # Guards against a release by a stop that the former process acknowledged; the new
+    # one has seen no stop and may still carry the start out.
+    engine, worker, task = make_sent_run()
+    task.is_start_unanswered = task.is_stopping = True
+    sent = StopOrder(worker, task.name, 1, FORMER_BORN_MS)
+    engine.confirm_stop(sent, NOW - 1)
+    engine.apply_listing(worker, list_runs(), NOW, NOW)
+    engine.confirm_stop(sent, NOW + 0.1)
+    engine.apply_listing(worker, list_runs(), NOW + 0.2, NOW + 0.2)
+    assert task.phase is RunPhase.ASSIGNED
+    (stop,) = engine.find_due_stops()
+    assert stop.born_ms == BORN_MS
+    engine.confirm_stop(stop, NOW + 0.3)
+    engine.apply_listing(worker, list_runs(), NOW + 0.4, NOW + 0.4)
+    assert task.phase is RunPhase.WAITING
