--- a/libs/cell/src/cactustiller/cell/owner/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/owner/dispatch.py
@@ -54,6 +54,9 @@
         self._metrics = metrics
         engine.on_run_ended = self._record_end
         engine.on_copy_settled = self._record_copy
+        engine.on_runs_kept = lambda worker: self._start_task(
+            self._fetch_listing(worker)
+        )
         self._calls = calls
         self._fencing_token = fencing_token
         self._wake = wake
@@ -198,6 +201,14 @@
         deadline_ms = worker.grant_lease_ms(sent_at, LEASE_SECONDS)
         if deadline_ms is None:
             # The worker became unreachable after the placement.
+            log_event(
+                Event.RUN_REFUSED,
+                job=step.job.spec.job,
+                task=task.name,
+                run=run,
+                worker=worker.info.worker,
+                answer="not sent",
+            )
             self._engine.reject_start(worker, task, run, sent_at)
             return
         order = StartOrder(
