--- a/libs/cell/src/cactustiller/cell/owner/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/owner/dispatch.py
@@ -55,7 +55,7 @@
         engine.on_run_ended = self._record_end
         engine.on_copy_settled = self._record_copy
         engine.on_runs_kept = lambda worker: self._start_task(
-            self._fetch_listing(worker)
+            self._listings.fetch(worker)
         )
         self._calls = calls
         self._fencing_token = fencing_token
