Acknowledge ends only to the process that listed them

The first call after a silence, by which the owner learns of a restart, carried the last number of the former process. Numbers begin anew, so the new process forgot its ends up to it, unseen; the run was then missing from the report and settled as not started.

A number is now sent only to a worker that answered the latest call, and not again once a call with it was answered, so that a call that is carried out late rarely carries one. The second call that only fetches a report never does.

The stand-in's waiting call breaks when its worker restarts, as a connection does. test_end_in_the_new_process_is_not_acknowledged_unseen failed before (the done task was started again) and passes.

--- a/libs/cell/src/cactustiller/cell/owner/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/owner/dispatch.py
@@ -117,10 +117,11 @@
             is_caught_up = worker.acked_through == worker.processed_through
             may_wait = worker.is_synchronized and worker.is_reachable and is_caught_up
             sent_at = loop.time()
+            ack, born_ms = worker.choose_ack(), worker.born_ms
             answer = await self._calls.hold(
                 worker.info,
                 self._fencing_token,
-                worker.acked_through,
+                ack,
                 worker.grant_lease_ms(sent_at, LEASE_SECONDS),
                 choose_wait_ms(worker, len(self._engine.workers), sent_at)
                 if may_wait
@@ -132,6 +133,7 @@
                 continue
             self._mark_reachable(worker)
             self._engine.apply_listing(worker, answer.unwrap(), sent_at, loop.time())
+            worker.confirm_ack(ack, born_ms)
             self._wake()
             await self._wait_until_acknowledged(worker)
 
@@ -326,9 +328,7 @@
         """
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
-        answer = await self._calls.hold(
-            worker.info, self._fencing_token, worker.acked_through, None, 0
-        )
+        answer = await self._calls.hold(worker.info, self._fencing_token, 0, None, 0)
         if answer.is_err():
             self._mark_unreachable(worker, answer.unwrap_err())
             return
--- a/libs/cell/src/cactustiller/cell/records/workers.py
+++ b/libs/cell/src/cactustiller/cell/records/workers.py
@@ -92,6 +92,8 @@
         team, amounts counted for the worker and amounts counted for the team.
     acked_through, processed_through : int
         Numbers of the last end acknowledged to the worker and the last processed.
+    delivered_ack : int
+        Highest number that the worker has certainly received as acknowledged.
     unstored_ends : deque of (int, JobId)
         Processed ends whose progress row may not be stored yet: number and job.
     clock_offset : float or None
@@ -135,6 +137,7 @@
     orphaned_runs: dict = field(default_factory=dict)
     acked_through: int = 0
     processed_through: int = 0
+    delivered_ack: int = 0
     unstored_ends: deque = field(default_factory=deque)
     clock_offset: float | None = None
     lease_ends_at: float = 0.0
@@ -209,6 +212,22 @@
         born_ms = self.info.born_ms
         return bool(born_ms and self.born_ms) and born_ms != self.born_ms
 
+    def choose_ack(self):
+        """Return the number up to which the next call acknowledges ends, or 0.
+
+        Numbers begin anew with each process, and a call may reach the next one. There
+        it would make ends be forgotten that this owner has not seen. So a number is
+        sent only to a worker that answered the latest call, and not again once a call
+        with it was answered.
+        """
+        is_needed = self.is_reachable and self.acked_through > self.delivered_ack
+        return self.acked_through if is_needed else 0
+
+    def confirm_ack(self, number, born_ms):
+        """Record that a process of the worker has answered a call with a number."""
+        if born_ms == self.born_ms:
+            self.delivered_ack = max(self.delivered_ack, number)
+
     def update_clock_offset(self, clock_ms, received_at):
         """Update the clock offset from a reading of the worker's clock in an answer.
 
@@ -242,7 +261,7 @@
 
     def reset_incarnation(self):
         """Reset the state that belongs to the worker's previous incarnation."""
-        self.acked_through = self.processed_through = 0
+        self.acked_through = self.processed_through = self.delivered_ack = 0
         self.unstored_ends.clear()
         self.clock_offset = None
         self.is_synchronized = False
--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -288,7 +288,8 @@
                     await found.changed.wait()
             except TimeoutError:
                 pass
-            if found.trouble is WorkerTrouble.CRASHED:
+            is_gone = found.info.born_ms != listing.born_ms
+            if is_gone or found.trouble is WorkerTrouble.CRASHED:
                 return _fail(ErrorCode.UNAVAILABLE, "server disconnected")
             listing = found.list_runs()
         return Ok(listing)
--- a/tests/cell/test_restarts.py
+++ b/tests/cell/test_restarts.py
@@ -105,3 +105,27 @@
     engine.confirm_stop(stop, NOW + 0.3)
     engine.apply_listing(worker, list_runs(), NOW + 0.4, NOW + 0.4)
     assert task.phase is RunPhase.WAITING
+
+
+@pytest.mark.looptime
+async def test_end_in_the_new_process_is_not_acknowledged_unseen():
+    # Guards against a task that is run again after it was done, since a call that was
+    # meant for the former process acknowledged the end in the new one.
+    async with FleetCell(workers=1) as cell:
+        first, second = make_job(1), make_job(2)
+        await cell.submit(first)
+        await cell.wait_for_state(first, JobState.SUCCEEDED)
+        await asyncio.sleep(1.0)
+        worker = cell.workers["w0"]
+        worker.trouble, worker.late_seconds = WorkerTrouble.ORDERS_LATE, 1.0
+        await cell.submit(second, seconds=0.2)
+        await asyncio.sleep(0.1)
+        worker.trouble = WorkerTrouble.CUT_OFF_WITH_REFUSALS
+        worker.be_reborn(2)
+        await asyncio.sleep(1.5)
+        assert [end.task for end in worker.ends] == [f"{second.job}.0.0.0"]
+        worker.trouble = WorkerTrouble.NONE
+        await asyncio.sleep(0.5)
+        cell.list_worker(worker)
+        await cell.wait_for_state(second, JobState.SUCCEEDED)
+        assert cell.audit.count_starts(f"{second.job}.0.0.0") == 1
