Count the late end of a released run if its task is pending

What callers saw or would see: a task is run again after it was done. A run whose lease had expired for the owner, or that was released for another reason, had ended `done`; the worker came back and listed that end, which was ignored and acknowledged, and the task was started once more.

The end `done` of the latest run of a pending task now succeeds the task, and is acknowledged once that is stored. Other late ends, and those of runs that have a successor, change nothing, as before. Gangs and services are left out.

test_task_that_was_done_behind_a_cut_is_not_started_again and test_late_end_is_acknowledged_once_its_effect_is_stored failed before.

--- a/libs/cell/src/cactustiller/cell/owner/capacity.py
+++ b/libs/cell/src/cactustiller/cell/owner/capacity.py
@@ -8,7 +8,7 @@
 
 from ..decisions.zones import ZoneEvacuations
 from ..records.crashes import charge_crash, is_crash
-from ..records.desired import Team
+from ..records.desired import DesiredState, Team
 from ..records.runs import RunPhase
 from ..records.workers import CLOCK_DRIFT, Worker, WorkerInfo, WorkerLoss
 from ..reporting.events import Event, log_event
@@ -42,6 +42,7 @@
     def __init__(self, clock):
         self.jobs = {}
         self.workers = {}
+        self.desired = DesiredState()
         self._clock = clock
         self._used = {}
         self._runs_of_unknown_workers = {}
@@ -78,6 +79,19 @@
             if not (worker.runs or worker.orphaned_runs or worker.is_reachable):
                 del self.workers[worker_id]
 
+    def find_rules(self, job):
+        """Return the current rules of a job's queue.
+
+        If the queue no longer exists, these are its rules at the job's acceptance.
+        """
+        queue = self.desired.queues.get(job.spec.queue)
+        return queue.rules if queue else job.spec.rules
+
+    def apply_desired(self, desired):
+        """Apply a desired state if its version is newer."""
+        if desired.version > self.desired.version:
+            self.desired = desired
+
     def evacuate_zones(self, zones):
         """Place no new tasks on the workers of the given zones, a frozenset of str."""
         self._evacuations.apply(zones, self.workers.values())
--- a/libs/cell/src/cactustiller/cell/owner/run_tracking.py
+++ b/libs/cell/src/cactustiller/cell/owner/run_tracking.py
@@ -5,7 +5,7 @@
 from ..decisions.health import record_failure, record_success
 from ..records.copies import drop_copy, promote_copy, settle_done
 from ..records.crashes import prove_run
-from ..records.desired import DesiredState
+from ..records.listings import find_released_task
 from ..records.runs import RunEnd, RunPhase
 from ..reporting.events import Event, log_event
 from .capacity import LEASE_SECONDS
@@ -37,7 +37,6 @@
     def __init__(self, clock, wall_clock_ms):
         super().__init__(clock)
         self.published_states = {}
-        self.desired = DesiredState()
         self.on_run_ended = _ignore
         self.on_copy_settled = _ignore
         self.observers = []
@@ -94,6 +93,7 @@
         """Release the run that ended, and succeed, fail or requeue its task."""
         tracked = worker.runs.get(end.task)
         if tracked is None or tracked[1] != end.run:
+            self._apply_late_end(worker, end)
             return
         task = tracked[0]
         self._remove_run(worker, task)
@@ -128,6 +128,28 @@
         else:
             self._requeue(task)
 
+    def _apply_late_end(self, worker, end):
+        """Succeed a task whose run was released before its worker reported its end."""
+        task = find_released_task(self.jobs, end)
+        if task is None or end.end is not RunEnd.DONE:
+            return
+        step = task.step
+        job = step.job.spec.job
+        worker.unstored_ends.append((end.number, job))
+        log_event(
+            Event.RUN_ENDED,
+            job=job,
+            task=task.name,
+            run=end.run,
+            worker=worker.info.worker,
+            end=end.end.value,
+            is_late=True,
+        )
+        self.on_run_ended(task, end.end)
+        self._succeed(task)
+        if not step.pending_count:
+            self._eligible.pop(step, None)
+
     def _succeed(self, run):
         task, outcome = settle_done(run)
         if outcome is not None:
@@ -315,19 +337,6 @@
         if state is JobState.SUCCEEDED:
             job.occurrences.clear()
 
-    def find_rules(self, job):
-        """Return the current rules of a job's queue.
-
-        If the queue no longer exists, these are its rules at the job's acceptance.
-        """
-        queue = self.desired.queues.get(job.spec.queue)
-        return queue.rules if queue else job.spec.rules
-
-    def apply_desired(self, desired):
-        """Apply a desired state if its version is newer."""
-        if desired.version > self.desired.version:
-            self.desired = desired
-
 
 def _ignore(*arguments):
     """Ignore an event; the default of the callbacks."""
--- a/libs/cell/src/cactustiller/cell/records/listings.py
+++ b/libs/cell/src/cactustiller/cell/records/listings.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from .runs import RunEnd
+from .runs import RunEnd, RunPhase
 
 
 class ListedEnd(NamedTuple):
@@ -45,3 +45,23 @@
     active: tuple[ListedRun, ...]
     ended: tuple[ListedEnd, ...]
     is_complete: bool = True
+
+
+def find_released_task(jobs, end):
+    """Return the pending task whose latest run has a reported end, or None.
+
+    A gang restarts as a whole and a service never succeeds, so their tasks are left
+    out.
+
+    Parameters
+    ----------
+    jobs : dict of JobId to JobRun
+    end : ListedEnd
+    """
+    job = jobs.get(end.task.partition(".")[0])
+    task = job.find_task(end.task) if job is not None else None
+    if task is None or task.name != end.task or job.state.is_final:
+        return None
+    is_plain = not (task.step.spec.is_gang or task.step.spec.is_service)
+    is_latest = task.phase is RunPhase.WAITING and task.run == end.run
+    return task if is_plain and is_latest else None
