Drop placements of runs that were released before they are stored

A placement may wait for a later batch, since a transaction holds 96 rows. If its worker restarts meanwhile, the task is placed again, and both placements were started with the new run number when their batch was stored, the first one on the worker that had lost the run.

A placement is now started only if its worker still has the latest run of the task, and once.

test_placement_of_a_released_run_starts_nothing and test_task_that_is_placed_twice_on_its_worker_is_started_once failed before.

--- a/libs/cell/src/cactustiller/cell/owner/batches.py
+++ b/libs/cell/src/cactustiller/cell/owner/batches.py
@@ -117,6 +117,10 @@
         starts = []
         for placement in batch.placements:
             task, worker = placement.task, placement.worker
+            # The run may have been released since, and its task placed again: then
+            # this placement is void, and the later one is in this batch, too.
+            if worker.runs.get(task.name) != (task, task.run) or task.is_start_sent:
+                continue
             is_stale = now - placement.decided_at > MAX_PLACEMENT_AGE_SECONDS
             is_unusable = is_stale or not worker.is_schedulable(now)
             if is_unusable or task.is_stopping or not task.holds_capacity:
--- a/tests/cell/test_releases.py
+++ b/tests/cell/test_releases.py
@@ -5,11 +5,13 @@
 import pytest
 from structlog.testing import capture_logs
 
+from cactustiller.cell.owner.engine import Engine
 from cactustiller.cell.records.runs import RunEnd, RunPhase
 from cactustiller.cell.records.workers import WorkerLoss
 from cactustiller.model import JobState
 from standins.fleet import FleetCell, make_job
 from standins.fleet.workers import WorkerTrouble
+from tests.cell.builders import make_worker
 from tests.cell.release_builders import (
     BORN_MS,
     FORMER_BORN_MS,
@@ -82,3 +84,35 @@
     engine.collect(10)
     engine.acknowledge_ends()
     assert worker.acked_through == 1
+
+
+def test_placement_of_a_released_run_starts_nothing():
+    # Guards against two starts with the same run number: a placement that waits for a
+    # batch loses its worker, and its task is placed again before that batch is stored.
+    engine = Engine(lambda: NOW, lambda: 1000)
+    for name in ("w0", "w1"):
+        engine.workers[name] = make_worker(name, born_ms=FORMER_BORN_MS)
+    engine.add_job(make_job())
+    engine.plan()
+    (first,) = engine._unstored_placements
+    assert not engine.collect(0).placements
+    engine.apply_listing(first.worker, list_runs(), NOW, NOW)
+    first.worker.avoided_until = NOW + 1
+    engine.plan()
+    first.worker.avoided_until = 0.0
+    starts = engine.confirm_batch(engine.collect(10))
+    (other,) = (w for w in engine.workers.values() if w is not first.worker)
+    assert [(start.worker, start.task.run) for start in starts] == [(other, 2)]
+
+
+def test_task_that_is_placed_twice_on_its_worker_is_started_once():
+    # Guards against two starts of one run: the answer that one was refused would
+    # release the run that the other one has started.
+    engine = Engine(lambda: NOW, lambda: 1000)
+    engine.workers["w0"] = worker = make_worker("w0", born_ms=FORMER_BORN_MS)
+    engine.add_job(make_job())
+    engine.plan()
+    engine.apply_listing(worker, list_runs(), NOW, NOW)
+    engine.plan()
+    starts = engine.confirm_batch(engine.collect(10))
+    assert [start.task.run for start in starts] == [2]
