Ignore rejections by other workers at a worker's earlier address

What callers would see: a second run of a task (rule TWICE). A rejection by another process at a worker's address proves that the worker's process is gone, but only at the address that was called. If the entry named a new one meanwhile, the answer released the runs of the process there.

test_answer_from_an_earlier_address_releases_no_run failed before.

--- a/libs/cell/src/cactustiller/cell/owner/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/owner/dispatch.py
@@ -118,8 +118,9 @@
             may_wait = worker.is_synchronized and worker.is_reachable and is_caught_up
             sent_at = loop.time()
             ack, born_ms = worker.choose_ack(), worker.born_ms
+            info = worker.info
             answer = await self._calls.hold(
-                worker.info,
+                info,
                 self._fencing_token,
                 ack,
                 worker.grant_lease_ms(sent_at, LEASE_SECONDS),
@@ -128,7 +129,7 @@
                 else 0,
             )
             if answer.is_err():
-                self._mark_unreachable(worker, answer.unwrap_err())
+                self._mark_unreachable(worker, answer.unwrap_err(), info.address)
                 await asyncio.sleep(HOLD_RETRY_SECONDS)
                 continue
             self._mark_reachable(worker)
@@ -149,7 +150,7 @@
         except TimeoutError:
             return
 
-    def _mark_unreachable(self, worker, failure):
+    def _mark_unreachable(self, worker, failure, address):
         if worker.is_reachable:
             worker.is_reachable = False
             if failure.code is ErrorCode.UNAVAILABLE:
@@ -162,7 +163,8 @@
                 reason=failure.reason,
                 runs=len(worker.runs),
             )
-        if failure.code is ErrorCode.REPLACED:
+        if failure.code is ErrorCode.REPLACED and address == worker.info.address:
+            # Another process at an earlier address says nothing of the present one.
             self._engine.end_replaced_worker(worker)
         # The connection was refused: no process listens at the worker's address.
         worker.refuses_connections = (
@@ -328,9 +330,10 @@
         """
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
-        answer = await self._calls.hold(worker.info, self._fencing_token, 0, None, 0)
+        info = worker.info
+        answer = await self._calls.hold(info, self._fencing_token, 0, None, 0)
         if answer.is_err():
-            self._mark_unreachable(worker, answer.unwrap_err())
+            self._mark_unreachable(worker, answer.unwrap_err(), info.address)
             return
         self._engine.apply_listing(worker, answer.unwrap(), sent_at, loop.time())
         self._wake()
--- a/tests/cell/test_restarts.py
+++ b/tests/cell/test_restarts.py
@@ -1,12 +1,15 @@
 """Workers that restart under their id while calls to them are under way."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
+from result import Err
 
+from cactustiller.cell.owner.dispatch import Dispatcher
 from cactustiller.cell.owner.run_control import StopOrder
 from cactustiller.cell.records.runs import RunPhase
-from cactustiller.model import JobState
+from cactustiller.model import ErrorCode, Failure, JobState, Outcome
 from standins.fleet import FleetCell, make_job
 from standins.fleet.workers import WorkerTrouble
 from tests.cell.release_builders import (
@@ -129,3 +132,32 @@
         cell.list_worker(worker)
         await cell.wait_for_state(second, JobState.SUCCEEDED)
         assert cell.audit.count_starts(f"{second.job}.0.0.0") == 1
+
+
+class CallsToAnEarlierAddress:
+    """Calls that another worker rejects at the address that a worker had before."""
+
+    def __init__(self, worker):
+        self._worker = worker
+
+    async def hold(self, *arguments):
+        """Reject the call after the entry with the new address has been read."""
+        self._worker.info = replace(self._worker.info, address="w0:2")
+        failure = Failure(
+            code=ErrorCode.REPLACED,
+            step="hold",
+            reason="another process",
+            outcome=Outcome.NOT_RUN,
+        )
+        return Err(failure)
+
+
+async def test_answer_from_an_earlier_address_releases_no_run():
+    # Guards against a second run of a task whose worker restarted at a new address,
+    # where a call to the earlier one is answered by another worker.
+    engine, worker, task = make_sent_run(is_reported=True)
+    calls = CallsToAnEarlierAddress(worker)
+    dispatcher = Dispatcher(engine, calls, 1, lambda: None, lambda: None, None)
+    await dispatcher._fetch_listing(worker)
+    assert not worker.is_reachable
+    assert task.phase is RunPhase.RUNNING
