--- a/tests/cell/test_restarts.py
+++ b/tests/cell/test_restarts.py
@@ -1,12 +1,15 @@
 """Workers that restart under their id while calls to them are under way."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
+from result import Err
 
+from cactustiller.cell.owner.dispatch import Dispatcher
 from cactustiller.cell.owner.run_control import StopOrder
 from cactustiller.cell.records.runs import RunPhase
-from cactustiller.model import JobState
+from cactustiller.model import ErrorCode, Failure, JobState, Outcome
 from standins.fleet import FleetCell, make_job
 from standins.fleet.workers import WorkerTrouble
 from tests.cell.release_builders import (
@@ -105,3 +108,56 @@
     engine.confirm_stop(stop, NOW + 0.3)
     engine.apply_listing(worker, list_runs(), NOW + 0.4, NOW + 0.4)
     assert task.phase is RunPhase.WAITING
+
+
+@pytest.mark.looptime
+async def test_end_in_the_new_process_is_not_acknowledged_unseen():
+    # Guards against a task that is run again after it was done, since a call that was
+    # meant for the former process acknowledged the end in the new one.
+    async with FleetCell(workers=1) as cell:
+        first, second = make_job(1), make_job(2)
+        await cell.submit(first)
+        await cell.wait_for_state(first, JobState.SUCCEEDED)
+        await asyncio.sleep(1.0)
+        worker = cell.workers["w0"]
+        worker.trouble, worker.late_seconds = WorkerTrouble.ORDERS_LATE, 1.0
+        await cell.submit(second, seconds=0.2)
+        await asyncio.sleep(0.1)
+        worker.trouble = WorkerTrouble.CUT_OFF_WITH_REFUSALS
+        worker.be_reborn(2)
+        await asyncio.sleep(1.5)
+        assert [end.task for end in worker.ends] == [f"{second.job}.0.0.0"]
+        worker.trouble = WorkerTrouble.NONE
+        await asyncio.sleep(0.5)
+        cell.list_worker(worker)
+        await cell.wait_for_state(second, JobState.SUCCEEDED)
+        assert cell.audit.count_starts(f"{second.job}.0.0.0") == 1
+
+
+class CallsToAnEarlierAddress:
+    """Calls that another worker rejects at the address that a worker had before."""
+
+    def __init__(self, worker):
+        self._worker = worker
+
+    async def hold(self, *arguments):
+        """Reject the call after the entry with the new address has been read."""
+        self._worker.info = replace(self._worker.info, address="w0:2")
+        failure = Failure(
+            code=ErrorCode.REPLACED,
+            step="hold",
+            reason="another process",
+            outcome=Outcome.NOT_RUN,
+        )
+        return Err(failure)
+
+
+async def test_answer_from_an_earlier_address_releases_no_run():
+    # Guards against a second run of a task whose worker restarted at a new address,
+    # where a call to the earlier one is answered by another worker.
+    engine, worker, task = make_sent_run(is_reported=True)
+    calls = CallsToAnEarlierAddress(worker)
+    dispatcher = Dispatcher(engine, calls, 1, lambda: None, lambda: None, None)
+    await dispatcher._fetch_listing(worker)
+    assert not worker.is_reachable
+    assert task.phase is RunPhase.RUNNING
