Log how the end of a crashed worker was observed and who was charged

Jobs are shown as failed with the reason "crashed its workers" though no run of theirs ended failed, and the log does not tell why: the line worker_crashed names suspects and culprit, not what the owner knew of the end of the worker.

worker_crashed now has the observation (a connection broke, a restart was seen, or silence), the ages of the break and of the last sign of life, and the runs that the crash was charged to and those that were spared. job_ended of a failed job has the highest counts of its tasks.

--- a/libs/cell/src/cactustiller/cell/owner/capacity.py
+++ b/libs/cell/src/cactustiller/cell/owner/capacity.py
@@ -4,10 +4,12 @@
 renews. Once the lease has certainly expired, the runs have ended.
 """
 
+from itertools import islice
+
 from cactustiller.model import Amounts
 
 from ..decisions.zones import ZoneEvacuations
-from ..records.crashes import charge_crash, is_crash
+from ..records.crashes import charge_crash, describe_crash, is_crash
 from ..records.desired import Team
 from ..records.runs import RunPhase
 from ..records.workers import CLOCK_DRIFT, Worker, WorkerInfo, WorkerLoss
@@ -190,8 +192,11 @@
             worker=worker.info.worker,
             loss=loss.value,
             runs=len(tasks),
-            suspects=[task.name for task in report.suspects][:MAX_LOGGED_TASKS],
+            suspects=_name_tasks(report.suspects),
             culprit=report.culprit.name if report.culprit else None,
+            charged=_name_tasks(report.charged),
+            spared=_name_tasks(task for task in tasks if task not in report.charged),
+            **describe_crash(worker, loss, self._clock()),
         )
         return report.failed_jobs
 
@@ -308,6 +313,10 @@
         raise NotImplementedError
 
 
+def _name_tasks(tasks):
+    return [task.name for task in islice(tasks, MAX_LOGGED_TASKS)]
+
+
 def _classify_silence(worker):
     """Return the loss of a worker that has not answered for as long as its lease."""
     if worker.refuses_connections and not worker.is_listed:
--- a/libs/cell/src/cactustiller/cell/owner/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/owner/dispatch.py
@@ -150,6 +150,7 @@
             if failure.code is ErrorCode.UNAVAILABLE:
                 # A connection breaks at the moment of a crash.
                 worker.alive_at = asyncio.get_running_loop().time()
+                worker.broke_at = worker.alive_at
             log_event(
                 Event.WORKER_LOST,
                 worker=worker.info.worker,
--- a/libs/cell/src/cactustiller/cell/owner/run_tracking.py
+++ b/libs/cell/src/cactustiller/cell/owner/run_tracking.py
@@ -4,7 +4,7 @@
 
 from ..decisions.health import record_failure, record_success
 from ..records.copies import drop_copy, promote_copy, settle_done
-from ..records.crashes import prove_run
+from ..records.crashes import count_losses, prove_run
 from ..records.desired import DesiredState
 from ..records.runs import RunEnd, RunPhase
 from ..records.workers import WorkerLoss
@@ -69,7 +69,7 @@
         if not worker.born_ms:
             self._drop_runs_of_earlier_incarnations(worker, listing.born_ms)
         worker.born_ms = listing.born_ms or worker.born_ms
-        worker.alive_at = max(worker.alive_at, received_at)
+        worker.note_answer(sent_at, received_at)
         worker.update_clock_offset(listing.clock_ms, received_at)
         for end in listing.ended:
             if end.number > worker.processed_through:
@@ -177,8 +177,7 @@
 
     def _give_up(self, job):
         """Fail a job with a task that crashes its workers."""
-        if not job.state.is_final:
-            self._finish(job, JobState.FAILED, "crashed its workers")
+        self._finish(job, JobState.FAILED, "crashed its workers")
 
     def _requeue(self, task):
         """Make a task pending again after its run has certainly ended.
@@ -322,7 +321,9 @@
         job.state = state
         job.ended_ms = int(self._wall_clock_ms())
         self._dirty.add(job.spec.job)
-        log_event(Event.JOB_ENDED, job=job.spec.job, state=state.value, reason=reason)
+        losses = count_losses(job) if state is JobState.FAILED else {}
+        fields = {"job": job.spec.job, "state": state.value, "reason": reason}
+        log_event(Event.JOB_ENDED, **fields, **losses)
         for step in job.iterate_steps():
             self._eligible.pop(step, None)
             for run in step.iterate_runs():
--- a/libs/cell/src/cactustiller/cell/records/crashes.py
+++ b/libs/cell/src/cactustiller/cell/records/crashes.py
@@ -32,11 +32,14 @@
         Task that caused the crash, if that is known.
     failed_jobs : list of JobRun
         Jobs with a task to give up.
+    charged : list of TaskRun
+        Tasks that count the crash.
     """
 
     suspects: list[TaskRun]
     culprit: TaskRun | None
     failed_jobs: list[JobRun]
+    charged: list[TaskRun]
 
 
 def is_crash(worker, loss):
@@ -80,7 +83,7 @@
         if _is_given_up(task, is_certain)
     }
     culprit = isolated[0] if is_certain else None
-    return CrashReport(suspects, culprit, list(failed.values()))
+    return CrashReport(suspects, culprit, list(failed.values()), charged)
 
 
 def _is_given_up(task, is_certain):
@@ -100,6 +103,37 @@
     return task.start_sent_at > worker.alive_at - PROBATION_SECONDS
 
 
+def describe_crash(worker, loss, now):
+    """Return how the end of a worker was observed, as fields of a log line.
+
+    Times are seconds before `now`, event loop time; None if there was no such moment.
+    """
+    if worker.broke_at:
+        observed = "connection broke"
+    elif loss is WorkerLoss.RESTARTED:
+        observed = "restart seen"
+    else:
+        observed = "silence"
+    return {
+        "observed": observed,
+        "broke_seconds": _find_age(worker.broke_at, now),
+        "alive_seconds": _find_age(worker.alive_at, now),
+    }
+
+
+def _find_age(moment, now):
+    return round(now - moment, 3) if moment else None
+
+
+def count_losses(job):
+    """Return the highest counts of a job's tasks, as fields of a log line."""
+    tasks = [task for step in job.iterate_steps() for task in step.iterate_runs()]
+    return {
+        name: max((getattr(task, name) for task in tasks), default=0)
+        for name in ("failures", "crashes", "start_crashes")
+    }
+
+
 def prove_run(task, sent_at):
     """Clear a suspect whose worker reports its run past the probation.
 
--- a/libs/cell/src/cactustiller/cell/records/workers.py
+++ b/libs/cell/src/cactustiller/cell/records/workers.py
@@ -102,6 +102,9 @@
         When the call was sent whose answer last reported all runs and ends.
     alive_at : float
         Latest time at which the worker was certainly alive.
+    broke_at : float
+        When a connection to it broke or was refused while it was reachable; 0 if it has
+        answered since.
     last_placement_at : float
         When a run was last placed on the worker.
     draining_since : float
@@ -140,6 +143,7 @@
     lease_ends_at: float = 0.0
     listed_at: float = 0.0
     alive_at: float = 0.0
+    broke_at: float = 0.0
     last_placement_at: float = 0.0
     draining_since: float = 0.0
     refuses_connections: bool = False
@@ -205,6 +209,12 @@
         born_ms = self.info.born_ms
         return bool(born_ms and self.born_ms) and born_ms != self.born_ms
 
+    def note_answer(self, sent_at, received_at):
+        """Note that the worker was alive when it answered a call."""
+        self.alive_at = max(self.alive_at, received_at)
+        if sent_at >= self.broke_at:
+            self.broke_at = 0.0
+
     def update_clock_offset(self, clock_ms, received_at):
         """Update the clock offset from a reading of the worker's clock in an answer.
 
