Charge crashes of workers only on evidence

Callers saw jobs as failed, with the reason "crashed its workers", though no run of theirs ended failed and nothing was wrong with them: their workers crashed by chance, silently, several times in seconds.

Cause: absence taken for knowledge. Each run that was fresh when its worker was last heard of became a suspect, also if its start had never been answered, and the next loss of the suspect's worker, however it was noticed, was its own and failed the job. Four losses of any cause did the same.

A crash is evidence against a run now only if the end of the worker was seen as a break of connections at most 0.1 s after the start was sent, and the start was answered or the worker had answered another call at most 0.1 s before it. Two charges give a task up, the last of them with no other job in question; for 30 s after a crash that no start explains it takes three, as workers then crash by chance. No other loss fails a job. A suspect's worker is asked for its listing before the start, so that the evidence is certain and a dead worker does not hold the suspect up for a lease. Isolated workers that cannot be reached no longer count against the number of suspects at a time, and a step does not wait for a suspect that a previous owner started.

Stand-ins: workers can crash silently.

--- a/libs/cell/src/cactustiller/cell/decisions/suspect_placement.py
+++ b/libs/cell/src/cactustiller/cell/decisions/suspect_placement.py
@@ -68,8 +68,9 @@
 
 
 def _is_on_probation(task, now):
+    # A start of a previous owner was sent at an unknown time, before the takeover.
     waits_until = task.start_sent_at + MAX_PROBATION_WAIT_SECONDS
-    return task.is_isolated and (not task.start_sent_at or now < waits_until)
+    return task.is_isolated and (not task.is_start_sent or now < waits_until)
 
 
 def _find_candidates(current_round, step, rules, may_use_reserved):
--- a/libs/cell/src/cactustiller/cell/owner/capacity.py
+++ b/libs/cell/src/cactustiller/cell/owner/capacity.py
@@ -9,7 +9,12 @@
 from cactustiller.model import Amounts
 
 from ..decisions.zones import ZoneEvacuations
-from ..records.crashes import charge_crash, describe_crash, is_crash
+from ..records.crashes import (
+    charge_crash,
+    describe_crash,
+    find_charges_to_give_up,
+    is_crash,
+)
 from ..records.desired import Team
 from ..records.runs import RunPhase
 from ..records.workers import CLOCK_DRIFT, Worker, WorkerInfo, WorkerLoss
@@ -50,6 +55,7 @@
         self._evacuations = ZoneEvacuations()
         # Tasks that may have crashed their workers; includes some that are cleared.
         self._suspects = set()
+        self._chance_crash_at = float("-inf")
 
     def update_workers(self, infos):
         """Apply the list of workers: add, update and remove workers.
@@ -183,20 +189,34 @@
 
     def _charge_loss(self, worker, tasks, loss):
         """Charge a crash of a worker to the tasks; return the jobs to give up."""
-        if not tasks or not is_crash(worker, loss):
+        if not is_crash(worker, loss):
+            return []
+        now = self._clock()
+        needed = find_charges_to_give_up(self._chance_crash_at, now)
+        report = charge_crash(worker, tasks, needed)
+        # Of a worker that never answered, nobody knows what was started there.
+        if worker.alive_at and report.is_chance:
+            self._chance_crash_at = now
+        if not tasks:
             return []
-        report = charge_crash(worker, tasks)
         self._suspects.update(report.suspects)
         log_event(
             Event.WORKER_CRASHED,
             worker=worker.info.worker,
             loss=loss.value,
             runs=len(tasks),
-            suspects=_name_tasks(report.suspects),
+            suspects={
+                task.name: round(worker.broke_at - task.start_sent_at, 3)
+                for task in report.suspects[:MAX_LOGGED_TASKS]
+            },
             culprit=report.culprit.name if report.culprit else None,
-            charged=_name_tasks(report.charged),
-            spared=_name_tasks(task for task in tasks if task not in report.charged),
-            **describe_crash(worker, loss, self._clock()),
+            charges=max((task.charges for task in report.suspects), default=0),
+            needed_charges=needed,
+            spared={
+                task.name: doubt.value
+                for task, doubt in islice(report.doubts.items(), MAX_LOGGED_TASKS)
+            },
+            **describe_crash(worker, loss, now),
         )
         return report.failed_jobs
 
@@ -232,13 +252,19 @@
             self._drop_all_runs(worker, WorkerLoss.RESTARTED)
 
     def _find_isolated_workers(self):
-        """Return the ids of the workers on which a suspect is on probation."""
+        """Return the ids of the workers on which a suspect is on probation.
+
+        One that cannot be reached gets no runs anyway, and would take the place of one
+        for another suspect.
+        """
         self._suspects = {
             task
             for task in self._suspects
             if task in task.step.suspects and not task.step.job.state.is_final
         }
-        return {task.worker for task in self._suspects if task.is_isolated}
+        isolated = {task.worker for task in self._suspects if task.is_isolated}
+        workers = self.workers
+        return {w for w in isolated if w in workers and workers[w].is_reachable}
 
     def _restore_run(self, task):
         """Count a run that a previous owner stored, for its worker and team."""
@@ -313,10 +339,6 @@
         raise NotImplementedError
 
 
-def _name_tasks(tasks):
-    return [task.name for task in islice(tasks, MAX_LOGGED_TASKS)]
-
-
 def _classify_silence(worker):
     """Return the loss of a worker that has not answered for as long as its lease."""
     if worker.refuses_connections and not worker.is_listed:
--- a/libs/cell/src/cactustiller/cell/owner/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/owner/dispatch.py
@@ -149,8 +149,7 @@
             worker.is_reachable = False
             if failure.code is ErrorCode.UNAVAILABLE:
                 # A connection breaks at the moment of a crash.
-                worker.alive_at = asyncio.get_running_loop().time()
-                worker.broke_at = worker.alive_at
+                worker.broke_at = asyncio.get_running_loop().time()
             log_event(
                 Event.WORKER_LOST,
                 worker=worker.info.worker,
@@ -192,7 +191,15 @@
         task, worker, ticket, _ = placement
         loop = asyncio.get_running_loop()
         step = task.step
+        if task.is_isolated:
+            # A crash says something about the start of a suspect only if its worker was
+            # alive before, and a worker that is not would hold it up for a lease.
+            await self._fetch_listing(worker)
+            if worker.runs.get(task.name) != (task, run):
+                return
         sent_at = loop.time()
+        if task.run == run:
+            task.start_sent_at = sent_at
         deadline_ms = worker.grant_lease_ms(sent_at, LEASE_SECONDS)
         if deadline_ms is None:
             # The worker became unreachable after the placement.
--- a/libs/cell/src/cactustiller/cell/records/copies.py
+++ b/libs/cell/src/cactustiller/cell/records/copies.py
@@ -85,7 +85,7 @@
     copy.original = None
     copy.copy_run = task.copy_run
     copy.failures = task.failures
-    copy.crashes, copy.start_crashes = task.crashes, task.start_crashes
+    copy.crashes, copy.charges = task.crashes, task.charges
     if task.progress > copy.progress and task.checkpoint:
         copy.checkpoint = task.checkpoint
     if task in step.suspects:
--- a/libs/cell/src/cactustiller/cell/records/crashes.py
+++ b/libs/cell/src/cactustiller/cell/records/crashes.py
@@ -1,24 +1,50 @@
 """Attribution of worker crashes to tasks, and what follows for them; no I/O.
 
-Answers tasks that crash each worker that starts them, beside many that do not. The runs
-started shortly before a crash become suspects. Suspects are started again one at a time
-for each step, on workers where nothing else starts meanwhile, so that the next crash
-has one cause. The job of a task that caused two crashes is given up; the other suspects
-are cleared as soon as they run for longer than the probation.
+Answers tasks that crash each worker that starts them, beside workers that crash by
+chance. A crash is evidence against a task only if it was seen to follow the start: the
+worker answered the start, or had just answered another call, and its connections broke
+shortly afterwards. The runs for which this holds become suspects. Suspects are started
+again one at a time for each step, on workers where nothing else starts meanwhile, so
+that the next crash has one cause. The job of a task with enough evidence against it is
+given up; suspects are cleared as soon as they run for longer than the probation. All
+other losses, however many, never fail a job.
 """
 
+from enum import StrEnum
 from typing import NamedTuple
 
 from .runs import JobRun, TaskRun
 from .workers import WorkerLoss
 
-# A run is a suspect if its worker crashed within this time from its start, and proven
-# if its worker reported it as running later than that.
+# A suspect is cleared if its worker reported it as running later than this after its
+# start.
 PROBATION_SECONDS = 0.5
-# Crashes after which a task is given up, if it was the cause of the last one, or
-# whatever caused them. Callers are promised at most two starts after three crashes.
-ATTRIBUTED_CRASHES_TO_GIVE_UP = 2
-CRASHES_TO_GIVE_UP = 4
+# Time from sending a start to the break of connections within which the run may have
+# been the cause. A task that crashes its worker does so 10 ms after its start, and
+# the break shows 10 to 28 ms after sending; the rest is for owners that notice late.
+MAX_CRASH_SECONDS = 0.1
+# Crashes charged to a task after which its job is given up. Of the first, other runs
+# may have been the cause. While workers crash by chance, one more is needed, since two
+# such crashes may happen near starts of one task. Callers are promised at most two
+# starts after three crashes.
+CHARGES_TO_GIVE_UP = 2
+CHARGES_TO_GIVE_UP_AMONG_CHANCE_CRASHES = 3
+# Workers count as crashing by chance for this time after a crash not due to a start.
+CHANCE_CRASH_SECONDS = 30.0
+
+
+class Doubt(StrEnum):
+    """Why a crash is no evidence against a run."""
+
+    BREAK_UNSEEN = "break unseen"
+    NOT_SENT = "not sent"
+    PREVIOUS_OWNER = "start of a previous owner"
+    STARTED_EARLIER = "started earlier"
+    START_UNANSWERED = "start unanswered"
+
+
+# Of the others, nobody knows whether the run was the cause.
+CERTAIN_DOUBTS = frozenset({Doubt.BREAK_UNSEEN, Doubt.STARTED_EARLIER})
 
 
 class CrashReport(NamedTuple):
@@ -27,19 +53,22 @@
     Attributes
     ----------
     suspects : list of TaskRun
-        Tasks that were started shortly before the crash.
+        Tasks that the crash is evidence against.
     culprit : TaskRun or None
-        Task that caused the crash, if that is known.
+        Task that caused the crash, if only one job's can have.
     failed_jobs : list of JobRun
         Jobs with a task to give up.
-    charged : list of TaskRun
-        Tasks that count the crash.
+    doubts : dict of TaskRun to Doubt
+        The other tasks, and why they are not charged.
+    is_chance : bool
+        No start can have caused the crash.
     """
 
     suspects: list[TaskRun]
     culprit: TaskRun | None
     failed_jobs: list[JobRun]
-    charged: list[TaskRun]
+    doubts: dict[TaskRun, Doubt]
+    is_chance: bool
 
 
 def is_crash(worker, loss):
@@ -51,8 +80,18 @@
     return is_gone and not worker.info.is_draining
 
 
-def charge_crash(worker, tasks):
-    """Charge a worker's crash to the tasks whose runs it had.
+def find_charges_to_give_up(chance_crash_at, now):
+    """Return the charges after which a job is given up.
+
+    `chance_crash_at` is the time of the last crash that no start explains.
+    """
+    if now < chance_crash_at + CHANCE_CRASH_SECONDS:
+        return CHARGES_TO_GIVE_UP_AMONG_CHANCE_CRASHES
+    return CHARGES_TO_GIVE_UP
+
+
+def charge_crash(worker, tasks, charges_to_give_up=CHARGES_TO_GIVE_UP):
+    """Charge a worker's crash to the tasks that it is evidence against.
 
     Parameters
     ----------
@@ -64,43 +103,41 @@
     -------
     CrashReport
     """
-    isolated = [task for task in tasks if task.is_isolated and task.start_sent_at]
-    if isolated:
-        # Nothing was started on the worker after these, so one of them is the cause.
-        suspects, charged = isolated, isolated
-    else:
-        suspects = [task for task in tasks if _is_fresh(task, worker)]
-        charged = tasks
-    for task in charged:
+    found = {task: _find_doubt(task, worker) for task in tasks}
+    suspects = [task for task, doubt in found.items() if doubt is None]
+    jobs = {task.step.job.spec.job for task in suspects}
+    is_certain = len(jobs) == 1
+    for task in tasks:
         task.crashes += 1
     for task in suspects:
-        task.start_crashes += 1
+        # A task that is beside the cause more than once is not charged again.
+        task.charges = task.charges + 1 if is_certain else max(task.charges, 1)
         task.step.suspects.add(task)
-    is_certain = len({task.step.job.spec.job for task in isolated}) == 1
-    failed = {
-        task.step.job.spec.job: task.step.job
-        for task in charged
-        if _is_given_up(task, is_certain)
-    }
-    culprit = isolated[0] if is_certain else None
-    return CrashReport(suspects, culprit, list(failed.values()), charged)
-
-
-def _is_given_up(task, is_certain):
-    # A service meets crashes that it did not cause for as long as it lives.
-    if task.crashes >= CRASHES_TO_GIVE_UP and not task.step.spec.is_service:
-        return True
-    return is_certain and task.start_crashes >= ATTRIBUTED_CRASHES_TO_GIVE_UP
-
-
-def _is_fresh(task, worker):
-    """Return whether a run was started shortly before its worker was last alive."""
-    if not task.is_start_sent:
-        return False
+    is_given_up = any(task.charges >= charges_to_give_up for task in suspects)
+    return CrashReport(
+        suspects,
+        suspects[0] if is_certain else None,
+        [suspects[0].step.job] if is_certain and is_given_up else [],
+        {task: doubt for task, doubt in found.items() if doubt is not None},
+        is_chance=CERTAIN_DOUBTS.issuperset(found.values()),
+    )
+
+
+def _find_doubt(task, worker):
+    """Return why the crash is no evidence against a run, or None if it is."""
+    if not worker.broke_at:
+        return Doubt.BREAK_UNSEEN
+    if not task.is_start_sent or task.start_sent_at > worker.broke_at:
+        return Doubt.NOT_SENT
     if not task.start_sent_at:
-        # A previous owner sent the start, and the worker has not reported the run.
-        return not task.started_at
-    return task.start_sent_at > worker.alive_at - PROBATION_SECONDS
+        return Doubt.PREVIOUS_OWNER
+    if task.start_sent_at < worker.broke_at - MAX_CRASH_SECONDS:
+        return Doubt.STARTED_EARLIER
+    # The worker may have crashed before an unanswered start reached it.
+    was_alive = worker.alive_at >= task.start_sent_at - MAX_CRASH_SECONDS
+    if not task.started_at and not was_alive:
+        return Doubt.START_UNANSWERED
+    return None
 
 
 def describe_crash(worker, loss, now):
@@ -130,7 +167,7 @@
     tasks = [task for step in job.iterate_steps() for task in step.iterate_runs()]
     return {
         name: max((getattr(task, name) for task in tasks), default=0)
-        for name in ("failures", "crashes", "start_crashes")
+        for name in ("failures", "crashes", "charges")
     }
 
 
@@ -144,5 +181,5 @@
         Event loop time at which the report was requested.
     """
     if sent_at >= task.start_sent_at + PROBATION_SECONDS:
-        task.start_crashes = 0
+        task.charges = 0
         task.step.suspects.discard(task)
--- a/libs/cell/src/cactustiller/cell/records/progress.py
+++ b/libs/cell/src/cactustiller/cell/records/progress.py
@@ -53,7 +53,7 @@
 def _encode_crashes(job):
     """Encode the tasks that met crashes as position and counts."""
     return [
-        [number, position, task.index, task.crashes, task.start_crashes]
+        [number, position, task.index, task.crashes, task.charges]
         for number, steps in job.occurrences.items()
         for position, step in enumerate(steps)
         for task in step.tasks
@@ -119,7 +119,7 @@
 def _decode_crashes(job, crashes, incarnations):
     for number, position, index, count, start_count in crashes:
         task = job.occurrences[number][position].tasks[index]
-        task.crashes, task.start_crashes = count, start_count
+        task.crashes, task.charges = count, start_count
         if start_count:
             task.step.suspects.add(task)
     decode_copies(job, incarnations.get(COPIES_KEY, ()))
--- a/libs/cell/src/cactustiller/cell/records/runs.py
+++ b/libs/cell/src/cactustiller/cell/records/runs.py
@@ -53,9 +53,9 @@
     incarnation : int
         Start of the worker process that the latest run was placed on, in Unix
         milliseconds; 0 if unknown.
-    crashes, start_crashes : int
-        Workers that crashed while they had a run of the task, and those of them that
-        crashed shortly after its start.
+    crashes, charges : int
+        Workers that crashed while they had a run of the task, and those crashes that
+        are evidence against it since it was last proven.
     is_start_sent : bool
         The start was sent and may be unanswered.
     start_sent_at : float
@@ -99,7 +99,7 @@
     checkpoint: str = ""
     incarnation: int = 0
     crashes: int = 0
-    start_crashes: int = 0
+    charges: int = 0
     is_start_sent: bool = False
     start_sent_at: float = 0.0
     is_start_unanswered: bool = False
--- a/standins/fleet/http.py
+++ b/standins/fleet/http.py
@@ -17,7 +17,7 @@
 )
 from cactustiller.model import ErrorCode
 
-from .workers import WorkerTrouble
+from .workers import SILENT_TROUBLES, WorkerTrouble
 
 REASONS = {
     StartAnswer.FENCED: "fence",
@@ -102,7 +102,7 @@
 
     async def handle(request):
         body = orjson.loads(await request.read())
-        if worker.trouble is WorkerTrouble.CUT_OFF:
+        if worker.trouble in SILENT_TROUBLES:
             await asyncio.sleep(SILENT_SECONDS)
         if worker.trouble is WorkerTrouble.ORDERS_LATE and request.path != "/hold":
             # Carried out late, and the answer comes too late for the caller.
@@ -144,6 +144,8 @@
                 await worker.changed.wait()
         except TimeoutError:
             pass
+        if worker.trouble is WorkerTrouble.DARK:
+            await asyncio.sleep(SILENT_SECONDS)
         listing = worker.list_runs()
     answer |= {
         "ClockMs": listing.clock_ms,
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -62,6 +62,25 @@
         assert (await cell.call("GET", "", "m0")) == (200, {"PendingCount": 0})
 
 
+@pytest.mark.parametrize("after_seconds", [0.02, 0.3])
+async def test_a_job_is_not_failed_by_silent_crashes_near_its_starts(
+    tmp_path, after_seconds
+):
+    async with ProcessCell(tmp_path, members=1, task_seconds=0.64) as cell:
+        await cell.wait_for_owner()
+        await cell.submit(make_id(1), count=1)
+        for crash in range(1, 6):
+            async with asyncio.timeout(15):
+                while len(cell.audit.starts) < crash:
+                    await asyncio.sleep(0.005)
+            await asyncio.sleep(after_seconds)
+            name = cell.audit.starts[-1][2]
+            worker = next(w for w in cell.workers if w.info.worker == name)
+            await cell.crash_worker(worker, 0.5)
+        await cell.wait_for_state(make_id(1), "completed")
+        assert cell.audit.violations == []
+
+
 async def test_short_soak_has_no_faults(tmp_path):
     ledger, faults = await run_soak(tmp_path, seed=1, seconds=8.0)
     assert faults == [], ledger.faults
