--- a/standins/fleet/http.py
+++ b/standins/fleet/http.py
@@ -17,7 +17,7 @@
 )
 from cactustiller.model import ErrorCode
 
-from .workers import WorkerTrouble
+from .workers import SILENT_TROUBLES, WorkerTrouble
 
 REASONS = {
     StartAnswer.FENCED: "fence",
@@ -67,10 +67,14 @@
 
     async def refuse(self):
         """Refuse connections, as behind a cut, and break those that are open."""
+        self.break_connections()
+        await self.cleanup()
+
+    def break_connections(self):
+        """Break the open connections."""
         for protocol in list(self._runner.server.connections):
             if protocol.transport is not None:
                 protocol.transport.abort()
-        await self.cleanup()
 
     async def cleanup(self):
         """Stop listening."""
@@ -135,7 +139,7 @@
 
     async def handle(request):
         body = orjson.loads(await request.read())
-        if worker.trouble is WorkerTrouble.CUT_OFF:
+        if worker.trouble in SILENT_TROUBLES:
             await asyncio.sleep(SILENT_SECONDS)
         if worker.trouble is WorkerTrouble.ORDERS_LATE and request.path != "/hold":
             # Carried out late, and the answer comes too late for the caller.
@@ -177,6 +181,8 @@
                 await worker.changed.wait()
         except TimeoutError:
             pass
+        if worker.trouble is WorkerTrouble.DARK:
+            await asyncio.sleep(SILENT_SECONDS)
         listing = worker.list_runs()
     answer |= {
         "ClockMs": listing.clock_ms,
--- a/standins/fleet/processes.py
+++ b/standins/fleet/processes.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import sys
+import time
 from dataclasses import replace
 from pathlib import Path
 
@@ -23,7 +24,7 @@
     serve,
 )
 from .store import Store, StoreClient
-from .workers import FleetWorker
+from .workers import FleetWorker, WorkerTrouble
 
 HOST = "queue.example"
 PREFIX = "/jobs/"
@@ -219,6 +220,18 @@
         """Take the evacuation of a zone back."""
         self.store.remove(RowKey("op", "", f"evacuate/{zone}"))
 
+    async def crash_worker(self, worker, down_seconds):
+        """Crash a worker silently and start it again under its id.
+
+        Its connections stay open, and break when it is back.
+        """
+        worker.crash(is_silent=True)
+        await asyncio.sleep(down_seconds)
+        self._servers[worker.info.worker].break_connections()
+        worker.be_reborn(int(time.time() * 1000))
+        worker.trouble = WorkerTrouble.NONE
+        self.list_worker(worker)
+
     async def _add_worker(self, name, zone):
         info = WorkerInfo(name, "", SERVICE, zone, CAPACITY, ("a", "r0"), born_ms=1)
         worker = FleetWorker(
