Show connections to workers, broken calls and unanswered starts

An executor that was full of connections of former owners could not be told from one with a bad link: run_unanswered had no reason, and nothing counted connections.

- Gauges: workers by open connections, unsettled starts without an answer and the age of the oldest.

--- a/libs/cell/src/cactustiller/cell/members/member.py
+++ b/libs/cell/src/cactustiller/cell/members/member.py
@@ -247,6 +247,8 @@
         yield Gauge.DESIRED_VERSION, (), self.desired_state.version
         yield Gauge.DESIRED_AGE, (), self.desired_replica.age_seconds
         yield Gauge.WAITING_CALLERS, (), self.intake.waiting_count
+        for number, workers in self.worker_calls.count_connections().items():
+            yield Gauge.WORKER_CONNECTIONS, (str(number),), workers
         if self.is_owner:
             yield from read_cell_gauges(self._owner.engine, now)
             yield Gauge.PENDING_SUBMISSIONS, (), self._owner.pending_submissions
--- a/libs/cell/src/cactustiller/cell/ports.py
+++ b/libs/cell/src/cactustiller/cell/ports.py
@@ -1,5 +1,6 @@
 """Interfaces of a cell to its store, workers and approval service."""
 
+from collections import Counter
 from enum import Enum
 from typing import NamedTuple, Protocol
 
@@ -151,6 +152,9 @@
         deadline, no lease is renewed.
         """
 
+    def count_connections(self) -> Counter:
+        """Return the workers by their number of open connections."""
+
 
 class Approval(NamedTuple):
     """Workers that may run a step, with the tickets to present at a start."""
--- a/libs/cell/src/cactustiller/cell/records/workers.py
+++ b/libs/cell/src/cactustiller/cell/records/workers.py
@@ -176,6 +176,14 @@
             max_count = min(max_count, self.free_accelerators // amounts[2])
         return max(0, max_count)
 
+    def list_unanswered(self):
+        """Return when the starts were sent that got no answer and are not settled."""
+        return [
+            task.start_sent_at
+            for task, run in self.runs.values()
+            if task.is_start_unanswered and task.run == run and not task.started_at
+        ]
+
     def is_schedulable(self, now):
         """Return whether new tasks may be placed on the worker."""
         return self.find_exclusion(now) is None
--- a/libs/cell/src/cactustiller/cell/reporting/events.py
+++ b/libs/cell/src/cactustiller/cell/reporting/events.py
@@ -57,6 +57,7 @@
     WORKER_RECOVERED = "worker_back"
     WORKER_RESTARTED = "worker_reborn"
     WORKER_AVOIDED = "worker_avoided"
+    WORKER_CALL_BROKEN = "worker_call_broken"
     WORKER_CRASHED = "worker_crashed"
     INTERFERENCE_LEARNED = "interference_learned"
     INTERFERENCE_DROPPED = "interference_dropped"
@@ -90,6 +91,7 @@
         Event.COPY_SETTLED,
         Event.CALL_REFUSED,
         Event.CALL_FAILED,
+        Event.WORKER_CALL_BROKEN,
         Event.ENTRY_UNREADABLE,
     }
 )
--- a/libs/cell/src/cactustiller/cell/reporting/gauges.py
+++ b/libs/cell/src/cactustiller/cell/reporting/gauges.py
@@ -26,6 +26,9 @@
     states = Counter(_name_state(worker, now) for worker in engine.workers.values())
     for state, count in states.items():
         yield Gauge.WORKERS, (state,), count
+    sent = [at for worker in engine.workers.values() for at in worker.list_unanswered()]
+    yield Gauge.UNANSWERED_STARTS, (), len(sent)
+    yield Gauge.UNANSWERED_START_AGE, (), now - min(sent, default=now)
     yield Gauge.SLOW_WORKERS, (), engine.speeds.slow_count
     for state, cores in _sum_cores(engine, now).items():
         yield Gauge.CAPACITY, (state,), cores
--- a/libs/cell/src/cactustiller/cell/reporting/metering.py
+++ b/libs/cell/src/cactustiller/cell/reporting/metering.py
@@ -110,6 +110,10 @@
         self._metrics.count(Count.WORKER_CALLS, "hold", _name_outcome(answer))
         return answer
 
+    def count_connections(self):
+        """Return a `Counter` of the workers by their number of open connections."""
+        return self._calls.count_connections()
+
     def _record_call(self, call, seconds, outcome):
         self._metrics.count(Count.WORKER_CALLS, call, outcome)
         if outcome != StartAnswer.UNANSWERED.value:
--- a/libs/cell/src/cactustiller/cell/reporting/metrics.py
+++ b/libs/cell/src/cactustiller/cell/reporting/metrics.py
@@ -88,6 +88,17 @@
     DESIRED_VERSION = Family("desired_version", "Version in force.")
     DESIRED_AGE = Family("desired_age_seconds", "Since the store confirmed it.")
     WORKERS = Family("workers", "Workers by what the owner believes.", ("state",))
+    WORKER_CONNECTIONS = Family(
+        "worker_connections",
+        "Workers by the number of open connections to them.",
+        ("connections",),
+    )
+    UNANSWERED_STARTS = Family(
+        "unanswered_starts", "Runs whose start got no answer and that are not settled."
+    )
+    UNANSWERED_START_AGE = Family(
+        "unanswered_start_seconds", "Since the oldest of these starts was sent."
+    )
     SLOW_WORKERS = Family("slow_workers", "Workers that the owner found slow.")
     JOBS = Family("jobs", "Jobs in the owner's memory.")
     WAITING = Family(
--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -1,6 +1,7 @@
 """Workers that run tasks under leases and fences."""
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -293,6 +294,10 @@
             listing = found.list_runs()
         return Ok(listing)
 
+    def count_connections(self):
+        """Return no counts, since calls need no connections."""
+        return Counter()
+
     async def _lose(self, worker, carry_out):
         """Pass the time of a call; return whether its answer is lost."""
         await asyncio.sleep(CALL_SECONDS)
