Keep two connections to a worker, three in bursts

Cause: an owner opened up to 6 connections to each executor, and a new set after each time-out, beside the old one. Those of an owner that lost power stay open at the executor, which accepts 64 and resets further ones.

Change: WorkerConnections has two connections to each executor, a third while a call has waited 20 ms for one (a call whose answer is lost keeps its connection until its time-out), which is closed after 5 idle seconds. After a time-out, the free connections that have not answered since are closed at once; those in use count until they are free. A call that gets no connection within 0.6 s has not run. Starts and stops use connections that have answered before: a further one is opened with a hold call that renews nothing, since a full executor accepts a connection and resets it after the request, which leaves open whether a start was carried out.

Evidence: on the code before, test_many_starts_share_few_connections (6 connections) and test_jobs_run_after_many_owners_lost_power (real processes; jobs not done in 20 s) fail.

--- a/standins/fleet/processes.py
+++ b/standins/fleet/processes.py
@@ -22,6 +22,7 @@
     make_worker_handler,
     serve,
 )
+from .relays import FullRelay
 from .store import Store, StoreClient
 from .workers import FleetWorker
 
@@ -88,14 +89,20 @@
     members, workers : int
     task_seconds : float
         Work of each task.
+    connections : int or None
+        Maximum number of connections to each worker.
 
     Attributes
     ----------
+    relays : list of FullRelay
+        In front of the workers, if these limit their connections.
     copied_jobs : set of str
         Jobs whose tasks may have a second run.
     """
 
-    def __init__(self, folder, members=3, workers=4, task_seconds=0.5):
+    def __init__(
+        self, folder, members=3, workers=4, task_seconds=0.5, connections=None
+    ):
         self.folder = Path(folder)
         self.copied_jobs = set()
         self.audit = Audit(lambda task: task.partition(".")[0] in self.copied_jobs)
@@ -105,8 +112,10 @@
         self.frontends = {}
         self._task_seconds = task_seconds
         self._counts = (members, workers)
+        self._connections = connections
         self._runners = []
         self.workers = []
+        self.relays = []
         self._session = None
 
     async def __aenter__(self):
@@ -128,6 +137,8 @@
             await self.end_member(name, signal.SIGKILL)
         for worker in self.workers:
             await worker.stop()
+        for relay in self.relays:
+            await relay.close()
         for runner in self._runners:
             await runner.cleanup()
         await self._session.close()
@@ -224,6 +235,9 @@
             info, self.audit, lambda task: ((1000, 10, 0), self._task_seconds)
         )
         address = await self._serve(make_worker_handler(worker))
+        if self._connections is not None:
+            self.relays.append(FullRelay(address, self._connections))
+            address = await self.relays[-1].open()
         worker.info = replace(info, address=address)
         worker.start()
         self.workers.append(worker)
--- /dev/null
+++ b/tests/fleet/test_connections.py
@@ -0,0 +1,120 @@
+"""Calls to workers over few connections, and to workers that accept no more."""
+
+import asyncio
+from dataclasses import replace
+
+from cactustiller.cell import StartAnswer, StartOrder, WorkerInfo
+from cactustiller.fleet.workers import HttpWorkerCalls
+from cactustiller.model import Amounts
+from standins.fleet import Audit, FleetWorker
+from standins.fleet.http import make_worker_handler, serve
+from standins.fleet.relays import FullRelay
+from tests.peers.builders import SilentRelay
+
+FENCE = 3
+HOLD_MS = 1000
+# Connections of one owner: one for a hold call, one for starts and stops, and a third
+# while many of these wait.
+USUAL_CONNECTIONS = 2
+MOST_CONNECTIONS = 3
+
+
+class Site:
+    """A worker behind a relay that limits its connections, and an owner's calls."""
+
+    def __init__(self, limit=64):
+        self._limit = limit
+        self.unanswered = 0
+
+    async def __aenter__(self):
+        info = WorkerInfo("i-1", "", "recon", "z", Amounts(10**6, 10**6), born_ms=1)
+        self.worker = FleetWorker(info, Audit(), lambda task: ((1, 1, 0), 30.0))
+        self.worker.start()
+        self._runner, target = await serve(make_worker_handler(self.worker))
+        self.relay = FullRelay(target, self._limit)
+        address = await self.relay.open()
+        self.info = WorkerInfo("i-1", address, "recon", "z", Amounts())
+        self.calls = HttpWorkerCalls()
+        await self.hold(0)
+        return self
+
+    async def __aexit__(self, *exception):
+        await self.calls.close()
+        await self.relay.close()
+        await self.worker.stop()
+        await self._runner.cleanup()
+
+    async def hold(self, wait_ms=HOLD_MS):
+        deadline_ms = int(asyncio.get_running_loop().time() * 1000) + 6000
+        return await self.calls.hold(self.info, FENCE, 0, deadline_ms, wait_ms)
+
+    async def start(self, number):
+        deadline_ms = int(asyncio.get_running_loop().time() * 1000) + 6000
+        order = StartOrder(f"j.0.0.{number}", 1, "text", deadline_ms, FENCE)
+        answer = await self.calls.start(self.info, order)
+        self.unanswered += answer is StartAnswer.UNANSWERED
+        return answer
+
+    async def stop(self, number):
+        return await self.calls.stop(self.info, f"j.0.0.{number}", 1, FENCE)
+
+    async def keep_holding(self):
+        while True:
+            answer = await self.hold()
+            if answer.is_err():
+                await asyncio.sleep(0.25)
+
+
+async def hold_during(site, calls):
+    """Return the result of `calls` while hold calls wait at the worker."""
+    holding = asyncio.create_task(site.keep_holding())
+    try:
+        await asyncio.sleep(0.05)
+        return await calls
+    finally:
+        holding.cancel()
+        await asyncio.gather(holding, return_exceptions=True)
+
+
+async def try_until(call, is_good, tries=8):
+    for _ in range(tries):
+        answer = await call()
+        if is_good(answer):
+            return answer
+        await asyncio.sleep(0.1)
+    return answer
+
+
+async def test_many_starts_share_few_connections():
+    # Guards against owners that fill a worker's 64 connections when they lose power.
+    async with Site() as site:
+        starts = asyncio.gather(*(site.start(number) for number in range(60)))
+        answers = await hold_during(site, starts)
+        assert set(answers) == {StartAnswer.STARTED}
+        assert site.relay.most_open <= MOST_CONNECTIONS
+
+
+async def test_connections_are_kept_between_starts():
+    # Guards against a price for new connections with each start.
+    async with Site() as site:
+
+        async def start_in_turn():
+            for number in range(20):
+                assert await site.start(number) is StartAnswer.STARTED
+                await asyncio.sleep(0.01)
+
+        await hold_during(site, start_in_turn())
+        assert site.relay.opened == USUAL_CONNECTIONS
+
+
+async def test_replaced_silent_connections_do_not_add_up():
+    # Guards against one more set of connections after each time-out.
+    async with Site() as site, SilentRelay(site.info.address) as relay:
+        site.info = replace(site.info, address=relay.address)
+        for number in range(3):
+            await try_until(lambda: site.hold(0), lambda answer: answer.is_ok())
+            assert await hold_during(site, site.start(number)) is StartAnswer.STARTED
+            relay.silence()
+            assert await site.start(number) is not StartAnswer.STARTED
+            counts = site.calls.count_connections()
+            assert max(counts) <= USUAL_CONNECTIONS
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -65,3 +65,25 @@
 async def test_short_soak_has_no_faults(tmp_path):
     ledger, faults = await run_soak(tmp_path, seed=1, seconds=8.0)
     assert faults == [], ledger.faults
+
+
+async def lose_owner_to_power(cell):
+    """Kill the owner; its connections stay open at the workers."""
+    owner = await cell.wait_for_owner()
+    for relay in cell.relays:
+        relay.lose_callers()
+    await cell.end_member(owner, signal.SIGKILL)
+    await cell.start_member(owner)
+
+
+async def test_jobs_run_after_many_owners_lost_power(tmp_path):
+    # Guards against workers full of the connections of owners that lost power: hold
+    # calls are answered, each start and stop is reset, and the tasks stand still.
+    async with ProcessCell(tmp_path, workers=2, connections=14) as cell:
+        for number in range(1, 6):
+            await cell.submit(make_id(number), count=16)
+            await cell.wait_for_state(make_id(number), "completed")
+            await lose_owner_to_power(cell)
+        await cell.submit(make_id(9), count=16)
+        await cell.wait_for_state(make_id(9), "completed")
+        assert cell.audit.violations == []
