--- a/tests/fleet/test_connections.py
+++ b/tests/fleet/test_connections.py
@@ -85,6 +85,54 @@
     return answer
 
 
+async def test_starts_and_stops_reach_a_worker_that_accepts_no_further_connection():
+    # Guards against orders that are reset while hold calls keep the only connection.
+    async with Site(limit=1) as site:
+
+        async def start_and_stop():
+            for number in range(3):
+                answer = await try_until(
+                    lambda number=number: site.start(number),
+                    lambda answer: answer is StartAnswer.STARTED,
+                )
+                assert answer is StartAnswer.STARTED
+                stopped = await try_until(
+                    lambda number=number: site.stop(number),
+                    lambda answer: answer.is_ok(),
+                )
+                assert stopped.is_ok()
+
+        await hold_during(site, start_and_stop())
+        assert site.unanswered == 0
+        assert site.relay.refused >= 1
+
+
+async def test_a_full_worker_is_not_asked_for_connections_all_the_time():
+    async with Site(limit=1) as site:
+
+        async def start_for_a_while():
+            for number in range(60):
+                await site.start(number)
+                await asyncio.sleep(0.05)
+
+        await hold_during(site, start_for_a_while())
+        assert site.unanswered == 0
+        assert site.relay.refused <= 4
+
+
+async def test_a_connection_that_is_freed_is_used_again():
+    async with Site(limit=1) as site:
+
+        async def start_one():
+            await site.start(1)
+            site.relay.limit = 2
+            await asyncio.sleep(1.5)
+            return await site.start(2)
+
+        assert await hold_during(site, start_one()) is StartAnswer.STARTED
+        assert site.relay.opened == USUAL_CONNECTIONS
+
+
 async def test_many_starts_share_few_connections():
     # Guards against owners that fill a worker's 64 connections when they lose power.
     async with Site() as site:
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -87,3 +87,17 @@
         await cell.submit(make_id(9), count=16)
         await cell.wait_for_state(make_id(9), "completed")
         assert cell.audit.violations == []
+
+
+async def test_jobs_run_over_the_last_connection_that_their_workers_accept(tmp_path):
+    async with ProcessCell(tmp_path, workers=2, connections=64) as cell:
+        await cell.submit(make_id(1), count=16)
+        await cell.wait_for_state(make_id(1), "completed")
+        await lose_owner_to_power(cell)
+        for relay in cell.relays:
+            relay.leave_room(1)
+        for number in range(2, 6):
+            await cell.submit(make_id(number), count=8)
+        for number in range(2, 6):
+            await cell.wait_for_state(make_id(number), "completed")
+        assert cell.audit.violations == []
