Wait for the longest lease of late orders after a restart

What callers would see: two runs of a task at once (rule TWICE). A new process that carries out an order for the former one gets the longest lease that a worker takes (10 s), since its clock began anew; if the worker then fell silent, its runs were released after the owner's lease of 6 s.

While a run of a restarted worker may come from such an order, the owner waits for the longest lease, counted from 6 s after the restart. Other runs wait for their own lease only, as a test checks.

test_late_order_in_a_new_process_gets_the_longest_lease failed before.

--- a/libs/cell/src/cactustiller/cell/owner/capacity.py
+++ b/libs/cell/src/cactustiller/cell/owner/capacity.py
@@ -146,14 +146,15 @@
                 continue
             # Nothing else shows that the runs have ended: behind a cut, connections can
             # be refused and the entry can expire, too.
-            if now > worker.lease_ends_at:
+            lease_ends_at = worker.find_lease_end()
+            if now > lease_ends_at:
                 loss = _classify_silence(worker)
                 log_event(
                     Event.LEASE_EXPIRED,
                     worker=worker.info.worker,
                     loss=loss.value,
                     runs=len(worker.runs),
-                    late_seconds=round(now - worker.lease_ends_at, 3),
+                    late_seconds=round(now - lease_ends_at, 3),
                     silent_seconds=worker.measure_silence(now),
                 )
                 self._drop_all_runs(worker, loss)
--- a/libs/cell/src/cactustiller/cell/owner/restarts.py
+++ b/libs/cell/src/cactustiller/cell/owner/restarts.py
@@ -64,6 +64,7 @@
         # Answers to calls sent before are those of the previous incarnation.
         worker.alive_at = self._clock()
         if kept:
+            worker.extend_late_lease(worker.alive_at)
             self.on_runs_kept(worker)
 
     def end_replaced_worker(self, worker):
--- a/libs/cell/src/cactustiller/cell/records/workers.py
+++ b/libs/cell/src/cactustiller/cell/records/workers.py
@@ -11,6 +11,11 @@
 # Maximum fraction by which a worker's clock may run slower than the owner's.
 CLOCK_DRIFT = 0.02
 LEASE_MARGIN_SECONDS = 0.3
+# Workers shorten longer leases to this. The clock of a new process begins anew, so that
+# there the deadline in an order for the former process is far away.
+LONGEST_LEASE_SECONDS = 10.0
+# Time after a restart within which the new process may carry out such an order.
+LATE_ORDER_SECONDS = 6.0
 
 
 class WorkerLoss(Enum):
@@ -100,6 +105,8 @@
         Lower bound of the worker's clock minus the loop time; None if unknown.
     lease_ends_at : float
         Time by which every lease granted so far has certainly expired.
+    late_lease_ends_at : float
+        The same for leases that orders for a former process may get in the present one.
     listed_at : float
         When the call was sent whose answer last reported all runs and ends.
     alive_at : float
@@ -141,6 +148,7 @@
     unstored_ends: deque = field(default_factory=deque)
     clock_offset: float | None = None
     lease_ends_at: float = 0.0
+    late_lease_ends_at: float = 0.0
     listed_at: float = 0.0
     alive_at: float = 0.0
     last_placement_at: float = 0.0
@@ -256,6 +264,19 @@
         """
         self.lease_ends_at = self._latest_lease_end(now, lease_seconds)
 
+    def extend_late_lease(self, now):
+        """Allow for orders that the process which started by now may carry out late."""
+        self.late_lease_ends_at = self._latest_lease_end(
+            now + LATE_ORDER_SECONDS, LONGEST_LEASE_SECONDS
+        )
+
+    def find_lease_end(self):
+        """Return the time by which every lease of its runs has certainly expired."""
+        is_late = any(
+            0 < task.incarnation != self.born_ms for task, _ in self.runs.values()
+        )
+        return max(self.lease_ends_at, self.late_lease_ends_at if is_late else 0.0)
+
     def _latest_lease_end(self, now, lease_seconds):
         return now + lease_seconds * (1 + CLOCK_DRIFT) + LEASE_MARGIN_SECONDS
 
--- a/tests/cell/test_restarts.py
+++ b/tests/cell/test_restarts.py
@@ -22,6 +22,8 @@
 )
 
 RESTART_SECONDS = 0.3
+LEASE_SECONDS = 6.0
+LONGEST_LEASE_SECONDS = 10.0
 
 
 @pytest.mark.looptime
@@ -161,3 +163,29 @@
     await dispatcher._fetch_listing(worker)
     assert not worker.is_reachable
     assert task.phase is RunPhase.RUNNING
+
+
+def test_late_order_in_a_new_process_gets_the_longest_lease():
+    # Guards against a second run beside one that the new process began on an order for
+    # the former one: the deadline is far away on a clock that began anew, so that the
+    # worker shortens it to its longest lease instead of the owner's.
+    engine, worker, task = make_sent_run()
+    engine.apply_listing(worker, list_runs(), NOW, NOW)
+    worker.is_reachable = False
+    engine._clock = lambda: NOW + LONGEST_LEASE_SECONDS
+    engine.expire_leases()
+    assert task.phase is RunPhase.ASSIGNED
+    engine._clock = lambda: NOW + 2 * LONGEST_LEASE_SECONDS
+    engine.expire_leases()
+    assert task.phase is RunPhase.WAITING
+
+
+def test_other_runs_of_a_restarted_worker_wait_for_their_own_lease():
+    # Guards against tasks that wait for a longer lease than their worker can have.
+    engine, worker, task = make_sent_run()
+    engine.apply_listing(worker, list_runs(), NOW, NOW)
+    task.incarnation = BORN_MS
+    worker.is_reachable = False
+    engine._clock = lambda: NOW + LEASE_SECONDS + 1.0
+    engine.expire_leases()
+    assert task.phase is RunPhase.WAITING
