Read progress again with the jobs when the feed lost its history

What callers would see: a finished job runs again (rule TWICE) and is shown as waiting. The owner drops finished jobs after their retention and then removes their rows once, without a retry. If that fails and the feed of jobs later loses its history, the owner reads the table of jobs again; a job that it doesn't know counted as new, since its progress was not read.

Both tables are now read, the progress first, as at a takeover.

--- a/libs/cell/src/cactustiller/cell/owner/loading.py
+++ b/libs/cell/src/cactustiller/cell/owner/loading.py
@@ -42,12 +42,11 @@
 
     async def load(self):
         """Read all jobs and their progress."""
-        progress, _ = await self._read_table(PROGRESS_TABLE, CELL_PART)
+        progress = await self._read_progress()
         jobs, self._feed_version = await self._read_table(JOB_TABLE, CELL_PART)
-        rows = {row.key.key: row.value for row in progress}
         self._record_cancels(jobs)
         for first in range(0, len(jobs), CHUNK_ROWS):
-            self._add_job_rows(jobs[first : first + CHUNK_ROWS], rows)
+            self._add_job_rows(jobs[first : first + CHUNK_ROWS], progress)
             # Lets the owner renew its lease between chunks.
             await asyncio.sleep(0)
 
@@ -56,11 +55,15 @@
         while True:
             await asyncio.sleep(FEED_PAUSE_SECONDS)
             answer = await self._store.follow(JOB_TABLE, self._feed_version, 0.0)
+            progress = {}
             if answer.is_ok():
                 page = answer.unwrap()
                 self._feed_version = max(self._feed_version, page.version)
                 rows = page.rows
             elif answer.unwrap_err().code is ErrorCode.HISTORY_LOST:
+                # Some may be rows of finished jobs whose removal failed, which must not
+                # count as new.
+                progress = await self._read_progress()
                 rows, self._feed_version = await self._read_table(JOB_TABLE, CELL_PART)
             else:
                 continue
@@ -71,7 +74,7 @@
                 or row.key.key not in self._engine.jobs
             ]
             if new_rows:
-                self._add_job_rows(new_rows, {})
+                self._add_job_rows(new_rows, progress)
                 wake()
 
     def _record_cancels(self, rows):
@@ -100,6 +103,15 @@
         if job in self._cancelled:
             self._engine.cancel_job(job)
 
+    async def _read_progress(self):
+        """Return the progress rows by job.
+
+        Read before the jobs: a job and its progress are removed together, and a job
+        without progress counts as new.
+        """
+        rows, _ = await self._read_table(PROGRESS_TABLE, CELL_PART)
+        return {row.key.key: row.value for row in rows}
+
     async def _read_table(self, table, part):
         answer = await read_table(
             self._store, table, part, READ_TIMEOUT_SECONDS, READ_RETRY_SECONDS
