Test a late order to a restarted worker with owners as processes

The owner's start gets no answer, its worker restarts under its id, and the new process carries the order out 1.5 s after it was sent.

--- a/tests/fleet/test_cut_off_workers.py
+++ b/tests/fleet/test_absent_workers.py
@@ -1,10 +1,12 @@
-"""Workers behind cuts that refuse connections, with owners as real processes."""
+"""Workers that are cut off or restart, with owners as real processes."""
 
 import asyncio
 
+import orjson
 import pytest
 
 from standins.fleet.processes import ProcessCell
+from standins.fleet.workers import WorkerTrouble
 
 pytestmark = pytest.mark.timeout(90)
 
@@ -46,3 +48,32 @@
         await cell.wait_for_state(JOB, "completed")
         assert cell.audit.violations == []
         assert len(cell.audit.starts) == 1
+
+
+async def wait_for_unanswered_start(cell):
+    """Wait until a start got no answer; return its worker."""
+    log = cell.folder / "m0.log"
+    async with asyncio.timeout(10.0):
+        while "run_unanswered" not in log.read_text():
+            await asyncio.sleep(0.02)
+    lines = map(orjson.loads, log.read_text().splitlines())
+    name = next(line for line in lines if line["event"] == "run_unanswered")["worker"]
+    return next(worker for worker in cell.workers if worker.info.worker == name)
+
+
+async def test_late_order_to_a_worker_that_restarts_runs_once(tmp_path):
+    # Guards against a second run of a task whose start got no answer: its worker
+    # restarts under its id, and the new process carries the order out.
+    async with ProcessCell(tmp_path, members=1, workers=2, task_seconds=3.0) as cell:
+        await cell.wait_for_owner()
+        for worker in cell.workers:
+            worker.trouble, worker.late_seconds = WorkerTrouble.ORDERS_LATE, 1.5
+        await cell.submit(JOB, count=1)
+        restarted = await wait_for_unanswered_start(cell)
+        for worker in cell.workers:
+            worker.trouble = WorkerTrouble.NONE
+        restarted.be_reborn(2)
+        cell.list_worker(restarted)
+        await cell.wait_for_state(JOB, "completed")
+        assert cell.audit.violations == []
+        assert len(cell.audit.starts) == 1
