--- a/tests/fleet/test_connections.py
+++ b/tests/fleet/test_connections.py
@@ -180,3 +180,16 @@
             assert await site.start(number) is not StartAnswer.STARTED
             counts = site.calls.count_connections()
             assert max(counts) <= USUAL_CONNECTIONS
+
+
+@pytest.mark.usefixtures("patient_calls")
+async def test_a_connection_that_a_call_has_just_taken_is_not_closed():
+    # Guards against starts that are broken off by the close of an idle connection.
+    async with Site() as site:
+        await asyncio.gather(*(site.start(number) for number in range(60)))
+        pool = site.calls._get_client(site.info)
+        for _ in range(MOST_CONNECTIONS - len(pool._clients)):
+            await pool._open()
+        starts = [asyncio.create_task(site.start(number)) for number in range(60, 64)]
+        pool._close_extra()
+        assert {await start for start in starts} == {StartAnswer.STARTED}
