Count the late end of a released run though its task was placed again

Cause: the end of a released run counted only while its task was pending with that run as the latest. It counts now for any task that is not done; a later run is stopped, and a placement that was not sent is void.

--- a/libs/cell/src/cactustiller/cell/owner/run_tracking.py
+++ b/libs/cell/src/cactustiller/cell/owner/run_tracking.py
@@ -129,7 +129,10 @@
             self._requeue(task)
 
     def _apply_late_end(self, worker, end):
-        """Succeed a task whose run was released before its worker reported its end."""
+        """Succeed a task whose run was released before its worker reported its end.
+
+        A later run of the task is stopped, or not started any more.
+        """
         task = find_released_task(self.jobs, end)
         if task is None or end.end is not RunEnd.DONE:
             return
@@ -146,6 +149,7 @@
             is_late=True,
         )
         self.on_run_ended(task, end.end)
+        task.is_stopping = task.holds_capacity
         self._succeed(task)
         if not step.pending_count:
             self._eligible.pop(step, None)
--- a/libs/cell/src/cactustiller/cell/records/listings.py
+++ b/libs/cell/src/cactustiller/cell/records/listings.py
@@ -48,10 +48,10 @@
 
 
 def find_released_task(jobs, end):
-    """Return the pending task whose latest run has a reported end, or None.
+    """Return the task of a released run with a reported end, or None if it is done.
 
     A gang restarts as a whole and a service never succeeds, so their tasks are left
-    out.
+    out, as are those with copies, which settle their two runs between them.
 
     Parameters
     ----------
@@ -62,6 +62,9 @@
     task = job.find_task(end.task) if job is not None else None
     if task is None or task.name != end.task or job.state.is_final:
         return None
-    is_plain = not (task.step.spec.is_gang or task.step.spec.is_service)
-    is_latest = task.phase is RunPhase.WAITING and task.run == end.run
-    return task if is_plain and is_latest else None
+    spec = task.step.spec
+    if spec.is_gang or spec.is_service or task.copy is not None:
+        return None
+    is_released = end.run < task.run or not task.holds_capacity
+    is_known = end.run <= task.run and task.phase is not RunPhase.SUCCEEDED
+    return task if is_known and is_released else None
