--- a/libs/cell/src/cactustiller/cell/records/crashes.py
+++ b/libs/cell/src/cactustiller/cell/records/crashes.py
@@ -29,6 +29,9 @@
 # starts after three crashes.
 CHARGES_TO_GIVE_UP = 2
 CHARGES_TO_GIVE_UP_AMONG_CHANCE_CRASHES = 3
+# Crashes of any cause after which two charges suffice in any case: some that the task
+# caused may have gone unseen, as at a takeover.
+CRASHES_TO_DISTRUST = 4
 # Workers count as crashing by chance for this time after a crash not due to a start.
 CHANCE_CRASH_SECONDS = 30.0
 
@@ -113,7 +116,11 @@
         # A task that is beside the cause more than once is not charged again.
         task.charges = task.charges + 1 if is_certain else max(task.charges, 1)
         task.step.suspects.add(task)
-    is_given_up = any(task.charges >= charges_to_give_up for task in suspects)
+    is_given_up = any(
+        task.charges >= charges_to_give_up
+        or (task.crashes >= CRASHES_TO_DISTRUST and task.charges >= CHARGES_TO_GIVE_UP)
+        for task in suspects
+    )
     return CrashReport(
         suspects,
         suspects[0] if is_certain else None,
--- a/tests/cell/test_suspects.py
+++ b/tests/cell/test_suspects.py
@@ -100,6 +100,17 @@
     assert given_up == [crash >= expected for crash in (1, 2, 3)]
 
 
+@pytest.mark.parametrize("crashes", [2, 3])
+def test_crashes_that_went_unseen_do_not_let_a_deadly_task_start_without_end(crashes):
+    # Guards against a sixth start of a task that crashes its workers, some of them
+    # around takeovers, while others crash by chance.
+    task = make_suspect(1, NOW - 0.01)
+    task.crashes = crashes
+    needed = find_charges_to_give_up(NOW, NOW)
+    report = charge_crash(make_broken_worker(), [task], needed)
+    assert report.failed_jobs == ([task.step.job] if crashes == 3 else [])
+
+
 def test_a_task_beside_the_cause_of_crashes_is_not_given_up():
     task = make_run(1, NOW - 0.02)
     for number in range(2, 2 + 2 * CHARGES_TO_GIVE_UP):
