Audit the cause of failures and starts before an acknowledgement

The audit knew neither which runs ended failed, so that no judge could tell a failed job with a cause from one without, nor starts between a successful end and its acknowledgement, which run a task twice as well. It records both now, and passes over starts of tasks that allow copies if their order was carried out late.

Workers get a clock of their own, a duration of stops and the longest lease, for stand-ins that start them again as new processes.

--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -1,10 +1,9 @@
 """Workers that run tasks under leases and fences."""
 
 import asyncio
-from dataclasses import dataclass, field
-from enum import Enum
+from dataclasses import dataclass, field, replace
 
-from result import Err, Ok
+from result import Ok
 
 from cactustiller.cell import (
     ListedEnd,
@@ -14,32 +13,22 @@
     StartAnswer,
     WorkerInfo,
 )
-from cactustiller.model import ErrorCode, Failure, Outcome
+from cactustiller.model import ErrorCode
+
+from .troubles import ABSENT_FAILURES, WorkerTrouble, make_failure
 
 CALL_SECONDS = 0.003
 LOST_SECONDS = 1.0
 STOP_SECONDS = 0.2
 TICK_SECONDS = 0.01
-GANG_SECONDS = 3.0
+# A longer lease is shortened to this.
+MAX_LEASE_SECONDS = 10.0
 # The other ends are listed once these are acknowledged.
 MAX_LISTED_ENDS = 500
 # Time from the start of a task that crashes its worker to the crash.
 CRASH_SECONDS = 0.01
 
 
-class WorkerTrouble(Enum):
-    """What befalls a worker or its orders."""
-
-    NONE = "none"
-    CUT_OFF = "cutOff"
-    ORDERS_LATE = "ordersLate"
-    FAILING = "failing"
-    STANDING_STILL = "standingStill"
-    CRASHED = "crashed"
-    REPLACED = "replaced"
-    CUT_OFF_WITH_REFUSALS = "cutOffWithRefusals"
-
-
 @dataclass
 class FleetRun:
     """Run on a worker; `seconds` is the work that is left."""
@@ -77,6 +66,9 @@
     find_slowdown: object = lambda task, run: 1
     trouble: WorkerTrouble = WorkerTrouble.NONE
     late_seconds: float = 3.0
+    stop_seconds: float = STOP_SECONDS
+    # Loop time at which the worker's own clock showed 0.
+    clock_zero: float = 0.0
     # Tail latency in milliseconds of the serving runs, from the runs at work here.
     measure_load: object = lambda runs: 0
     fence: int = 0
@@ -85,6 +77,8 @@
     stopped: dict = field(default_factory=dict)
     ends: list = field(default_factory=list)
     ends_count: int = 0
+    # Number of all starts at the time of each end since the lease last lapsed.
+    starts_at_end: dict = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     _task: asyncio.Task | None = None
 
@@ -100,15 +94,9 @@
     def be_reborn(self, born_ms):
         """Lose everything and start a new life."""
         for run in self.runs.values():
-            self.audit.note_end(self.info.worker, run.task, run.run)
-        self.info = self.info.__class__(
-            **{
-                name: getattr(self.info, name)
-                for name in self.info.__dataclass_fields__
-                if name != "born_ms"
-            },
-            born_ms=born_ms,
-        )
+            self.audit.note_end(self.info.worker, run.task, run.run, "crashed")
+        self.info = replace(self.info, born_ms=born_ms)
+        self.starts_at_end = {}
         self.runs, self.stopped, self.ends = {}, {}, []
         self.fence = self.ends_count = 0
         self.lease_until = 0.0
@@ -125,9 +113,13 @@
         self.changed = asyncio.Event()
         self.on_crash(self)
 
-    def take_start(self, order):
-        """Carry out a start."""
-        now = asyncio.get_running_loop().time()
+    def read_clock(self):
+        """Return the worker's own time in seconds."""
+        return asyncio.get_running_loop().time() - self.clock_zero
+
+    def take_start(self, order, is_late=False):
+        """Carry out a start, seconds after it was sent if `is_late`."""
+        now = self.read_clock()
         if order.fencing_token < self.fence:
             return StartAnswer.FENCED
         self.fence = order.fencing_token
@@ -138,12 +130,12 @@
             return StartAnswer.OLD_RUN
         if order.deadline_ms / 1000 <= now:
             return StartAnswer.TOO_LATE
-        self.lease_until = max(self.lease_until, order.deadline_ms / 1000)
+        self._extend_lease(order.deadline_ms)
         amounts, seconds = self.describe(order.task)
         seconds *= self.find_slowdown(order.task, order.run)
         run = FleetRun(order.task, order.run, amounts, seconds, seconds)
         self.runs[order.task] = run
-        self.audit.note_start(self.info.worker, order.task, order.run)
+        self.audit.note_start(self.info.worker, order.task, order.run, is_late)
         free = [
             capacity - sum(run.amounts[index] for run in self.runs.values())
             for index, capacity in enumerate(self.info.capacity)
@@ -163,7 +155,7 @@
         self.stopped[task] = max(self.stopped.get(task, 0), run)
         held = self.runs.get(task)
         if held is not None and held.run <= run and not held.stops_at:
-            held.stops_at = asyncio.get_running_loop().time() + STOP_SECONDS
+            held.stops_at = self.read_clock() + self.stop_seconds
 
     def take_pace(self, task, run, percent, fence):
         """Set the pace of a run."""
@@ -181,16 +173,17 @@
             return None
         self.fence = fence
         if deadline_ms is not None:
-            self.lease_until = max(self.lease_until, deadline_ms / 1000)
+            self._extend_lease(deadline_ms)
         for end in self.ends:
             if end.number <= acked_through and end.end is RunEnd.DONE:
-                self.audit.note_acknowledged(end.task)
+                starts = self.starts_at_end.get(end.number)
+                self.audit.note_acknowledged(end.task, starts)
         self.ends = [end for end in self.ends if end.number > acked_through]
         return self.list_runs()
 
     def list_runs(self):
         """Return the `Listing` as of now."""
-        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        now_ms = int(self.read_clock() * 1000)
         active = tuple(
             ListedRun(
                 run.task,
@@ -206,10 +199,10 @@
         return Listing(now_ms, self.info.born_ms, active, ended, is_complete)
 
     async def _work(self):
-        loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(TICK_SECONDS)
-            now = loop.time()
+            now = self.read_clock()
+            self._note_lapse()
             for run in list(self.runs.values()):
                 if self.trouble is not WorkerTrouble.STANDING_STILL:
                     run.seconds -= TICK_SECONDS * run.pace / 100
@@ -222,12 +215,24 @@
                 elif run.seconds <= 0:
                     self._end(run, RunEnd.DONE)
 
+    def _extend_lease(self, deadline_ms):
+        self._note_lapse()
+        latest = self.read_clock() + MAX_LEASE_SECONDS
+        self.lease_until = max(self.lease_until, min(deadline_ms / 1000, latest))
+
+    def _note_lapse(self):
+        if self.read_clock() > self.lease_until:
+            self.starts_at_end.clear()
+
     def _end(self, run, how):
         del self.runs[run.task]
         self.stopped[run.task] = max(self.stopped.get(run.task, 0), run.run)
         self.ends_count += 1
         self.ends.append(ListedEnd(self.ends_count, run.task, run.run, how, ""))
-        self.audit.note_end(self.info.worker, run.task, run.run)
+        self.starts_at_end[self.ends_count] = len(self.audit.starts)
+        self.audit.note_end(self.info.worker, run.task, run.run, how.value)
+        if how is RunEnd.FAILED:
+            self.audit.note_failure(run.task, run.run)
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -255,9 +260,9 @@
         """Stop a run."""
         found = self._workers[worker.worker]
         if await self._lose(found, lambda: found.take_stop(task, run, fence)):
-            return _fail(ErrorCode.TIMEOUT, "no answer")
+            return make_failure(ErrorCode.TIMEOUT, "no answer")
         if found.trouble in ABSENT_FAILURES:
-            return _fail(*ABSENT_FAILURES[found.trouble])
+            return make_failure(*ABSENT_FAILURES[found.trouble])
         found.take_stop(task, run, fence)
         return Ok(None)
 
@@ -265,23 +270,23 @@
         """Set the pace of a run."""
         found = self._workers[worker.worker]
         if await self._lose(found, lambda: found.take_pace(task, run, percent, fence)):
-            return _fail(ErrorCode.TIMEOUT, "no answer")
+            return make_failure(ErrorCode.TIMEOUT, "no answer")
         if found.trouble in ABSENT_FAILURES:
-            return _fail(*ABSENT_FAILURES[found.trouble])
+            return make_failure(*ABSENT_FAILURES[found.trouble])
         if not found.take_pace(task, run, percent, fence):
-            return _fail(ErrorCode.FENCED, "a lower fence")
+            return make_failure(ErrorCode.FENCED, "a lower fence")
         return Ok(None)
 
     async def hold(self, worker, fence, acked_through, deadline_ms, wait_ms):
         """Renew the lease and wait for an end."""
         found = self._workers[worker.worker]
         if await self._lose(found, None):
-            return _fail(ErrorCode.TIMEOUT, "no answer")
+            return make_failure(ErrorCode.TIMEOUT, "no answer")
         if found.trouble in ABSENT_FAILURES:
-            return _fail(*ABSENT_FAILURES[found.trouble])
+            return make_failure(*ABSENT_FAILURES[found.trouble])
         listing = found.take_hold(fence, acked_through, deadline_ms)
         if listing is None:
-            return _fail(ErrorCode.FENCED, "a lower fence")
+            return make_failure(ErrorCode.FENCED, "a lower fence")
         if wait_ms and not listing.ended:
             try:
                 async with asyncio.timeout(wait_ms / 1000):
@@ -289,7 +294,7 @@
             except TimeoutError:
                 pass
             if found.trouble is WorkerTrouble.CRASHED:
-                return _fail(ErrorCode.UNAVAILABLE, "server disconnected")
+                return make_failure(ErrorCode.UNAVAILABLE, "server disconnected")
             listing = found.list_runs()
         return Ok(listing)
 
@@ -311,28 +316,3 @@
 async def _carry_out(seconds, carry_out):
     await asyncio.sleep(seconds)
     carry_out()
-
-
-def _fail(code, reason, outcome=Outcome.UNKNOWN):
-    return Err(
-        Failure(
-            code=code,
-            step="call worker",
-            peer="worker",
-            reason=reason,
-            outcome=outcome,
-        )
-    )
-
-
-# Failures of calls to a worker that is not there, by its trouble.
-CONNECTION_REFUSED = (ErrorCode.UNAVAILABLE, "connection refused", Outcome.NOT_RUN)
-ABSENT_FAILURES = {
-    WorkerTrouble.CRASHED: CONNECTION_REFUSED,
-    WorkerTrouble.CUT_OFF_WITH_REFUSALS: CONNECTION_REFUSED,
-    WorkerTrouble.REPLACED: (
-        ErrorCode.REPLACED,
-        "another process listens at the address",
-        Outcome.NOT_RUN,
-    ),
-}
