--- a/libs/cell/src/cactustiller/cell/owner/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/owner/dispatch.py
@@ -18,6 +18,7 @@
 from ..reporting.metrics import Count, Latency
 from ..supervision import keep_running
 from .capacity import LEASE_SECONDS
+from .listing_calls import ListingFetcher
 
 HOLD_RETRY_SECONDS = 0.25
 # After this wait for the store to commit a worker's ends, the lease is renewed anyway.
@@ -53,6 +54,9 @@
         self._metrics = metrics
         engine.on_run_ended = self._record_end
         engine.on_copy_settled = self._record_copy
+        engine.on_runs_kept = lambda worker: self._start_task(
+            self._listings.fetch(worker)
+        )
         self._calls = calls
         self._fencing_token = fencing_token
         self._wake = wake
@@ -60,6 +64,7 @@
         self._committed = asyncio.Event()
         self._hold_tasks = {}
         self._tasks = set()
+        self._listings = ListingFetcher(self._fetch_listing)
 
     def send_starts(self, placements):
         """Send starts without waiting for their answers."""
@@ -89,6 +94,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self._listings.close()
 
     def follow_workers(self):
         """Start a hold loop for each worker that has none."""
@@ -195,6 +201,14 @@
         deadline_ms = worker.grant_lease_ms(sent_at, LEASE_SECONDS)
         if deadline_ms is None:
             # The worker became unreachable after the placement.
+            log_event(
+                Event.RUN_REFUSED,
+                job=step.job.spec.job,
+                task=task.name,
+                run=run,
+                worker=worker.info.worker,
+                answer="not sent",
+            )
             self._engine.reject_start(worker, task, run, sent_at)
             return
         order = StartOrder(
@@ -239,7 +253,7 @@
                 worker.avoided_until, now + UNANSWERED_PAUSE_SECONDS
             )
             # The hold call may wait for longer before it shows that the worker is lost.
-            self._start_task(self._fetch_listing(worker))
+            self._start_task(self._listings.fetch(worker))
         else:
             log_event(Event.RUN_REFUSED, **fields, answer=answer.value)
             self._handle_refusal(placement, run, answer, now)
@@ -285,7 +299,7 @@
             )
             if not self._is_running(stop):
                 # Its absence from a listing shows that the run can no longer start.
-                await self._fetch_listing(stop.worker)
+                await self._listings.fetch(stop.worker)
 
     def _is_running(self, stop):
         """Return whether a run has started, so that the hold call reports its end."""
@@ -306,7 +320,7 @@
     async def _check_after_probation(self, worker):
         """Fetch the listing that shows whether a suspect has crashed its worker."""
         await asyncio.sleep(PROBATION_SECONDS)
-        await self._fetch_listing(worker)
+        await self._listings.fetch(worker)
 
     async def _fetch_listing(self, worker):
         """Fetch a worker's listing by a second call while its hold call is waiting.
--- a/standins/fleet/registry.py
+++ b/standins/fleet/registry.py
@@ -43,6 +43,10 @@
         self._reported.pop(worker_id, None)
         self._store.remove(RowKey(TABLE, "", worker_id))
 
+    def is_listed(self, worker_id):
+        """Return whether a worker has an entry."""
+        return RowKey(TABLE, "", worker_id) in self._store.rows
+
     def expire_all(self):
         """Remove every entry; workers that are alive report again."""
         for worker_id in list(self._reported):
