--- a/libs/cell/src/cactustiller/cell/owner/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/owner/dispatch.py
@@ -120,21 +120,24 @@
             is_caught_up = worker.acked_through == worker.processed_through
             may_wait = worker.is_synchronized and worker.is_reachable and is_caught_up
             sent_at = loop.time()
+            ack, born_ms = worker.choose_ack(), worker.born_ms
+            info = worker.info
             answer = await self._calls.hold(
-                worker.info,
+                info,
                 self._fencing_token,
-                worker.acked_through,
+                ack,
                 worker.grant_lease_ms(sent_at, LEASE_SECONDS),
                 choose_wait_ms(worker, len(self._engine.workers), sent_at)
                 if may_wait
                 else 0,
             )
             if answer.is_err():
-                self._mark_unreachable(worker, answer.unwrap_err())
+                self._mark_unreachable(worker, answer.unwrap_err(), info.address)
                 await asyncio.sleep(HOLD_RETRY_SECONDS)
                 continue
             self._mark_reachable(worker)
             self._engine.apply_listing(worker, answer.unwrap(), sent_at, loop.time())
+            worker.confirm_ack(ack, born_ms)
             self._wake()
             await self._wait_until_acknowledged(worker)
 
@@ -150,7 +153,7 @@
         except TimeoutError:
             return
 
-    def _mark_unreachable(self, worker, failure):
+    def _mark_unreachable(self, worker, failure, address):
         if worker.is_reachable:
             worker.is_reachable = False
             if failure.code is ErrorCode.UNAVAILABLE:
@@ -163,7 +166,8 @@
                 reason=failure.reason,
                 runs=len(worker.runs),
             )
-        if failure.code is ErrorCode.REPLACED:
+        if failure.code is ErrorCode.REPLACED and address == worker.info.address:
+            # Another process at an earlier address says nothing of the present one.
             self._engine.end_replaced_worker(worker)
         # The connection was refused: no process listens at the worker's address.
         worker.refuses_connections = (
@@ -329,11 +333,10 @@
         """
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
-        answer = await self._calls.hold(
-            worker.info, self._fencing_token, worker.acked_through, None, 0
-        )
+        info = worker.info
+        answer = await self._calls.hold(info, self._fencing_token, 0, None, 0)
         if answer.is_err():
-            self._mark_unreachable(worker, answer.unwrap_err())
+            self._mark_unreachable(worker, answer.unwrap_err(), info.address)
             return
         self._engine.apply_listing(worker, answer.unwrap(), sent_at, loop.time())
         self._wake()
