--- a/standins/fleet/hosts.py
+++ b/standins/fleet/hosts.py
@@ -7,10 +7,9 @@
 import orjson
 from aiohttp import web
 
-from cactustiller.cell import StartAnswer, StartOrder
 from cactustiller.model import WorkerId
 
-from .http import encode_listing
+from .http import carry_out
 from .troubles import WorkerTrouble
 
 # Not that of the members, whose outgoing connections could take a worker's port.
@@ -26,11 +25,6 @@
 LATE_SECONDS = (2.0, 12.0)
 SLOW_SECONDS = (0.0, 1.0)
 DOWN_SECONDS = (0.3, 3.0)
-REASONS = {
-    StartAnswer.FENCED: "fence",
-    StartAnswer.OLD_RUN: "old",
-    StartAnswer.TOO_LATE: "late",
-}
 
 
 class Reach(Enum):
@@ -276,7 +270,7 @@
             await asyncio.sleep(self._generator.uniform(*SLOW_SECONDS))
         if worker is not self.worker or self._reach is not Reach.OPEN:
             return await _stay_silent()
-        status, answer = await self._carry_out(worker, request.path, body, is_late)
+        status, answer = await carry_out(worker, request.path, body, is_late)
         if self._draw(self.slow_share):
             await asyncio.sleep(self._generator.uniform(*SLOW_SECONDS))
         is_gone = worker is not self.worker or self._reach is not Reach.OPEN
@@ -288,53 +282,9 @@
         """Carry out an order seconds later, also by the next process of that id."""
         await asyncio.sleep(self._generator.uniform(*LATE_SECONDS))
         if self.is_up and self.worker.info.worker == worker_id:
-            await self._carry_out(self.worker, request.path, body, True)
-
-    async def _carry_out(self, worker, path, body, is_late):
-        if path == "/hold":
-            return await _hold(worker, body)
-        status, reason = _carry_out_order(worker, path, body, is_late)
-        answer = _make_answer(worker)
-        return status, answer | {"Reason": reason} if reason else answer
+            await carry_out(self.worker, request.path, body, True)
 
 
 async def _stay_silent():
     await asyncio.sleep(SILENT_SECONDS)
     return web.json_response({}, status=500)
-
-
-def _make_answer(worker):
-    clock_ms = int(worker.read_clock() * 1000)
-    return {"ClockMs": clock_ms, "born": worker.info.born_ms}
-
-
-def _carry_out_order(worker, path, body, is_late):
-    """Carry out an order; return the status and the reason of a refusal or None."""
-    task, run, fence = body["Task"], body["RunId"], body["FenceToken"]
-    if path == "/run-start":
-        order = StartOrder(task, run, body["Spec"], body["DeadlineMs"], fence)
-        outcome = worker.take_start(order, is_late)
-        if outcome is not StartAnswer.STARTED:
-            return 409, REASONS[outcome]
-    elif path == "/pace":
-        if not worker.take_pace(task, run, body["Percent"], fence):
-            return 409, "fence"
-    else:
-        worker.take_stop(task, run, fence)
-    return 200, None
-
-
-async def _hold(worker, body):
-    listing = worker.take_hold(
-        body["FenceToken"], body["AckedThrough"], body.get("DeadlineMs")
-    )
-    if listing is None:
-        return 409, _make_answer(worker) | {"Reason": "fence"}
-    if not listing.ended and body.get("WaitMs"):
-        try:
-            async with asyncio.timeout(body["WaitMs"] / 1000):
-                await worker.changed.wait()
-        except TimeoutError:
-            pass
-        listing = worker.list_runs()
-    return 200, _make_answer(worker) | encode_listing(listing)
--- a/standins/fleet/http.py
+++ b/standins/fleet/http.py
@@ -1,13 +1,27 @@
 """The platform's interfaces over HTTP, in front of the in-process stand-in."""
 
+import asyncio
 import base64
 
 import orjson
 from aiohttp import web
 
-from cactustiller.cell import Committed, Row, RowKey, RunEnd, Transaction
+from cactustiller.cell import (
+    Committed,
+    Row,
+    RowKey,
+    RunEnd,
+    StartAnswer,
+    StartOrder,
+    Transaction,
+)
 from cactustiller.model import ErrorCode
 
+REASONS = {
+    StartAnswer.FENCED: "fence",
+    StartAnswer.OLD_RUN: "old",
+    StartAnswer.TOO_LATE: "late",
+}
 ENDS = {
     RunEnd.DONE: "done",
     RunEnd.FAILED: "failed",
@@ -77,7 +91,64 @@
     return web.json_response({}, status=statuses.get(failure.code, 500))
 
 
-def encode_listing(listing):
+def make_worker_handler(worker):
+    """Return the handler of one executor."""
+
+    async def handle(request):
+        body = orjson.loads(await request.read())
+        status, answer = await carry_out(worker, request.path, body)
+        return web.json_response(answer, status=status)
+
+    return handle
+
+
+async def carry_out(worker, path, body, is_late=False):
+    """Carry out a call to an executor; return the status and the answer."""
+    if path == "/hold":
+        return await _hold(worker, body)
+    status, reason = _carry_out_order(worker, path, body, is_late)
+    answer = _make_answer(worker)
+    return status, answer | {"Reason": reason} if reason else answer
+
+
+def _make_answer(worker):
+    clock_ms = int(worker.read_clock() * 1000)
+    return {"ClockMs": clock_ms, "born": worker.info.born_ms}
+
+
+def _carry_out_order(worker, path, body, is_late):
+    """Carry out an order; return the status and the reason of a refusal or None."""
+    task, run, fence = body["Task"], body["RunId"], body["FenceToken"]
+    if path == "/run-start":
+        order = StartOrder(task, run, body["Spec"], body["DeadlineMs"], fence)
+        outcome = worker.take_start(order, is_late)
+        if outcome is not StartAnswer.STARTED:
+            return 409, REASONS[outcome]
+    elif path == "/pace":
+        if not worker.take_pace(task, run, body["Percent"], fence):
+            return 409, "fence"
+    else:
+        worker.take_stop(task, run, fence)
+    return 200, None
+
+
+async def _hold(worker, body):
+    listing = worker.take_hold(
+        body["FenceToken"], body["AckedThrough"], body.get("DeadlineMs")
+    )
+    if listing is None:
+        return 409, _make_answer(worker) | {"Reason": "fence"}
+    if not listing.ended and body.get("WaitMs"):
+        try:
+            async with asyncio.timeout(body["WaitMs"] / 1000):
+                await worker.changed.wait()
+        except TimeoutError:
+            pass
+        listing = worker.list_runs()
+    return 200, _make_answer(worker) | _encode_listing(listing)
+
+
+def _encode_listing(listing):
     """Return the fields of an executor's answer to a hold call."""
     return {
         "ClockMs": listing.clock_ms,
