--- a/standins/fleet/hosts.py
+++ b/standins/fleet/hosts.py
@@ -103,16 +103,21 @@
         self._generator = generator
         self._listener = None
         self._address = (HOST_IP, 0)
+        self._called_address = ""
         # The process died with its machine, so calls to it get no answer.
         self._is_dark = False
         self._cuts = []
         self._lives = 0
         self._tasks = set()
 
-    async def start(self):
-        """Start the first worker, and report it from time to time."""
+    async def start(self, open_relay):
+        """Start the first worker, and report it from time to time.
+
+        `open_relay` returns the address that callers use for that of the host.
+        """
         await self._listen()
         self._address = self._listener.sockets[0].getsockname()
+        self._called_address = await open_relay("{}:{}".format(*self._address))
         self._start_worker(self._first_id)
         self._run_aside(self._report_regularly())
 
@@ -173,8 +178,9 @@
 
     def _start_worker(self, worker_id):
         zero = asyncio.get_running_loop().time() - 1.0
-        address = "{}:{}".format(*self._address)
-        self.worker = self._make_worker(worker_id, address, zero, self._take_crash)
+        self.worker = self._make_worker(
+            worker_id, self._called_address, zero, self._take_crash
+        )
         self.worker.start()
         self._tell(f"starts, born {self.worker.info.born_ms}")
         self.is_up = True
--- a/standins/fleet/processes.py
+++ b/standins/fleet/processes.py
@@ -20,6 +20,7 @@
 from .hosts import WorkerHost
 from .http import make_approval_handler, make_store_handler, serve
 from .registry import Registry
+from .relays import FullRelay
 from .store import Store, StoreClient
 from .workers import FleetWorker
 
@@ -96,9 +97,13 @@
         Work of each task.
     seed : int
         Of the faults of single calls.
+    connections : int or None
+        Maximum number of connections to each worker, kept by a relay.
 
     Attributes
     ----------
+    relays : list of FullRelay
+        In front of the workers, if these limit their connections.
     copied_jobs, gangs : set of str
         Jobs whose tasks may have a second run, and jobs whose tasks run together.
     deadly_tasks : set of str
@@ -107,7 +112,15 @@
         Daemons that have ended by themselves.
     """
 
-    def __init__(self, folder, members=3, workers=4, task_seconds=0.5, seed=0):
+    def __init__(
+        self,
+        folder,
+        members=3,
+        workers=4,
+        task_seconds=0.5,
+        seed=0,
+        connections=None,
+    ):
         self.folder = Path(folder)
         self.copied_jobs, self.gangs, self.deadly_tasks = set(), set(), set()
         self.audit = Audit(
@@ -120,12 +133,14 @@
         self.ended = []
         self._task_seconds = task_seconds
         self._counts = (members, workers)
+        self._connections = connections
         self._runners = []
         self._record = (self.folder / "workers.log").open("a", buffering=1)
         self.registry = Registry(self.store, self.store_client)
         self.hosts = []
         self._seed = seed
         self._expiry = None
+        self.relays = []
         self._session = None
 
     async def __aenter__(self):
@@ -148,6 +163,8 @@
         self._expiry.cancel()
         for host in self.hosts:
             await host.stop()
+        for relay in self.relays:
+            await relay.close()
         for runner in self._runners:
             await runner.cleanup()
         await self._session.close()
@@ -279,9 +296,16 @@
 
         name = WorkerId(f"i-{index}")
         host = WorkerHost(name, make_worker, self.registry, generator)
-        await host.start()
+        await host.start(self._open_relay)
         self.hosts.append(host)
 
+    async def _open_relay(self, address):
+        """Return the address of a relay if the workers limit their connections."""
+        if self._connections is None:
+            return address
+        self.relays.append(FullRelay(address, self._connections))
+        return await self.relays[-1].open()
+
     def _write_settings(self, name, store, approvals):
         frontend, ready, peer = _find_free_ports(3)
         self.frontends[name] = f"{MEMBER_IP}:{frontend}"
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -75,3 +75,39 @@
     )
     for seed, (ledger, faults) in zip(seeds, played, strict=True):
         assert faults == [], (seed, ledger.faults)
+
+
+async def lose_owner_to_power(cell):
+    """Kill the owner; its connections stay open at the workers."""
+    owner = await cell.wait_for_owner()
+    for relay in cell.relays:
+        relay.lose_callers()
+    await cell.end_member(owner, signal.SIGKILL)
+    await cell.start_member(owner)
+
+
+async def test_jobs_run_after_many_owners_lost_power(tmp_path):
+    # Guards against workers full of the connections of owners that lost power: hold
+    # calls are answered, each start and stop is reset, and the tasks stand still.
+    async with ProcessCell(tmp_path, workers=2, connections=14) as cell:
+        for number in range(1, 6):
+            await cell.submit(make_id(number), count=16)
+            await cell.wait_for_state(make_id(number), "completed")
+            await lose_owner_to_power(cell)
+        await cell.submit(make_id(9), count=16)
+        await cell.wait_for_state(make_id(9), "completed")
+        assert cell.audit.violations == []
+
+
+async def test_jobs_run_over_the_last_connection_that_their_workers_accept(tmp_path):
+    async with ProcessCell(tmp_path, workers=2, connections=64) as cell:
+        await cell.submit(make_id(1), count=16)
+        await cell.wait_for_state(make_id(1), "completed")
+        await lose_owner_to_power(cell)
+        for relay in cell.relays:
+            relay.leave_room(1)
+        for number in range(2, 6):
+            await cell.submit(make_id(number), count=8)
+        for number in range(2, 6):
+            await cell.wait_for_state(make_id(number), "completed")
+        assert cell.audit.violations == []
