--- a/demo/fleet_faults.py
+++ b/demo/fleet_faults.py
@@ -88,9 +88,7 @@
 async def trouble_worker(cell, generator, seconds):
     """Cut a worker off, or let it carry orders out late or fail or stand still."""
     host = generator.choice(cell.hosts[:TROUBLED_HOSTS])
-    troubles = [
-        trouble for trouble in WorkerTrouble if trouble is not WorkerTrouble.NONE
-    ]
+    troubles = [t for t in WorkerTrouble if t not in NOT_DRAWN]
     trouble = generator.choice(troubles)
     if trouble in CUTS:
         await host.cut_off(seconds, CUTS[trouble])
@@ -100,6 +98,8 @@
         await _trouble_host(host, seconds, trouble)
 
 
+# The second is what the host itself does.
+NOT_DRAWN = (WorkerTrouble.NONE, WorkerTrouble.DARK)
 CUTS = {
     WorkerTrouble.CUT_OFF: Reach.SILENT,
     WorkerTrouble.CUT_OFF_WITH_REFUSALS: Reach.REFUSING,
--- a/standins/fleet/http.py
+++ b/standins/fleet/http.py
@@ -17,6 +17,10 @@
 )
 from cactustiller.model import ErrorCode
 
+from .troubles import SILENT_TROUBLES, WorkerTrouble
+
+# Longer than any caller waits.
+SILENT_SECONDS = 20.0
 REASONS = {
     StartAnswer.FENCED: "fence",
     StartAnswer.OLD_RUN: "old",
@@ -96,6 +100,8 @@
 
     async def handle(request):
         body = orjson.loads(await request.read())
+        if worker.trouble in SILENT_TROUBLES:
+            await asyncio.sleep(SILENT_SECONDS)
         status, answer = await carry_out(worker, request.path, body)
         return web.json_response(answer, status=status)
 
@@ -144,6 +150,8 @@
                 await worker.changed.wait()
         except TimeoutError:
             pass
+        if worker.trouble is WorkerTrouble.DARK:
+            await asyncio.sleep(SILENT_SECONDS)
         listing = worker.list_runs()
     return 200, _make_answer(worker) | _encode_listing(listing)
 
--- a/standins/fleet/troubles.py
+++ b/standins/fleet/troubles.py
@@ -18,6 +18,7 @@
     CRASHED = "crashed"
     REPLACED = "replaced"
     CUT_OFF_WITH_REFUSALS = "cutOffWithRefusals"
+    DARK = "dark"
 
 
 def make_failure(code, reason, outcome=Outcome.UNKNOWN):
@@ -44,3 +45,5 @@
         Outcome.NOT_RUN,
     ),
 }
+# Calls get no answer and are not carried out.
+SILENT_TROUBLES = (WorkerTrouble.CUT_OFF, WorkerTrouble.DARK)
--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -16,7 +16,7 @@
 )
 from cactustiller.model import ErrorCode
 
-from .troubles import ABSENT_FAILURES, WorkerTrouble, make_failure
+from .troubles import ABSENT_FAILURES, SILENT_TROUBLES, WorkerTrouble, make_failure
 
 CALL_SECONDS = 0.003
 LOST_SECONDS = 1.0
@@ -102,14 +102,17 @@
         self.fence = self.ends_count = 0
         self.lease_until = 0.0
 
-    def crash(self, cause=None):
-        """Lose everything and refuse connections; `cause` is the task at fault."""
-        if self.trouble is WorkerTrouble.CRASHED:
+    def crash(self, cause=None, is_silent=False):
+        """Lose everything and refuse connections; `cause` is the task at fault.
+
+        After a silent crash the calls get no answer, and connections stay open.
+        """
+        if self.trouble in (WorkerTrouble.CRASHED, WorkerTrouble.DARK):
             return
         if cause is not None:
             self.audit.note_crash(cause)
         self.be_reborn(self.info.born_ms)
-        self.trouble = WorkerTrouble.CRASHED
+        self.trouble = WorkerTrouble.DARK if is_silent else WorkerTrouble.CRASHED
         self.changed.set()
         self.changed = asyncio.Event()
         self.on_crash(self)
@@ -297,6 +300,9 @@
             is_gone = found.info.born_ms != listing.born_ms
             if is_gone or found.trouble is WorkerTrouble.CRASHED:
                 return make_failure(ErrorCode.UNAVAILABLE, "server disconnected")
+            if found.trouble is WorkerTrouble.DARK:
+                await asyncio.sleep(LOST_SECONDS)
+                return make_failure(ErrorCode.TIMEOUT, "no answer")
             listing = found.list_runs()
         return Ok(listing)
 
@@ -307,7 +313,7 @@
     async def _lose(self, worker, carry_out):
         """Pass the time of a call; return whether its answer is lost."""
         await asyncio.sleep(CALL_SECONDS)
-        if self.is_cut_off or worker.trouble is WorkerTrouble.CUT_OFF:
+        if self.is_cut_off or worker.trouble in SILENT_TROUBLES:
             await asyncio.sleep(LOST_SECONDS)
             return True
         if worker.trouble is WorkerTrouble.ORDERS_LATE and carry_out is not None:
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -111,3 +111,22 @@
         for number in range(2, 6):
             await cell.wait_for_state(make_id(number), "completed")
         assert cell.audit.violations == []
+
+
+@pytest.mark.parametrize("after_seconds", [0.02, 0.3])
+async def test_a_job_is_not_failed_by_silent_crashes_near_its_starts(
+    tmp_path, after_seconds
+):
+    async with ProcessCell(tmp_path, members=1, task_seconds=0.64) as cell:
+        await cell.wait_for_owner()
+        await cell.submit(make_id(1), count=1)
+        for crash in range(1, 6):
+            async with asyncio.timeout(15):
+                while len(cell.audit.starts) < crash:
+                    await asyncio.sleep(0.005)
+            await asyncio.sleep(after_seconds)
+            name = cell.audit.starts[-1][2]
+            host = next(h for h in cell.hosts if h.worker.info.worker == name)
+            await host.crash(0.5, is_dark=True)
+        await cell.wait_for_state(make_id(1), "completed")
+        assert cell.audit.violations == []
