--- a/demo/fleet_soak.py
+++ b/demo/fleet_soak.py
@@ -16,6 +16,8 @@
 from .fleet_faults import evacuate_zones, inject_faults, upset_workers
 
 SUBMIT_PAUSE_SECONDS = 0.1
+# For the daemons to start, also beside much other load.
+START_SECONDS = 60.0
 # Leases of lost workers and a late takeover pass before the end is judged.
 SETTLE_SECONDS = 60.0
 RETRY_SECONDS = 8.0
@@ -155,7 +157,7 @@
     generator = random.Random(seed)
     ledger = Ledger()
     async with ProcessCell(folder, members, workers, seed=seed) as cell:
-        await cell.wait_for_owner()
+        await cell.wait_for_owner(START_SECONDS)
         until = asyncio.get_running_loop().time() + seconds
         await asyncio.gather(
             submit_jobs(cell, ledger, generator, until),
