--- a/standins/fleet/hosts.py
+++ b/standins/fleet/hosts.py
@@ -193,7 +193,8 @@
             return
         self.is_up = False
         self._tell("is crashed by a task")
-        self._is_dark = self._generator.random() < 0.2
+        # A process that dies by itself breaks its connections.
+        self._is_dark = False
         self._apply_reach()
         is_renamed = self._generator.random() < 0.5
         seconds = self._generator.uniform(*DOWN_SECONDS)
