--- a/standins/fleet/hosts.py
+++ b/standins/fleet/hosts.py
@@ -12,8 +12,6 @@
 from .http import carry_out
 from .troubles import WorkerTrouble
 
-# Not that of the members, whose outgoing connections could take a worker's port.
-HOST_IP = "127.0.0.2"
 HEARTBEAT_SECONDS = 1.5
 # Connections that a worker accepts; the others are reset.
 CHANNELS = 64
@@ -21,7 +19,6 @@
 LINGER_SECONDS = 12.0
 # Longer than any caller waits.
 SILENT_SECONDS = 20.0
-LISTEN_RETRY_SECONDS = 0.05
 LATE_SECONDS = (2.0, 12.0)
 SLOW_SECONDS = (0.0, 1.0)
 DOWN_SECONDS = (0.3, 3.0)
@@ -80,6 +77,7 @@
     ----------
     worker_id : WorkerId
         Of the first worker; the later ones have it with a number.
+    ip : str
     make_worker : callable
         Id, address, clock zero and callback of crashes to a `FleetWorker`.
     registry : Registry
@@ -92,7 +90,7 @@
         that are carried out and answered late, and of calls without an answer.
     """
 
-    def __init__(self, worker_id, make_worker, registry, generator):
+    def __init__(self, worker_id, ip, make_worker, registry, generator):
         self.late_share = self.slow_share = self.lost_share = 0.0
         self.worker = None
         self.is_up = False
@@ -102,9 +100,10 @@
         self._registry = registry
         self._generator = generator
         self._listener = None
-        self._address = (HOST_IP, 0)
+        self._address = (ip, 0)
         # The process died with its machine, so calls to it get no answer.
         self._is_dark = False
+        self._opening = asyncio.Lock()
         self._cuts = []
         self._lives = 0
         self._tasks = set()
@@ -231,8 +230,10 @@
         self.server.reset_all()
 
     async def _open(self):
-        if self._reach is not Reach.REFUSING and self._listener is None:
-            await self._listen()
+        # A crash may end while a cut does.
+        async with self._opening:
+            if self._reach is not Reach.REFUSING and self._listener is None:
+                await self._listen()
 
     async def _listen(self):
         loop = asyncio.get_running_loop()
--- a/standins/fleet/processes.py
+++ b/standins/fleet/processes.py
@@ -28,9 +28,6 @@
 KEY = "key-of-the-team"
 SERVICE = "recon"
 CAPACITY = Amounts(32_000, 65_536, 0)
-# Not the source address of connections on this machine, whose ports a daemon that is
-# started again could find in use.
-MEMBER_IP = "127.0.0.3"
 CALL_SECONDS = 5.0
 # Connections that close so soon after a kill are those of the daemon.
 KILL_SECONDS = 0.3
@@ -120,6 +117,10 @@
         self.ended = []
         self._task_seconds = task_seconds
         self._counts = (members, workers)
+        # A network of its own, since ports are free for others while a daemon or worker
+        # is down: for connections of this machine, or for another cell.
+        network = f"127.{random.randint(16, 250)}.{random.randint(1, 250)}"
+        self._worker_ip, self._member_ip = f"{network}.1", f"{network}.2"
         self._runners = []
         self._record = (self.folder / "workers.log").open("a", buffering=1)
         self.registry = Registry(self.store, self.store_client)
@@ -278,16 +279,16 @@
             )
 
         name = WorkerId(f"i-{index}")
-        host = WorkerHost(name, make_worker, self.registry, generator)
+        host = WorkerHost(name, self._worker_ip, make_worker, self.registry, generator)
         await host.start()
         self.hosts.append(host)
 
     def _write_settings(self, name, store, approvals):
-        frontend, ready, peer = _find_free_ports(3)
-        self.frontends[name] = f"{MEMBER_IP}:{frontend}"
+        frontend, ready, peer = _find_free_ports(self._member_ip, 3)
+        self.frontends[name] = f"{self._member_ip}:{frontend}"
         text = NODE.format(
             name=name,
-            ip=MEMBER_IP,
+            ip=self._member_ip,
             peer=peer,
             frontend=frontend,
             ready=ready,
@@ -297,11 +298,11 @@
         (self.folder / f"{name}.toml").write_text(text)
 
 
-def _find_free_ports(count):
+def _find_free_ports(ip, count):
     sockets = [socket.socket() for _ in range(count)]
     try:
         for item in sockets:
-            item.bind((MEMBER_IP, 0))
+            item.bind((ip, 0))
         return [item.getsockname()[1] for item in sockets]
     finally:
         for item in sockets:
