--- a/tests/fleet/test_connections.py
+++ b/tests/fleet/test_connections.py
@@ -3,7 +3,10 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
 from cactustiller.cell import StartAnswer, StartOrder, WorkerInfo
+from cactustiller.fleet import connections, workers
 from cactustiller.fleet.workers import HttpWorkerCalls
 from cactustiller.model import Amounts
 from standins.fleet import Audit, FleetWorker
@@ -17,6 +20,7 @@
 # while many of these wait.
 USUAL_CONNECTIONS = 2
 MOST_CONNECTIONS = 3
+PATIENT_SECONDS = 10.0
 
 
 class Site:
@@ -133,6 +137,15 @@
         assert site.relay.opened == USUAL_CONNECTIONS
 
 
+@pytest.fixture
+def patient_calls(monkeypatch):
+    """Let a stall of this process, which also serves the calls, time out none."""
+    monkeypatch.setattr(workers, "CALL_TIMEOUT_SECONDS", PATIENT_SECONDS)
+    monkeypatch.setattr(connections, "QUEUE_SECONDS", PATIENT_SECONDS)
+    monkeypatch.setattr(connections, "OPEN_TIMEOUT_SECONDS", PATIENT_SECONDS)
+
+
+@pytest.mark.usefixtures("patient_calls")
 async def test_many_starts_share_few_connections():
     # Guards against owners that fill a worker's 64 connections when they lose power.
     async with Site() as site:
@@ -142,6 +155,7 @@
         assert site.relay.most_open <= MOST_CONNECTIONS
 
 
+@pytest.mark.usefixtures("patient_calls")
 async def test_connections_are_kept_between_starts():
     # Guards against a price for new connections with each start.
     async with Site() as site:
@@ -166,3 +180,16 @@
             assert await site.start(number) is not StartAnswer.STARTED
             counts = site.calls.count_connections()
             assert max(counts) <= USUAL_CONNECTIONS
+
+
+@pytest.mark.usefixtures("patient_calls")
+async def test_a_connection_that_a_call_has_just_taken_is_not_closed():
+    # Guards against starts that are broken off by the close of an idle connection.
+    async with Site() as site:
+        await asyncio.gather(*(site.start(number) for number in range(60)))
+        pool = site.calls._get_client(site.info)
+        for _ in range(MOST_CONNECTIONS - len(pool._clients)):
+            await pool._open()
+        starts = [asyncio.create_task(site.start(number)) for number in range(60, 64)]
+        pool._close_extra()
+        assert {await start for start in starts} == {StartAnswer.STARTED}
