--- a/standins/fleet/hosts.py
+++ b/standins/fleet/hosts.py
@@ -261,18 +261,15 @@
             return await _stay_silent()
         if request.headers["X-Expect-Instance"] != worker.info.worker:
             return web.json_response({}, status=421)
-        is_order = request.path != "/hold"
-        is_late = is_order and worker.trouble is WorkerTrouble.ORDERS_LATE
-        if is_late:
-            await asyncio.sleep(worker.late_seconds)
-        if is_order and self._draw(self.late_share):
-            self._run_aside(self._carry_out_late(worker.info.worker, request, body))
+        delay = 0.0 if request.path == "/hold" else self._choose_delay()
+        if delay:
+            self._run_aside(self._carry_out_late(request, body, delay))
             return await _stay_silent()
         if self._draw(self.slow_share):
             await asyncio.sleep(self._generator.uniform(*SLOW_SECONDS))
         if worker is not self.worker or self._reach is not Reach.OPEN:
             return await _stay_silent()
-        status, answer = await carry_out(worker, request.path, body, is_late)
+        status, answer = await carry_out(worker, request.path, body)
         if self._draw(self.slow_share):
             await asyncio.sleep(self._generator.uniform(*SLOW_SECONDS))
         is_gone = worker is not self.worker or self._reach is not Reach.OPEN
@@ -280,9 +277,17 @@
             return await _stay_silent()
         return web.json_response(answer, status=status)
 
-    async def _carry_out_late(self, worker_id, request, body):
-        """Carry out an order seconds later, also by the next process of that id."""
-        await asyncio.sleep(self._generator.uniform(*LATE_SECONDS))
+    def _choose_delay(self):
+        """Return after how many seconds an order is carried out, 0 if at once."""
+        if self.worker.trouble is WorkerTrouble.ORDERS_LATE:
+            return self.worker.late_seconds
+        is_late = self._draw(self.late_share)
+        return self._generator.uniform(*LATE_SECONDS) if is_late else 0.0
+
+    async def _carry_out_late(self, request, body, delay):
+        """Carry out an order seconds later, also by the next process of its id."""
+        worker_id = self.worker.info.worker
+        await asyncio.sleep(delay)
         if self.is_up and self.worker.info.worker == worker_id:
             await carry_out(self.worker, request.path, body, True)
 
