--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -62,9 +62,12 @@
         assert (await cell.call("GET", "", "m0")) == (200, {"PendingCount": 0})
 
 
-# Seeds that have found a fault, two or three side by side.
+# Seeds that have found a fault; some are played side by side.
 @pytest.mark.timeout(180)
-@pytest.mark.parametrize("seeds", [(1, 13), (3, 5), (11, 12, 14)])
+@pytest.mark.parametrize(
+    "seeds",
+    [(1, 13, 101, 103), (3, 5, 102, 107), (11, 12, 14, 115), (116, 202, 203)],
+)
 async def test_short_soak_has_no_faults(tmp_path, seeds):
     folders = [tmp_path / str(seed) for seed in seeds]
     for folder in folders:
