--- a/libs/cell/src/cactustiller/cell/owner/capacity.py
+++ b/libs/cell/src/cactustiller/cell/owner/capacity.py
@@ -150,8 +150,7 @@
         """
         now = self._clock()
         for worker in self.workers.values():
-            is_renewed = worker.is_reachable and not worker.is_lease_withheld
-            if is_renewed or not (worker.runs or worker.orphaned_runs):
+            if worker.is_reachable or not (worker.runs or worker.orphaned_runs):
                 continue
             # Nothing else shows that the runs have ended: behind a cut, connections can
             # be refused and the entry can expire, too.
@@ -339,8 +338,6 @@
 
 def _classify_silence(worker):
     """Return the loss of a worker that has not answered for as long as its lease."""
-    if worker.is_lease_withheld:
-        return WorkerLoss.SILENT
     if worker.refuses_connections and not worker.is_listed:
         return WorkerLoss.LEFT if worker.info.is_draining else WorkerLoss.GONE
     if worker.refuses_connections or not worker.is_listed:
--- a/libs/cell/src/cactustiller/cell/owner/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/owner/dispatch.py
@@ -260,7 +260,7 @@
             self._on_fenced()
         if answer is StartAnswer.UNANSWERED:
             log_event(Event.RUN_UNANSWERED, **fields, seconds=round(now - sent_at, 3))
-            self._engine.note_unanswered_start(worker, task, run)
+            task.is_start_unanswered = task.run == run
             worker.avoided_until = max(
                 worker.avoided_until, now + UNANSWERED_PAUSE_SECONDS
             )
--- a/libs/cell/src/cactustiller/cell/owner/run_control.py
+++ b/libs/cell/src/cactustiller/cell/owner/run_control.py
@@ -13,12 +13,6 @@
 # An unacknowledged pace is sent again after this time. It is shorter than the minimum
 # interval between decreases of the pace (`DECREASE_INTERVAL_SECONDS`, 0.6 s).
 PACE_RETRY_SECONDS = 0.5
-# A worker that has answered hold calls, but no stop of a run for this long since its
-# unanswered start, gets no further lease, which ends the run within another lease. A
-# stop is sent several times in this time.
-MAX_UNANSWERED_SECONDS = 3.0
-# No runs are placed on such a worker for this time after its lease has expired.
-UNANSWERED_LEASE_PAUSE_SECONDS = 10.0
 # A stop is sent again if this time has passed since its first acknowledgement and the
 # end of the run has not been reported.
 STOP_CONFIRMATION_SECONDS = 2.0
@@ -61,8 +55,6 @@
     def __init__(self, clock, wall_clock_ms):
         super().__init__(clock, wall_clock_ms)
         self._stop_sent_at = {}
-        # Workers with a start that got no answer and may be settled by now.
-        self._unanswered_workers = set()
         # Most cells have no filling tasks and skip the pass over all runs.
         self._has_filling_tasks = False
 
@@ -89,45 +81,6 @@
                         left_seconds=round(leaves_at - now, 3),
                     )
 
-    def note_unanswered_start(self, worker, task, run):
-        """Place no runs on a worker until it is known what became of a start."""
-        if task.run == run:
-            task.is_start_unanswered = True
-            worker.has_unanswered_start = True
-            self._unanswered_workers.add(worker)
-
-    def expire_leases(self):
-        """Release the runs of workers whose leases have certainly expired.
-
-        Grants no further lease to workers that settle no start: those that answer hold
-        calls, but neither starts nor stops.
-        """
-        super().expire_leases()
-        now = self._clock()
-        for worker in list(self._unanswered_workers):
-            sent_at = min(worker.list_unanswered(), default=None)
-            if sent_at is None:
-                if worker.is_lease_withheld:
-                    pause_until = now + UNANSWERED_LEASE_PAUSE_SECONDS
-                    worker.avoided_until = max(worker.avoided_until, pause_until)
-                worker.has_unanswered_start = worker.is_lease_withheld = False
-                self._unanswered_workers.discard(worker)
-            elif now - sent_at > MAX_UNANSWERED_SECONDS:
-                self._withhold_lease(worker, now, sent_at)
-
-    def _withhold_lease(self, worker, now, sent_at):
-        if worker.is_lease_withheld:
-            return
-        worker.is_lease_withheld = True
-        log_event(
-            Event.LEASE_WITHHELD,
-            worker=worker.info.worker,
-            runs=len(worker.runs),
-            unanswered=len(worker.list_unanswered()),
-            seconds=round(now - sent_at, 3),
-            lease_seconds=round(worker.lease_ends_at - now, 3),
-        )
-
     def confirm_stop(self, stop, now):
         """Record that a worker acknowledged a stop.
 
--- a/libs/cell/src/cactustiller/cell/records/workers.py
+++ b/libs/cell/src/cactustiller/cell/records/workers.py
@@ -43,7 +43,6 @@
     DRAINING = "draining"
     EVACUATED = "evacuated"
     AVOIDED = "avoided"
-    UNANSWERED_START = "unanswered start"
     OUTDATED_ENTRY = "outdated entry"
 
 
@@ -123,10 +122,6 @@
         Nothing listens at its address any more.
     avoided_until : float
         Time until which no new tasks are placed on it.
-    has_unanswered_start : bool
-        A start on it got no answer, and whether it is carried out is not known yet.
-    is_lease_withheld : bool
-        No lease is granted, so that its runs end.
     failures, failed_jobs : int, set of JobId
         Number of failed or stalled runs since the last success, and the jobs of those
         that failed.
@@ -164,8 +159,6 @@
     draining_since: float = 0.0
     refuses_connections: bool = False
     avoided_until: float = 0.0
-    has_unanswered_start: bool = False
-    is_lease_withheld: bool = False
     failures: int = 0
     failed_jobs: set = field(default_factory=set)
     is_evacuated: bool = False
@@ -228,8 +221,6 @@
             return Exclusion.EVACUATED
         if now < self.avoided_until:
             return Exclusion.AVOIDED
-        if self.has_unanswered_start:
-            return Exclusion.UNANSWERED_START
         return Exclusion.OUTDATED_ENTRY if self._has_outdated_info else None
 
     @property
@@ -280,8 +271,6 @@
         """
         if self.clock_offset is None or not self.is_reachable:
             return None
-        if self.is_lease_withheld:
-            return None
         bound = self._latest_lease_end(now, lease_seconds)
         self.lease_ends_at = max(self.lease_ends_at, bound)
         return int((now + self.clock_offset + lease_seconds) * 1000)
--- a/libs/cell/src/cactustiller/cell/reporting/events.py
+++ b/libs/cell/src/cactustiller/cell/reporting/events.py
@@ -63,7 +63,6 @@
     INTERFERENCE_DROPPED = "interference_dropped"
     WORKER_SLOW = "worker_slow"
     WORKER_SPEED_RECOVERED = "worker_speed_back"
-    LEASE_WITHHELD = "lease_withheld"
     LEASE_EXPIRED = "lease_lapsed"
     ENTRY_UNREADABLE = "entry_unreadable"
     CALL_REFUSED = "call_refused"
