Send no start for a suspect whose job was cancelled meanwhile

The worker of a suspect is asked for its runs before the start is sent. A job that was cancelled during that call was started all the same (found by the review, in a trial on stand-ins); if the stop that had been sent before was lost, the task would run after an acknowledged cancellation.

test_suspect_of_a_cancelled_job_is_not_started failed before.

--- a/libs/cell/src/cactustiller/cell/owner/dispatch.py
+++ b/libs/cell/src/cactustiller/cell/owner/dispatch.py
@@ -211,8 +211,8 @@
         if task.run == run:
             task.start_sent_at = sent_at
         deadline_ms = worker.grant_lease_ms(sent_at, LEASE_SECONDS)
-        if deadline_ms is None:
-            # The worker became unreachable after the placement.
+        if deadline_ms is None or (task.run == run and task.is_stopping):
+            # The worker became unreachable after the placement, or the job has ended.
             log_event(
                 Event.RUN_REFUSED,
                 job=step.job.spec.job,
