Charge a crash once to a run that is kept at a restart

The break counts as handled once it is charged.

After a takeover, an incomplete report released a run of an earlier process, whose end could be among those that did not fit. Such a report releases nothing now.

test_one_crash_is_charged_once_to_a_kept_run (two cases) and test_incomplete_report_releases_no_run_of_an_earlier_process failed before.

--- a/libs/cell/src/cactustiller/cell/owner/restarts.py
+++ b/libs/cell/src/cactustiller/cell/owner/restarts.py
@@ -61,6 +61,8 @@
             # The new process has not seen the stop.
             task.stop_acked_at = 0.0
         self._drop_all_runs(worker, WorkerLoss.RESTARTED, kept)
+        # The crash has been charged, to the kept runs as well.
+        worker.broke_at = 0.0
         # Answers to calls sent before are those of the previous incarnation.
         worker.alive_at = self._clock()
         if kept:
@@ -90,6 +92,9 @@
         The new process has them only if it reports them: it rejects further calls of
         previous owners, since this owner's call has shown it a higher fencing token.
         """
+        if not listing.is_complete:
+            # The end of a run may be still to come.
+            return
         reported = {(run.task, run.run) for run in (*listing.active, *listing.ended)}
         runs = [
             (task, run)
--- a/tests/cell/test_restarts.py
+++ b/tests/cell/test_restarts.py
@@ -189,3 +189,37 @@
     engine._clock = lambda: NOW + LEASE_SECONDS + 1.0
     engine.expire_leases()
     assert task.phase is RunPhase.WAITING
+
+
+def make_kept_run():
+    """Return an engine, a worker whose connections broke, and its kept run."""
+    engine, worker, task = make_sent_run()
+    task.start_sent_at, worker.alive_at, worker.broke_at = NOW - 0.05, NOW - 0.06, NOW
+    engine._end_incarnation(worker, BORN_MS, "entry")
+    assert worker.runs[task.name] == (task, 1)
+    return engine, worker, task
+
+
+@pytest.mark.parametrize("is_replaced", [True, False])
+def test_one_crash_is_charged_once_to_a_kept_run(is_replaced):
+    # Guards against a job that is failed by one break of its worker's connections, seen
+    # again when the next process is replaced or restarts.
+    engine, worker, task = make_kept_run()
+    assert task.charges == 1
+    if is_replaced:
+        engine.end_replaced_worker(worker)
+    else:
+        engine._end_incarnation(worker, BORN_MS + 1, "entry")
+    assert task.charges == 1
+    assert not task.step.job.state.is_final
+
+
+def test_incomplete_report_releases_no_run_of_an_earlier_process():
+    # Guards against a second run of a task that is done in the new process, whose end
+    # does not fit the first report.
+    engine, worker, task = make_sent_run()
+    worker.born_ms, task.start_sent_at, worker.is_synchronized = 0, 0.0, False
+    engine.apply_listing(worker, list_runs()._replace(is_complete=False), NOW, NOW)
+    assert worker.runs[task.name] == (task, 1)
+    engine.apply_listing(worker, list_end(task), NOW, NOW)
+    assert task.phase is RunPhase.SUCCEEDED
