--- a/standins/fleet/hosts.py
+++ b/standins/fleet/hosts.py
@@ -177,9 +177,12 @@
 
     def _start_worker(self, worker_id):
         zero = asyncio.get_running_loop().time() - 1.0
+        former = self.worker
         self.worker = self._make_worker(
             worker_id, self._called_address, zero, self._take_crash
         )
+        if former is not None and former.info.worker == worker_id:
+            self.worker.stopped_before = former.stopped_before
         self.worker.start()
         self._tell(f"starts, born {self.worker.info.born_ms}")
         self.is_up = True
--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -76,6 +76,8 @@
     lease_until: float = 0.0
     runs: dict = field(default_factory=dict)
     stopped: dict = field(default_factory=dict)
+    # Runs that former processes stopped or ended, which this one does not know.
+    stopped_before: dict = field(default_factory=dict)
     ends: list = field(default_factory=list)
     ends_count: int = 0
     # Number of all starts at the time of each end since the lease last lapsed.
@@ -98,6 +100,7 @@
             self.audit.note_end(self.info.worker, run.task, run.run, "crashed")
         self.info = replace(self.info, born_ms=born_ms)
         self.starts_at_end = {}
+        self.stopped_before |= self.stopped
         self.runs, self.stopped, self.ends = {}, {}, []
         self.fence = self.ends_count = 0
         self.lease_until = 0.0
@@ -139,7 +142,10 @@
         seconds *= self.find_slowdown(order.task, order.run)
         run = FleetRun(order.task, order.run, amounts, seconds, seconds)
         self.runs[order.task] = run
-        self.audit.note_start(self.info.worker, order.task, order.run, is_late)
+        was_stopped = order.run <= self.stopped_before.get(order.task, 0)
+        self.audit.note_start(
+            self.info.worker, order.task, order.run, is_late, is_late and was_stopped
+        )
         free = [
             capacity - sum(run.amounts[index] for run in self.runs.values())
             for index, capacity in enumerate(self.info.capacity)
