--- /dev/null
+++ b/review/rig2/script.py
@@ -0,0 +1,58 @@
+"""Entry point of a case: runs it in a temporary folder and exits with its verdict."""
+
+import asyncio
+import os
+import shutil
+import sys
+import tempfile
+import traceback
+from enum import IntEnum
+from pathlib import Path
+
+from .record import Record
+
+# A case has to end within 120 s.
+MAX_SECONDS = 112.0
+
+
+class Verdict(IntEnum):
+    """Exit code of a case."""
+
+    HELD = 0
+    BROKEN = 1
+    COULD_NOT_RUN = 2
+
+
+def run_case(file, play):
+    """Run a case and exit.
+
+    Parameters
+    ----------
+    file : str
+        Path of the case, beside which the record is written.
+    play : callable
+        Coroutine function of a folder, the record and whether the disruption is on; it
+        returns a `Verdict`.
+    """
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    name = "record.txt" if has_trouble else "record-without-trouble.txt"
+    record = Record(Path(file).parent / name)
+    folder = Path(tempfile.mkdtemp(prefix="case-"))
+    try:
+        verdict = asyncio.run(_play(play, folder, record, has_trouble))
+    except Exception:
+        record.note("case", f"could not run: {traceback.format_exc()}")
+        verdict = Verdict.COULD_NOT_RUN
+    finally:
+        if "KEEP" in os.environ:
+            print(folder)
+        else:
+            shutil.rmtree(folder, ignore_errors=True)
+    record.note("case", verdict.name)
+    record.close()
+    sys.exit(int(verdict))
+
+
+async def _play(play, folder, record, has_trouble):
+    async with asyncio.timeout(MAX_SECONDS):
+        return await play(folder, record, has_trouble)
