--- a/review/rig2/cell.py
+++ b/review/rig2/cell.py
@@ -16,7 +16,7 @@
 
 ROOT = Path(__file__).parents[2]
 HOST = "queue.example"
-PREFIX = "/work/"
+PREFIX = "/batch/"
 URGENT_PREFIX = "/urgent/"
 KEY = "key-of-the-tenant"
 SERVICE = "recon"
