--- a/standins/fleet/processes.py
+++ b/standins/fleet/processes.py
@@ -54,6 +54,7 @@
     "Tenants": [{"Name": "team", "ApiKeys": [KEY], "Weight": 1000}],
 }
 ZONES = ("east", "west")
+LISTENERS = ("frontend", "ready", "peers", "metrics")
 NODE = """
 NodeName = "{name}"
 Role = "entry"
@@ -64,6 +65,8 @@
 [ListenAddrs]
 Frontend = "{ip}:{frontend}"
 Ready = "{ip}:{ready}"
+[Limits]
+{limits}
 [Bounds]
 GraceS = 6
 status_s = 120
@@ -96,9 +99,13 @@
         Of the faults of single calls.
     connections : int or None
         Maximum number of connections to each worker, kept by a relay.
+    limits, client_limits : dict or None
+        Of each machine in its settings file, and of clients in the desired state.
 
     Attributes
     ----------
+    addresses : dict of str to dict of str to str
+        Of each daemon, by `LISTENERS`.
     relays : list of FullRelay
         In front of the workers, if these limit their connections.
     copied_jobs, gangs : set of str
@@ -117,6 +124,8 @@
         task_seconds=0.5,
         seed=0,
         connections=None,
+        limits=None,
+        client_limits=None,
     ):
         self.folder = Path(folder)
         self.copied_jobs, self.gangs, self.deadly_tasks = set(), set(), set()
@@ -126,11 +135,12 @@
         self.store = Store()
         self.store_client = StoreClient(self.store)
         self.members = {}
-        self.frontends = {}
+        self.frontends, self.addresses = {}, {}
         self.ended = []
         self._task_seconds = task_seconds
         self._counts = (members, workers)
         self._connections = connections
+        self._limits, self._client_limits = limits or {}, client_limits or {}
         # A network of its own, since ports are free for others while a daemon or worker
         # is down: for connections of this machine, or for another cell.
         network = f"127.{random.randint(16, 250)}.{random.randint(1, 250)}"
@@ -149,7 +159,8 @@
         self._session = aiohttp.ClientSession()
         store = await self._serve(make_store_handler(self.store_client))
         approvals = await self._serve(make_approval_handler())
-        self.store.put(RowKey("op", "", "config"), orjson.dumps(CONFIG))
+        config = CONFIG | {"Limits": self._client_limits}
+        self.store.put(RowKey("op", "", "config"), orjson.dumps(config))
         for index in range(workers):
             await self._add_host(index)
         self._expiry = asyncio.create_task(self.registry.expire_entries())
@@ -178,6 +189,7 @@
 
     async def start_member(self, name):
         """Start a daemon."""
+        metrics_port = self.addresses[name]["metrics"].rpartition(":")[2]
         environment = os.environ | {
             "CACTUSTILLER_NODE_FILE": str(self.folder / f"{name}.toml")
         }
@@ -186,7 +198,7 @@
                 sys.executable,
                 "-m",
                 "cactustiller.fleet.daemon",
-                "--metrics-port=0",
+                f"--metrics-port={metrics_port}",
                 env=environment,
                 stdout=log,
                 stderr=log,
@@ -308,8 +320,11 @@
         return await self.relays[-1].open()
 
     def _write_settings(self, name, store, approvals):
-        frontend, ready, peer = _find_free_ports(self._member_ip, 3)
-        self.frontends[name] = f"{self._member_ip}:{frontend}"
+        ports = _find_free_ports(self._member_ip, len(LISTENERS))
+        frontend, ready, peer, _ = ports
+        addresses = [f"{self._member_ip}:{port}" for port in ports]
+        self.addresses[name] = dict(zip(LISTENERS, addresses, strict=True))
+        self.frontends[name] = addresses[0]
         text = NODE.format(
             name=name,
             ip=self._member_ip,
@@ -318,6 +333,7 @@
             ready=ready,
             store=store,
             approvals=approvals,
+            limits="\n".join(f"{key} = {value}" for key, value in self._limits.items()),
         )
         (self.folder / f"{name}.toml").write_text(text)
 
