Account for requests before the HTTP library has them

What callers saw: crowds of clients outside the limits (long or endless heads, empty lines, bodies and chunked bodies that stop short, compressed bodies) took the memory of a daemon until the platform killed it, and kept its descriptors. A single header line of 15,000 bytes, which the limits allow, was answered 400.

Cause: aiohttp's parser limits lines and fields, no whole request. It keeps many times the received bytes while a head or a chunked body is incomplete, unpacks compressed bodies by itself, and starts a task for each connection. Nothing counted connections or bytes, and neither the operator's limits nor those of the machine were read.

Change: libs/serving stands between the sockets and aiohttp. It frames each request within the operator's limits, keeps its bytes once and passes it on when it is complete. RequestMemory decides which request gives way when the memory for requests is full: the incomplete one that began first. ConnectionTable decides which connection does. Sockets have small buffers; connections with large requests are read in turn. A refusal says with 503 and Retry-After that the request has not run, or with 4xx that it never will. Each refusal has a log line and a counter. The three HTTP addresses of a daemon use it.

Requests at each limit are served, those over one are refused and never run.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
-LIBS := model settings ports policy peers ownership scheduler gateway cli cell
+LIBS := model settings ports serving policy peers ownership scheduler gateway cli cell
 GATEWAYS ?= 3
 SCHEDULERS ?= 3
 WORKERS ?= 24
--- a/libs/cell/src/cactustiller/cell/members/member.py
+++ b/libs/cell/src/cactustiller/cell/members/member.py
@@ -53,6 +53,11 @@
     settings : MemberSettings
     dependencies : Dependencies
         Store, worker calls and the platform's tables and decoders.
+
+    Attributes
+    ----------
+    listeners : list
+        Listening addresses for HTTP, whose use of resources the metrics show.
     """
 
     def __init__(self, settings, dependencies):
@@ -66,6 +71,7 @@
             self.store, dependencies, self._on_desired_change
         )
         self._dependencies = dependencies
+        self.listeners = []
         self._owner = None
         self._stop = asyncio.Event()
         self._tasks = []
@@ -155,6 +161,19 @@
         self.metrics.record(Latency.ANSWER, seconds, call)
 
     # Interface that `Owner` uses as its ports
+    def report_refused_client(self, refused):
+        """Log and count a `RefusedClient`."""
+        reason = refused.reason.value
+        self.metrics.count(Count.CLIENTS_REFUSED, refused.listener, reason)
+        log_event(
+            Event.CLIENT_REFUSED,
+            listener=refused.listener,
+            reason=reason,
+            peer=refused.peer,
+            held_bytes=refused.held_bytes,
+            has_run=refused.has_run,
+        )
+
 
     def desired(self):
         """Return the desired state in force."""
@@ -248,6 +267,10 @@
         yield Gauge.DESIRED_AGE, (), self.desired_replica.age_seconds
         yield Gauge.WAITING_CALLERS, (), self.intake.waiting_count
         for number, workers in self.worker_calls.count_connections().items():
+        for listener in self.listeners:
+            connections, memory = listener.connections, listener.memory
+            yield Gauge.CLIENT_CONNECTIONS, (listener.name,), len(connections)
+            yield Gauge.REQUEST_MEMORY, (listener.name,), memory.used_bytes
             yield Gauge.WORKER_CONNECTIONS, (str(number),), workers
         if self.is_owner:
             yield from read_cell_gauges(self._owner.engine, now)
--- a/libs/cell/src/cactustiller/cell/records/desired.py
+++ b/libs/cell/src/cactustiller/cell/records/desired.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from cactustiller.model import QueueName, TeamId
+from cactustiller.serving import ClientLimits
 
 from .specs import QueueRules
 
@@ -53,6 +54,7 @@
     queues: dict[QueueName, Queue] = field(default_factory=dict)
     teams: dict[TeamId, Team] = field(default_factory=dict)
     keys: dict[str, TeamId] = field(default_factory=dict)
+    client_limits: ClientLimits = ClientLimits()
 
     def find_queue(self, host, path):
         """Return the queue of `host` with the longest prefix of `path`, or None."""
--- a/libs/cell/src/cactustiller/cell/reporting/events.py
+++ b/libs/cell/src/cactustiller/cell/reporting/events.py
@@ -67,6 +67,7 @@
     ENTRY_UNREADABLE = "entry_unreadable"
     CALL_REFUSED = "call_refused"
     CALL_FAILED = "call_failed"
+    CLIENT_REFUSED = "client_refused"
     LINES_SUPPRESSED = "lines_left_out"
 
 
@@ -91,6 +92,7 @@
         Event.COPY_SETTLED,
         Event.CALL_REFUSED,
         Event.CALL_FAILED,
+        Event.CLIENT_REFUSED,
         Event.WORKER_CALL_BROKEN,
         Event.ENTRY_UNREADABLE,
     }
--- a/libs/cell/src/cactustiller/cell/reporting/metrics.py
+++ b/libs/cell/src/cactustiller/cell/reporting/metrics.py
@@ -59,6 +59,11 @@
     STORE_BYTES = Family("store_bytes", "Bytes of row values.", ("purpose",))
     WORKER_CALLS = Family("worker_calls", "Calls to workers.", ("call", "outcome"))
     APPROVAL_CALLS = Family("approval_calls", "Approvals asked.", ("outcome",))
+    CLIENTS_REFUSED = Family(
+        "clients_refused",
+        "Requests and connections refused before a handler had them.",
+        ("listener", "reason"),
+    )
     REJECTIONS = Family("rejections", "Submissions not accepted.", ("reason",))
     STORE_WAITS = Family("store_waits", "Submissions that waited for the store.")
     RUNS_ENDED = Family("runs_ended", "Runs by their end.", ("end",))
@@ -112,6 +117,12 @@
     COPIES = Family("copies", "Copies of late runs.")
     CAPACITY = Family("room_cores", "Cores of listed workers.", ("state",))
     WAITING_CALLERS = Family("waiting_callers", "Callers that wait for the store.")
+    CLIENT_CONNECTIONS = Family(
+        "client_connections", "Open connections of clients.", ("listener",)
+    )
+    REQUEST_MEMORY = Family(
+        "request_memory_bytes", "Memory admitted for requests.", ("listener",)
+    )
     INTERFERING_PAIRS = Family(
         "interfering_pairs", "Known pairs of images that are kept apart."
     )
