Bound the connections and frames of unknown peers

What callers saw: the port of the daemons' own protocol listens on the same machine. Clients that reached it kept descriptors, and frames of 8 MB that stopped short took the memory of a daemon, before the first message or after it.

Cause: a frame was read up to its announced length whoever had connected, connections were not counted, and 512 requests of a connection were handled at once while their replies were not read.

Change: the first frame has 4 KiB at most. The memory of frames is admitted before they are read, and released when they are answered; the oldest incomplete one gives way. The number of connections is bounded; one without a first frame gives way first, then one of the host with most connections. Replies are written one after another. A peer whose connection is closed sees the outcome of its requests as unknown, as before.

--- a/libs/cell/src/cactustiller/cell/configuration.py
+++ b/libs/cell/src/cactustiller/cell/configuration.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from cactustiller.model import MemberId
+from cactustiller.serving import ListenerLimits
 
 from .ports import ApprovalService, RowStore, WorkerCalls
 
@@ -25,6 +26,8 @@
         Bandwidth of the machine's network link.
     status_retention_ms : int
         How long the state of a finished job stays readable.
+    peer_limits : ListenerLimits or None
+        Of the address for other members; None for those of a machine of default size.
     """
 
     member: MemberId
@@ -34,6 +37,7 @@
     cores: float = 1.0
     link_mbps: float = 1000.0
     status_retention_ms: int = 120_000
+    peer_limits: ListenerLimits | None = None
 
     @property
     def strength(self):
--- a/libs/cell/src/cactustiller/cell/members/member.py
+++ b/libs/cell/src/cactustiller/cell/members/member.py
@@ -82,7 +82,7 @@
             zone=settings.zone,
             incarnation=uuid.uuid4().hex,
         )
-        make_peers = dependencies.make_peers or _make_tcp_peers
+        make_peers = dependencies.make_peers or self._make_tcp_peers
         self.peers, self._server = make_peers(identity, self._handle_message)
         self._election = Election(
             self.store, settings.member, settings.peer_address, settings.strength
@@ -160,7 +160,6 @@
         self.metrics.count(Count.ANSWERS, call, str(status))
         self.metrics.record(Latency.ANSWER, seconds, call)
 
-    # Interface that `Owner` uses as its ports
     def report_refused_client(self, refused):
         """Log and count a `RefusedClient`."""
         reason = refused.reason.value
@@ -174,6 +173,7 @@
             has_run=refused.has_run,
         )
 
+    # Interface that `Owner` uses as its ports
 
     def desired(self):
         """Return the desired state in force."""
@@ -266,11 +266,11 @@
         yield Gauge.DESIRED_VERSION, (), self.desired_state.version
         yield Gauge.DESIRED_AGE, (), self.desired_replica.age_seconds
         yield Gauge.WAITING_CALLERS, (), self.intake.waiting_count
-        for number, workers in self.worker_calls.count_connections().items():
         for listener in self.listeners:
             connections, memory = listener.connections, listener.memory
             yield Gauge.CLIENT_CONNECTIONS, (listener.name,), len(connections)
             yield Gauge.REQUEST_MEMORY, (listener.name,), memory.used_bytes
+        for number, workers in self.worker_calls.count_connections().items():
             yield Gauge.WORKER_CONNECTIONS, (str(number),), workers
         if self.is_owner:
             yield from read_cell_gauges(self._owner.engine, now)
@@ -329,6 +329,12 @@
             reason="this member does not own the cell",
         )
 
+    def _make_tcp_peers(self, identity, handle):
+        traffic = Traffic()
+        limits, report = self.settings.peer_limits, self.report_refused_client
+        server = PeerServer(identity, handle, traffic, limits, report)
+        return PeerClient(identity, traffic), server
+
     async def _request_approval(self, message):
         answer = await self.approvals.ask(message.step, message.workers)
         if answer.is_err():
@@ -337,8 +343,3 @@
         return ApprovalGiven(
             tickets=approval.tickets, valid_ms=int(approval.valid_seconds * 1000)
         )
-
-
-def _make_tcp_peers(identity, handle):
-    traffic = Traffic()
-    return PeerClient(identity, traffic), PeerServer(identity, handle, traffic)
--- a/libs/peers/src/cactustiller/peers/frames.py
+++ b/libs/peers/src/cactustiller/peers/frames.py
@@ -13,19 +13,37 @@
     """Raised for a frame that is too long or malformed."""
 
 
-async def read_frame(reader, traffic):
-    """Read one frame.
+async def read_length(reader, max_bytes=MAX_FRAME_BYTES):
+    """Return the number of bytes of the next frame, which follow.
 
     Raises
     ------
     FrameError
-        If the frame exceeds `MAX_FRAME_BYTES` or is malformed.
+        If it exceeds `max_bytes`.
     asyncio.IncompleteReadError
         If the connection closes.
     """
     (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
-    if length > MAX_FRAME_BYTES:
-        raise FrameError(f"frame of {length} bytes exceeds {MAX_FRAME_BYTES}")
+    if length > max_bytes:
+        raise FrameError(f"frame of {length} bytes exceeds {max_bytes}")
+    return length
+
+
+async def read_frame(reader, traffic, max_bytes=MAX_FRAME_BYTES):
+    """Read one frame.
+
+    Raises
+    ------
+    FrameError
+        If the frame exceeds `max_bytes` or is malformed.
+    asyncio.IncompleteReadError
+        If the connection closes.
+    """
+    return await read_message(reader, traffic, await read_length(reader, max_bytes))
+
+
+async def read_message(reader, traffic, length):
+    """Return the frame whose length has been read; raises as `read_frame`."""
     data = await reader.readexactly(length)
     traffic.count_received(length + _LENGTH.size)
     try:
--- a/libs/peers/src/cactustiller/peers/server.py
+++ b/libs/peers/src/cactustiller/peers/server.py
@@ -7,11 +7,32 @@
 from cactustiller.model import ErrorCode, Failure, FailureError, Outcome
 from cactustiller.model.codec import Frame
 from cactustiller.model.messages import PROTOCOL_VERSION, Hello
-
-from .frames import FrameError, close_writer, read_frame, write_frame
-
+from cactustiller.serving import (
+    RefusalReason,
+    RefusedClient,
+    listen_on,
+    make_process_limits,
+)
+
+from .admission import IncomingFrame, PeerAdmission, PeerConnection
+from .frames import (
+    FrameError,
+    close_writer,
+    read_frame,
+    read_length,
+    read_message,
+    write_frame,
+)
+
+LISTENER = "peers"
 HELLO_TIMEOUT_SECONDS = 5.0
+MAX_HELLO_BYTES = 4096
+# From the length of a frame to its end, which 8 MB reach on a link of 10 Mbit/s.
+FRAME_TIMEOUT_SECONDS = 10.0
 MAX_PENDING_REQUESTS = 512
+# A connection stops reading from its socket at twice this number of unread bytes.
+STREAM_BYTES = 8192
+WRITE_BUFFER_BYTES = 65_536
 
 log = structlog.get_logger(__name__)
 
@@ -28,37 +49,57 @@
         reply, which may be a `Failure`.
     traffic : Traffic
         Counters to update.
+    limits : ListenerLimits, optional
+        By default those of a machine of default size.
+    report : callable, optional
+        Called with a `RefusedClient`.
     """
 
-    def __init__(self, identity, handle, traffic):
+    def __init__(self, identity, handle, traffic, limits=None, report=None):
         self._identity = identity
         self._handle = handle
         self._traffic = traffic
+        self._limits = limits or make_process_limits().peers
+        self._report = report or (lambda refused: None)
         self._server = None
-        self._connections = set()
+        self._tasks = set()
+        self._admission = None
 
     async def start(self, host, port, ssl_context=None):
         """Listen on an IP address and port."""
-        self._server = await asyncio.start_server(
-            self._serve, host, port, ssl=ssl_context
-        )
+        loop = asyncio.get_running_loop()
+        self._admission = PeerAdmission(self._limits, loop.time)
+
+        def make_protocol():
+            reader = asyncio.StreamReader(limit=STREAM_BYTES, loop=loop)
+            return asyncio.StreamReaderProtocol(reader, self._serve, loop=loop)
+
+        self._server = await listen_on(make_protocol, host, port, ssl_context)
 
     async def stop(self):
         """Stop listening and close every connection."""
         if self._server is None:
             return
         self._server.close()
-        for task in list(self._connections):
+        for task in list(self._tasks):
             task.cancel()
-        await asyncio.gather(*self._connections, return_exceptions=True)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
-        self._connections.add(task)
-        address = writer.get_extra_info("peername")
-        peer = f"{address[0]}:{address[1]}" if address else "unknown"
+        self._tasks.add(task)
+        host, port, *_ = writer.get_extra_info("peername") or ("unknown", 0)
+        peer = f"{host}:{port}"
+
+        def close(reason):
+            self._report(RefusedClient(LISTENER, reason, peer, 0))
+            writer.transport.abort()
+            task.cancel()
+
+        connection = PeerConnection(host, peer, close)
+        self._admission.admit(connection)
         try:
-            await self._serve_requests(reader, writer, peer)
+            await self._serve_requests(reader, writer, connection)
         except FrameError as error:
             log.warning("peer_connection_closed", peer=peer, reason=str(error))
         except (asyncio.IncompleteReadError, OSError, TimeoutError):
@@ -66,31 +107,62 @@
         except asyncio.CancelledError:
             log.debug("peer_connection_cancelled", peer=peer)
         finally:
-            self._connections.discard(task)
+            self._admission.remove(connection)
+            self._tasks.discard(task)
             await close_writer(writer)
 
-    async def _serve_requests(self, reader, writer, peer):
+    async def _serve_requests(self, reader, writer, connection):
+        writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         async with asyncio.timeout(HELLO_TIMEOUT_SECONDS):
-            hello = (await read_frame(reader, self._traffic)).message
+            hello = (await read_frame(reader, self._traffic, MAX_HELLO_BYTES)).message
         check_hello(hello)
+        self._admission.confirm(connection)
         write_frame(writer, Frame(0, True, self._identity), self._traffic)
         request_limit = asyncio.Semaphore(MAX_PENDING_REQUESTS)
+        write_turn = asyncio.Lock()
         pending = set()
         try:
             while True:
-                frame = await read_frame(reader, self._traffic)
+                length = await read_length(reader)
+                incoming = IncomingFrame(self._admission.memory, connection, length)
+                frame = await self._receive(reader, incoming, length, connection)
                 await request_limit.acquire()
                 task = asyncio.create_task(
-                    self._answer(frame, hello, writer, request_limit)
+                    self._answer(frame, hello, writer, write_turn)
                 )
                 pending.add(task)
-                task.add_done_callback(pending.discard)
+
+                def finish(task, incoming=incoming):
+                    pending.discard(task)
+                    incoming.release()
+                    request_limit.release()
+
+                task.add_done_callback(finish)
         finally:
             for task in pending:
                 task.cancel()
 
-    async def _answer(self, frame, hello, writer, request_limit):
+    async def _receive(self, reader, incoming, length, connection):
+        """Return the next frame; its memory stays accounted for."""
+        try:
+            if not incoming.receive():
+                connection.drop(RefusalReason.MEMORY_FULL)
+            async with asyncio.timeout(FRAME_TIMEOUT_SECONDS):
+                frame = await read_message(reader, self._traffic, length)
+            if not incoming.handle():
+                connection.drop(RefusalReason.MEMORY_FULL)
+                # Lets the cancellation that follows take effect.
+                await asyncio.sleep(0)
+            return frame
+        except BaseException:
+            incoming.release()
+            raise
+
+    async def _answer(self, frame, hello, writer, write_turn):
         try:
+            # One request after another begins while the peer does not read replies.
+            async with write_turn:
+                await writer.drain()
             reply = await self._handle_safely(frame.message, hello)
             try:
                 write_frame(writer, Frame(frame.id, True, reply), self._traffic)
@@ -102,8 +174,6 @@
             await writer.drain()
         except OSError:
             log.debug("peer_reply_lost", peer=hello.member)
-        finally:
-            request_limit.release()
 
     async def _handle_safely(self, message, hello):
         try:
