Refuse jobs that no row of the store can hold

What callers saw: a job within the size of a request was accepted although its row is larger than RowBytes. The store refuses the whole transaction, with the rows of other callers in it.

Cause: only the number of tasks was checked, not the size of the text or of the row.

Rows that were stored before are read as before.

--- a/libs/cell/src/cactustiller/cell/__init__.py
+++ b/libs/cell/src/cactustiller/cell/__init__.py
@@ -3,7 +3,7 @@
 Every member accepts jobs from callers. One of them, elected owner, places their tasks.
 """
 
-from .configuration import Dependencies, MemberSettings
+from .configuration import MAX_ROW_BYTES, Dependencies, MemberSettings
 from .members.admission import Admitted, Refusal, admit_call
 from .members.followers import Follower
 from .members.insertion import Acceptance
@@ -26,6 +26,7 @@
 from .records.workers import WorkerInfo
 
 __all__ = [
+    "MAX_ROW_BYTES",
     "Acceptance",
     "Admitted",
     "Approval",
--- a/libs/cell/src/cactustiller/cell/configuration.py
+++ b/libs/cell/src/cactustiller/cell/configuration.py
@@ -12,6 +12,7 @@
 # cell uses about half a core and reads about 2 MB when it takes over.
 FULL_STRENGTH_CORES = 1.0
 FULL_STRENGTH_MBPS = 50.0
+MAX_ROW_BYTES = 65_536
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +29,8 @@
         How long the state of a finished job stays readable.
     peer_limits : ListenerLimits or None
         Of the address for other members; None for those of a machine of default size.
+    max_row_bytes : int
+        Largest value that a row of the store may have.
     """
 
     member: MemberId
@@ -38,6 +41,7 @@
     link_mbps: float = 1000.0
     status_retention_ms: int = 120_000
     peer_limits: ListenerLimits | None = None
+    max_row_bytes: int = MAX_ROW_BYTES
 
     @property
     def strength(self):
--- a/libs/cell/src/cactustiller/cell/decisions/store_outage.py
+++ b/libs/cell/src/cactustiller/cell/decisions/store_outage.py
@@ -37,6 +37,7 @@
     CANNOT_START = "cannotStart"
     STORE_SLOW = "storeSlow"
     STORE_FAILED = "storeFailed"
+    ROW_TOO_LARGE = "rowTooLarge"
 
 
 class OutageView(NamedTuple):
--- a/libs/cell/src/cactustiller/cell/members/insertion.py
+++ b/libs/cell/src/cactustiller/cell/members/insertion.py
@@ -21,12 +21,16 @@
 
 
 class Acceptance(Enum):
-    """Outcome of a submission or a cancellation."""
+    """Outcome of a submission or a cancellation.
+
+    `INVALID` means that no store could hold the job.
+    """
 
     ACCEPTED = "accepted"
     REFUSED = "refused"
     UNKNOWN = "unknown"
     NOT_FOUND = "notFound"
+    INVALID = "invalid"
 
 
 @dataclass(slots=True)
--- a/libs/cell/src/cactustiller/cell/members/intake.py
+++ b/libs/cell/src/cactustiller/cell/members/intake.py
@@ -30,6 +30,7 @@
 JOB_EVENTS = {
     Acceptance.ACCEPTED: Event.JOB_ACCEPTED,
     Acceptance.REFUSED: Event.JOB_REFUSED,
+    Acceptance.INVALID: Event.JOB_REFUSED,
     Acceptance.UNKNOWN: Event.JOB_REFUSED,
 }
 
@@ -65,9 +66,13 @@
     generator : random.Random
         Source of jitter.
     metrics : Metrics
+    max_row_bytes : int
+        Largest row that the store takes; a larger one would fail a whole transaction.
     """
 
-    def __init__(self, store, peers, find_owner, election, generator, metrics):
+    def __init__(
+        self, store, peers, find_owner, election, generator, metrics, max_row_bytes
+    ):
         self._find_owner = find_owner
         self._inserter = Inserter(store, generator)
         self._lookups = JobLookups(store, peers, find_owner)
@@ -78,6 +83,7 @@
         self._election = election
         self._random = generator
         self._metrics = metrics
+        self._max_row_bytes = max_row_bytes
         self._outage_queue = OutageQueue(
             self._is_store_available, election.probe_store, metrics
         )
@@ -110,6 +116,8 @@
         received_at = loop.time()
         caller = caller or make_caller(received_at)
         row = encode_job(spec)
+        if len(row) > self._max_row_bytes:
+            return self._reject_row(spec, len(row))
         message = HandInJob(job=spec.job, row=row.decode())
         attempt = await self._store_job(
             message, row, received_at + REPLY_WITHIN_SECONDS
@@ -132,6 +140,20 @@
         )
         return SubmitAnswer(attempt.outcome, retry_after)
 
+    def _reject_row(self, spec, size):
+        """Reject a job whose row the store would not take."""
+        reason = RejectReason.ROW_TOO_LARGE.value
+        self._metrics.count(Count.REJECTIONS, reason)
+        log_event(
+            Event.JOB_REFUSED,
+            job=spec.job,
+            queue=spec.queue,
+            team=spec.team,
+            reason=reason,
+            row_bytes=size,
+        )
+        return SubmitAnswer(Acceptance.INVALID)
+
     async def _wait_for_store(self, message, row, caller, attempt):
         """Repeat a failed attempt as long as the caller may wait; return the last."""
         while attempt.reason is RejectReason.STORE_FAILED:
--- a/libs/cell/src/cactustiller/cell/members/member.py
+++ b/libs/cell/src/cactustiller/cell/members/member.py
@@ -94,6 +94,7 @@
             self._election,
             random.Random(settings.member),
             self.metrics,
+            settings.max_row_bytes,
         )
 
     async def start(self):
