Admit jobs by the memory that their tasks take

What callers saw: small requests with a valid key ended the owner. A job of 60 bytes may have 2,000 tasks, which take 0.7 MB each; a recurring job whose occurrences are all due opens one in each round, without end. The next owner reads the same jobs and ends too.

Cause: jobs were admitted by whether they can start in time, not by what they take.

Change: the owner estimates the memory of its jobs and refuses one that does not fit, before it has its tasks. If it cannot find out whether the job is stored already, the outcome is unknown instead. Overlapping occurrences are bounded by the tasks of one job and by the same memory; one is always open. The checks of new jobs have a module.

--- a/libs/cell/src/cactustiller/cell/configuration.py
+++ b/libs/cell/src/cactustiller/cell/configuration.py
@@ -6,6 +6,7 @@
 from cactustiller.model import MemberId
 from cactustiller.serving import ListenerLimits
 
+from .decisions.job_memory import DEFAULT_JOB_BYTES
 from .ports import ApprovalService, RowStore, WorkerCalls
 
 # Resources at which a member has full strength in the election. The owner of a large
@@ -29,6 +30,8 @@
         How long the state of a finished job stays readable.
     peer_limits : ListenerLimits or None
         Of the address for other members; None for those of a machine of default size.
+    max_job_bytes : int
+        Memory for the jobs of a cell that this member owns.
     max_row_bytes : int
         Largest value that a row of the store may have.
     """
@@ -41,6 +44,7 @@
     link_mbps: float = 1000.0
     status_retention_ms: int = 120_000
     peer_limits: ListenerLimits | None = None
+    max_job_bytes: int = DEFAULT_JOB_BYTES
     max_row_bytes: int = MAX_ROW_BYTES
 
     @property
--- a/libs/cell/src/cactustiller/cell/owner/engine.py
+++ b/libs/cell/src/cactustiller/cell/owner/engine.py
@@ -13,6 +13,7 @@
 from ..decisions.cold_workers import ColdWorkerRanker
 from ..decisions.interference import InterferenceObserver
 from ..decisions.interference_ranking import InterferenceRanker
+from ..decisions.job_memory import DEFAULT_JOB_BYTES, JobMemory
 from ..decisions.ordering import find_start_limits, make_order_key
 from ..decisions.placement import place_steps
 from ..decisions.placement_round import PlacementRound, is_cell_busy
@@ -44,10 +45,13 @@
         Returns the monotonic time of the event loop in seconds.
     wall_clock_ms : callable
         Returns Unix milliseconds.
+    max_job_bytes : int
+        Memory for all jobs.
     """
 
-    def __init__(self, clock, wall_clock_ms):
+    def __init__(self, clock, wall_clock_ms, max_job_bytes=DEFAULT_JOB_BYTES):
         super().__init__(clock, wall_clock_ms)
+        self.job_memory = JobMemory(self.jobs, max_job_bytes, clock)
         self._shares = ShareMeter()
         self._recurring_jobs = set()
         self.interference = InterferenceObserver()
@@ -307,7 +311,8 @@
             spec = job.spec
             opened = job.finished_occurrences + len(job.occurrences)
             due = spec.first_run_ms + opened * spec.interval_ms
-            if opened < spec.repeat_count and now_ms >= due:
+            is_due = opened < spec.repeat_count and now_ms >= due
+            if is_due and self.job_memory.admit_occurrence(job):
                 job.open_occurrence(opened)
                 self._dirty.add(job_id)
                 self._update_eligible(job)
--- a/libs/cell/src/cactustiller/cell/owner/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner/owner.py
@@ -12,8 +12,6 @@
 from cactustiller.model import ErrorCode
 
 from ..decisions.admission_control import AdmissionControl
-from ..ports import CELL_PART, JOB_TABLE
-from ..records.specs import decode_job
 from ..reporting.events import Event, log_event
 from ..supervision import keep_running
 from .announcements import Announcer
@@ -23,7 +21,8 @@
 from .engine import Engine
 from .housekeeping import run_housekeeping
 from .loading import JobLoader
-from .submissions import ADMIT_STEP, PendingSubmissions
+from .submission_checks import SubmissionChecks
+from .submissions import PendingSubmissions
 
 # Minimum time between two scheduling rounds, so that run ends and new jobs share a
 # transaction.
@@ -35,8 +34,6 @@
 # Callers time out after 3 s; a job whose row would wait longer than this is refused
 # immediately.
 MAX_STORE_WAIT_SECONDS = 1.2
-# Time to find out whether a job that is about to be rejected is stored already.
-STORED_CHECK_SECONDS = 0.5
 # A transaction takes the store about as long as two reads.
 READS_PER_TRANSACTION = 2.0
 
@@ -58,7 +55,9 @@
 
     def __init__(self, ports, claim, status_retention_ms, read_seconds=0.0):
         loop = asyncio.get_running_loop()
-        self.engine = Engine(loop.time, ports.wall_clock_ms)
+        self.engine = Engine(
+            loop.time, ports.wall_clock_ms, ports.settings.max_job_bytes
+        )
         self.is_loaded = False
         self.epoch = claim[0].epoch
         self._ports = ports
@@ -79,7 +78,13 @@
         self._worker_registry = ports.make_worker_registry(self._wake.set)
         self._member_registry = ports.make_member_registry()
         self._announcer = Announcer(ports.peers, self._member_registry, claim[0])
-        self._admission = AdmissionControl(self.engine, loop.time, ports.wall_clock_ms)
+        self._checks = SubmissionChecks(
+            ports.store,
+            AdmissionControl(self.engine, loop.time, ports.wall_clock_ms),
+            self.engine.job_memory,
+            self._submissions,
+            self._is_known,
+        )
         self._loader = JobLoader(self.engine, ports.store)
         self._dispatcher = Dispatcher(
             self.engine,
@@ -162,7 +167,9 @@
         A failure with the outcome `NOT_RUN` guarantees that the job is not stored.
         """
         if not self._is_known(job):
-            failure = await self._find_rejection(job, row)
+            failure = await self._checks.find_failure(
+                job, row, self._writer.is_store_unavailable
+            )
             if failure is not None:
                 return failure
             # The term may have ended during the look at the store.
@@ -191,35 +198,6 @@
     def _is_known(self, job):
         return job in self.engine.jobs or job in self._submissions.jobs
 
-    async def _find_rejection(self, job, row):
-        """Return the failure of a job that certainly starts too late, else None.
-
-        A job that is stored or accepted meanwhile, by another of its caller's tries, is
-        not rejected.
-        """
-        if self._writer.is_store_unavailable or not self._admission.is_needed():
-            return None
-        try:
-            rejection = self._admission.find_rejection(decode_job(job, row))
-        except (ValueError, KeyError, IndexError, TypeError):
-            # The loader logs rows that cannot be read.
-            return None
-        if rejection is None:
-            return None
-        answer = await self._ports.store.read(
-            JOB_TABLE, CELL_PART, job, job + "\0", STORED_CHECK_SECONDS
-        )
-        if answer.is_err() or answer.unwrap().rows or self._is_known(job):
-            return None
-        wait_ms, useful_ms = map(round, rejection)
-        log_event(Event.JOB_NOT_ADMITTED, job=job, wait_ms=wait_ms, useful_ms=useful_ms)
-        return self._submissions.make_failure(
-            "the job cannot start while it has value",
-            ErrorCode.OVERLOADED,
-            retry_after_ms=wait_ms - useful_ms,
-            step=ADMIT_STEP,
-        )
-
     async def withdraw(self, job):
         """Cancel a job; return ``Ok(None)`` once the cancellation is stored."""
         run = self.engine.jobs.get(job)
--- a/libs/serving/src/cactustiller/serving/limits.py
+++ b/libs/serving/src/cactustiller/serving/limits.py
@@ -15,6 +15,7 @@
 REQUEST_MEMORY_SHARE = 0.125
 PEER_MEMORY_SHARE = 0.0625
 CONNECTION_MEMORY_SHARE = 0.2
+JOB_MEMORY_SHARE = 0.25
 # Memory of one connection: its receive buffer in the kernel and its objects.
 CONNECTION_BYTES = 49_152
 DEFAULT_MEMORY_BYTES = 300 * 1024 * 1024
@@ -64,12 +65,15 @@
 
     Attributes
     ----------
+    job_bytes : int
+        Memory for the accepted jobs of the clients.
     """
 
     frontend: ListenerLimits
     ready: ListenerLimits
     metrics: ListenerLimits
     peers: ListenerLimits
+    job_bytes: int
 
 
 def make_process_limits(
@@ -89,4 +93,5 @@
             max(1, min(int(sockets * PEER_SOCKET_SHARE), by_memory)),
             int(memory_bytes * PEER_MEMORY_SHARE),
         ),
+        job_bytes=int(memory_bytes * JOB_MEMORY_SHARE),
     )
--- a/standins/fleet/cell.py
+++ b/standins/fleet/cell.py
@@ -71,6 +71,8 @@
     members, workers : int
     approves : callable
         Step name and worker to whether the worker may run the step.
+    settings : dict or None
+        Further fields of the `MemberSettings` of the first members.
 
     Attributes
     ----------
@@ -93,6 +95,7 @@
         zones=("z",),
         approves=lambda step, worker: True,
         limit=(0, 0, 0),
+        settings=None,
     ):
         self.audit = Audit(self._allows_copies)
         self.slow_runs = {}
@@ -126,7 +129,7 @@
         self.stores = {}
         self.worker_clients = {}
         self._numbers = itertools.count()
-        self._count = members
+        self._count, self._settings = members, settings or {}
 
     async def __aenter__(self):
         await self.start()
@@ -144,7 +147,7 @@
             worker.start()
             self.list_worker(worker)
         for _ in range(self._count):
-            await self.add_member()
+            await self.add_member(**self._settings)
 
     async def stop(self):
         """Stop everything."""
