--- a/libs/cell/src/cactustiller/cell/owner/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner/owner.py
@@ -78,9 +78,10 @@
         self._worker_registry = ports.make_worker_registry(self._wake.set)
         self._member_registry = ports.make_member_registry()
         self._announcer = Announcer(ports.peers, self._member_registry, claim[0])
+        self._admission = AdmissionControl(self.engine, loop.time, ports.wall_clock_ms)
         self._checks = SubmissionChecks(
             ports.store,
-            AdmissionControl(self.engine, loop.time, ports.wall_clock_ms),
+            self._admission,
             self.engine.job_memory,
             self._submissions,
             self._is_known,
