Give clients shares of the memory that the process leaves

Cause: the shares were of the whole memory of a machine. With all of them in use at once, a machine of 160 MB had to hold 182 MB, since the process takes 64 MB by itself. Connections of peers had no share of their own.

Change: the shares are of what a machine has beyond 72 MiB.

--- a/libs/serving/src/cactustiller/serving/limits.py
+++ b/libs/serving/src/cactustiller/serving/limits.py
@@ -10,12 +10,16 @@
 # Connections to the readiness and metrics addresses, each of which has few callers.
 MAX_READY_CONNECTIONS = 32
 MAX_METRICS_CONNECTIONS = 16
-# Shares of the memory for requests that are received or handled, for frames of peers,
-# for connections and for accepted jobs.
-REQUEST_MEMORY_SHARE = 0.125
-PEER_MEMORY_SHARE = 0.0625
+# Memory of the process without clients. Shares of what a machine has beyond it, or of a
+# quarter of a smaller machine's memory: for requests that are received or handled, for
+# frames of peers, for connections of clients and of peers, and for accepted jobs.
+BASE_MEMORY_BYTES = 72 * 1024 * 1024
+MIN_CLIENT_SHARE = 0.25
+REQUEST_MEMORY_SHARE = 0.2
+PEER_MEMORY_SHARE = 0.1
 CONNECTION_MEMORY_SHARE = 0.2
-JOB_MEMORY_SHARE = 0.25
+PEER_CONNECTION_MEMORY_SHARE = 0.1
+JOB_MEMORY_SHARE = 0.3
 # Memory of one connection: its receive buffer in the kernel and its objects.
 CONNECTION_BYTES = 49_152
 DEFAULT_MEMORY_BYTES = 300 * 1024 * 1024
@@ -81,17 +85,25 @@
 ):
     """Return the `ProcessLimits` of a machine with so much memory and descriptors."""
     sockets = max(0, descriptors - FILE_DESCRIPTORS)
-    by_memory = int(memory_bytes * CONNECTION_MEMORY_SHARE) // CONNECTION_BYTES
-    request_bytes = int(memory_bytes * REQUEST_MEMORY_SHARE)
+    client_bytes = max(
+        memory_bytes - BASE_MEMORY_BYTES, memory_bytes * MIN_CLIENT_SHARE
+    )
+    request_bytes = int(client_bytes * REQUEST_MEMORY_SHARE)
+
+    def count_connections(socket_share, memory_share):
+        by_memory = int(client_bytes * memory_share) // CONNECTION_BYTES
+        return max(1, min(int(sockets * socket_share), by_memory))
+
     return ProcessLimits(
         frontend=ListenerLimits(
-            max(1, min(int(sockets * FRONTEND_SOCKET_SHARE), by_memory)), request_bytes
+            count_connections(FRONTEND_SOCKET_SHARE, CONNECTION_MEMORY_SHARE),
+            request_bytes,
         ),
         ready=ListenerLimits(MAX_READY_CONNECTIONS, request_bytes // 16),
         metrics=ListenerLimits(MAX_METRICS_CONNECTIONS, request_bytes // 16),
         peers=ListenerLimits(
-            max(1, min(int(sockets * PEER_SOCKET_SHARE), by_memory)),
-            int(memory_bytes * PEER_MEMORY_SHARE),
+            count_connections(PEER_SOCKET_SHARE, PEER_CONNECTION_MEMORY_SHARE),
+            int(client_bytes * PEER_MEMORY_SHARE),
         ),
-        job_bytes=int(memory_bytes * JOB_MEMORY_SHARE),
+        job_bytes=int(client_bytes * JOB_MEMORY_SHARE),
     )
