Let connections read in turn by what they have received

What callers saw: beside 1,500 connections with chunks of one byte the event loop stood still for seconds, three `frozen` lines in 15 s, and the owner lost its term; the first ordinary request took 4.1 s.

Cause: connections took turns by what they hold. Chunks of one byte hold a sixth of what is received, so each connection was read six times before its first turn.

Change: the received bytes of a request count, and whole chunks are decoded in one loop. Connections that are left when the process ends are closed without a refusal in the log; a connection that is closed since its responses are not read is logged as `has_run`.

The new test fails on the code before.

--- a/libs/serving/src/cactustiller/serving/chunks.py
+++ b/libs/serving/src/cactustiller/serving/chunks.py
@@ -71,6 +71,7 @@
         position = 0
         while self._state is not _State.END:
             if self._state is _State.SIZE:
+                position = self._read_whole_chunks(data, position)
                 after = self._read_size(data, position)
             elif self._state is _State.DATA:
                 after = self._read_data(data, position)
@@ -81,6 +82,25 @@
             position = after
         return position
 
+    def _read_whole_chunks(self, data, position):
+        """Decode the chunks that have arrived as a whole; return the position after.
+
+        Leaves the last chunk, and whatever is malformed or too large, to the others.
+        """
+        body, room = self._body, self._max_body_bytes - len(self._body)
+        while True:
+            match = SIZE_LINE.match(data, position)
+            size = int(match[1], 16) if match else 0
+            if not 0 < size <= room:
+                return position
+            start = match.end()
+            end = start + size
+            if data[end : end + len(LINE_END)] != LINE_END:
+                return position
+            body += data[start:end]
+            room -= size
+            position = end + len(LINE_END)
+
     def _read_size(self, data, position):
         match = SIZE_LINE.match(data, position)
         if match is None:
--- a/libs/serving/src/cactustiller/serving/connection.py
+++ b/libs/serving/src/cactustiller/serving/connection.py
@@ -38,6 +38,8 @@
         self._phase = Phase.RECEIVING
         self._is_handler_running = self._is_write_paused = False
         self._began_at = self._last_byte_at = 0.0
+        # Bytes of the current request as received, with the framing of its chunks.
+        self._received_bytes = 0
         self.peer = "unknown"
 
     # Interface that the event loop uses
@@ -56,7 +58,7 @@
 
     def get_buffer(self, size_hint):
         """Return the buffer for the next read; all connections share it."""
-        is_large = self._framer.held_bytes >= FIRST_READ_BYTES
+        is_large = self._received_bytes >= FIRST_READ_BYTES
         size = LARGE_READ_BYTES if is_large else FIRST_READ_BYTES
         return self._listener.read_buffer[:size]
 
@@ -68,6 +70,8 @@
         self._last_byte_at = self._listener.time()
         if not self._framer.has_begun:
             self._began_at = self._last_byte_at
+            self._received_bytes = 0
+        self._received_bytes += size
         self._feed(self._listener.read_buffer[:size])
 
     def eof_received(self):
@@ -163,6 +167,11 @@
         if is_late:
             self.drop(RefusalReason.REQUEST_TIMEOUT)
 
+    def abort(self):
+        """Close the connection without a response."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def close_if_unused(self):
         """Close the connection unless a request is being received or handled."""
         is_receiving = self._phase is Phase.RECEIVING and self._framer.has_begun
@@ -190,10 +199,9 @@
         """Account for an incomplete request."""
         if self._phase is not Phase.RECEIVING:
             self._set_phase(Phase.RECEIVING)
-        held = self._framer.held_bytes
-        if not self._listener.memory.receive(self, held):
+        if not self._listener.memory.receive(self, self._framer.held_bytes):
             self._refuse(RefusalReason.MEMORY_FULL)
-        elif held > FIRST_READ_BYTES:
+        elif self._received_bytes >= FIRST_READ_BYTES:
             self._listener.lane.defer(self)
 
     def _pass_on(self):
@@ -217,6 +225,7 @@
         if self._is_write_paused or self._phase is not Phase.IDLE:
             return
         self._began_at = self._last_byte_at = self._listener.time()
+        self._received_bytes = self._framer.held_bytes
         self._feed(b"")
         is_receiving = self._phase is Phase.RECEIVING
         if is_receiving or self._framer.held_bytes <= MAX_PIPELINED_BYTES:
@@ -246,6 +255,10 @@
     def _report(self, reason):
         self._listener.report(
             RefusedClient(
-                self._listener.name, reason, self.peer, self._framer.held_bytes
+                self._listener.name,
+                reason,
+                self.peer,
+                self._framer.held_bytes,
+                has_run=reason is RefusalReason.RESPONSE_UNREAD,
             )
         )
--- a/libs/serving/src/cactustiller/serving/listener.py
+++ b/libs/serving/src/cactustiller/serving/listener.py
@@ -92,7 +92,7 @@
         await self._web.shutdown(handler_seconds)
         for phase in Phase:
             for connection in self.connections.list_phase(phase):
-                connection.drop(RefusalReason.CONNECTIONS_FULL)
+                connection.abort()
 
     def admit(self, connection):
         """Add a connection; return whether there is room for it."""
--- a/tests/serving/builders.py
+++ b/tests/serving/builders.py
@@ -47,3 +47,38 @@
     def drop(self, reason):
         self.reasons.append(reason)
         self._on_drop(self)
+
+
+class FakeTransport:
+    """Transport that records whether its protocol reads."""
+
+    def __init__(self, protocol):
+        self.protocol = protocol
+        self.is_reading = True
+
+    def get_extra_info(self, name):
+        return None
+
+    def set_write_buffer_limits(self, high):
+        pass
+
+    def is_closing(self):
+        return False
+
+    def pause_reading(self):
+        self.is_reading = False
+
+    def resume_reading(self):
+        self.is_reading = True
+
+    def abort(self):
+        pass
+
+
+def receive(connection, data):
+    """Pass received bytes to a protocol with a buffer; return how many it took."""
+    buffer = connection.get_buffer(len(data))
+    size = min(len(buffer), len(data))
+    buffer[:size] = data[:size]
+    connection.buffer_updated(size)
+    return size
--- a/tests/serving/test_listener.py
+++ b/tests/serving/test_listener.py
@@ -12,8 +12,9 @@
     ListenerLimits,
     RefusalReason,
 )
+from cactustiller.serving.connection import FIRST_READ_BYTES, ClientConnection
 
-from .builders import encode_request
+from .builders import FakeTransport, encode_request, receive
 
 MEMORY_BYTES = 100_000
 CLIENT_LIMITS = ClientLimits(head_seconds=3.0, idle_seconds=15.0)
@@ -225,3 +226,19 @@
         assert len(site.bodies) == 1
         busy_writer.close()
         idle_writer.close()
+
+
+async def test_large_requests_are_read_in_turn_whatever_their_chunks():
+    async with open_site() as site:
+        connection = ClientConnection(site.listener)
+        transport = FakeTransport(connection)
+        connection.connection_made(transport)
+        head = encode_request(b"a", chunks=[1]).partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+        data = head + b"1\r\na\r\n" * 2000
+        size = receive(connection, data)
+        assert size == FIRST_READ_BYTES
+        assert not transport.is_reading
+        await run_until(lambda: transport.is_reading)
+        receive(connection, data[size:])
+        assert not transport.is_reading
+        connection.connection_lost(None)
