Accept few connections in a round of the event loop

What callers saw: crowds at all addresses at once took 378 sockets of 300.

Cause: up to 16 connections were accepted in a round at each address, and a connection that gives way to one of them is closed two rounds later.

Change: a sixteenth of the allowed connections is accepted in a round, 16 at most.

Result: the new test of crowds at all addresses failed before and passes now, as do the crowds at the peers' address.

--- a/libs/peers/src/cactustiller/peers/server.py
+++ b/libs/peers/src/cactustiller/peers/server.py
@@ -74,7 +74,9 @@
             reader = asyncio.StreamReader(limit=STREAM_BYTES, loop=loop)
             return asyncio.StreamReaderProtocol(reader, self._serve, loop=loop)
 
-        self._server = await listen_on(make_protocol, host, port, ssl_context)
+        self._server = await listen_on(
+            make_protocol, host, port, self._limits.max_connections, ssl_context
+        )
 
     async def stop(self):
         """Stop listening and close every connection."""
--- a/libs/serving/src/cactustiller/serving/listener.py
+++ b/libs/serving/src/cactustiller/serving/listener.py
@@ -66,7 +66,9 @@
 
     async def open(self, host, port):
         """Listen; raises OSError if the address can't be used."""
-        self._server = await listen_on(lambda: ClientConnection(self), host, port)
+        self._server = await listen_on(
+            lambda: ClientConnection(self), host, port, self.connections.max_connections
+        )
 
     @property
     def port(self):
--- a/libs/serving/src/cactustiller/serving/sockets.py
+++ b/libs/serving/src/cactustiller/serving/sockets.py
@@ -6,13 +6,15 @@
 # The kernel doubles these values. The first one bounds what a paused connection holds.
 RECEIVE_BUFFER_BYTES = 16_384
 SEND_BUFFER_BYTES = 65_536
-# Connections that wait to be accepted, and those accepted in one round of the loop.
-# Each of the latter has a descriptor before another connection gives way to it.
+# Connections that wait to be accepted.
 LISTEN_BACKLOG = 512
-ACCEPTED_PER_ROUND = 16
+# Connections that are accepted in one round of the loop, at most and as a share of
+# those allowed. Each has a descriptor until another one has been closed for it.
+MAX_ACCEPTED_PER_ROUND = 16
+ACCEPTED_SHARE = 1 / 16
 
 
-async def listen_on(make_protocol, host, port, ssl_context=None):
+async def listen_on(make_protocol, host, port, max_connections, ssl_context=None):
     """Return an `asyncio.Server` on an IPv4 address.
 
     Parameters
@@ -22,12 +24,16 @@
     host : str
     port : int
         0 for any free port.
+    max_connections : int
+        Number that the caller keeps open.
+    ssl_context : ssl.SSLContext, optional
 
     Raises
     ------
     OSError
         If the address can't be used.
     """
+    accepted_per_round = int(max_connections * ACCEPTED_SHARE)
     listening = socket.socket()
     try:
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -38,7 +44,7 @@
         server = await asyncio.get_running_loop().create_server(
             make_protocol,
             sock=listening,
-            backlog=ACCEPTED_PER_ROUND,
+            backlog=max(1, min(MAX_ACCEPTED_PER_ROUND, accepted_per_round)),
             ssl=ssl_context,
         )
     except BaseException:
--- a/tests/fleet/test_crowds.py
+++ b/tests/fleet/test_crowds.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import pytest
 
@@ -47,13 +47,19 @@
         yield cell
 
 
-async def call_beside_crowd(cell, address, kind, waits_for_end):
-    """Let a crowd come, then one ordinary caller whose job has to be completed.
+async def call_beside_crowds(cell, crowds, waits_for_end):
+    """Let crowds come, then one ordinary caller whose job has to be completed.
 
     A crowd whose own jobs are accepted before may keep the workers busy; the job then
     only has to be accepted and known.
     """
-    async with gather_crowd(address, kind, CROWD, CROWD_SECONDS):
+    addresses = cell.addresses["m0"]
+    async with AsyncExitStack() as stack:
+        gathering = (
+            gather_crowd(addresses[listener], kind, count, CROWD_SECONDS)
+            for listener, kind, count in crowds
+        )
+        await asyncio.gather(*map(stack.enter_async_context, gathering))
         await cell.submit(ORDINARY_JOB, seconds=ORDINARY_SECONDS)
         states = ["completed"] if waits_for_end else ["queued", "running", "completed"]
         await wait_for_one_state(cell, states)
@@ -70,21 +76,30 @@
 
 
 async def check_crowd(folder, kind, listener, waits_for_end=True):
-    """Check the daemon's resources beside a crowd and an ordinary caller."""
+    """Check the daemon's resources beside one crowd and an ordinary caller."""
+    await check_crowds(folder, [(listener, kind, CROWD)], waits_for_end)
+
+
+async def check_crowds(folder, crowds, waits_for_end=True):
+    """Check the daemon's resources beside crowds and an ordinary caller.
+
+    Parameters
+    ----------
+    crowds : list of (str, str, int)
+        Listener, kind and number of connections of each crowd.
+    """
     async with open_cell(folder) as cell:
         pid, addresses = cell.members["m0"].pid, cell.addresses["m0"]
         usage = Usage(pid, addresses.values(), MEMORY_MB << 20)
         tasks = [
             asyncio.create_task(usage.sample()),
-            asyncio.create_task(
-                call_beside_crowd(cell, addresses[listener], kind, waits_for_end)
-            ),
+            asyncio.create_task(call_beside_crowds(cell, crowds, waits_for_end)),
         ]
         done, pending = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         for task in pending:
             task.cancel()
         await asyncio.gather(*pending, return_exceptions=True)
-        print(f"{kind}: {usage.memory_bytes >> 20} MB, {usage.streams} sockets")
+        print(f"{crowds}: {usage.memory_bytes >> 20} MB, {usage.streams} sockets")
         assert usage.memory_bytes <= MEMORY_MB << 20
         assert cell.members["m0"].returncode is None
         await asyncio.gather(*done)
@@ -135,3 +150,16 @@
 @pytest.mark.parametrize("kind", ["large-jobs", "recurring-job"])
 async def test_crowd_with_jobs_of_legal_size(tmp_path, kind):
     await check_crowd(tmp_path, kind, "frontend", waits_for_end=False)
+
+
+async def test_crowds_at_all_addresses(tmp_path):
+    crowds = [
+        ("frontend", "small-chunks", 100),
+        ("frontend", "body", 100),
+        ("frontend", "endless-lines", 100),
+        ("frontend", "many-fields", 100),
+        ("ready", "body", 100),
+        ("metrics", "metrics", 100),
+        ("peers", "frame-as-peer", 100),
+    ]
+    await check_crowds(tmp_path, crowds)
