--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -10,6 +10,7 @@
 import itertools
 import struct
 import sys
+from functools import cache
 
 from cactustiller.model.codec import Frame, encode_frame
 from cactustiller.model.messages import GetDesired, HandInJob, Hello
@@ -118,9 +119,15 @@
     yield from repeat(b"X: a\r\n")
 
 
+@cache
+def compress_body():
+    """Return a body that unpacks to many times its size."""
+    return gzip.compress(b" " * UNPACKED_BYTES, 9)
+
+
 def send_compressed():
     """Yield requests whose bodies unpack to many times their size."""
-    body = gzip.compress(b" " * UNPACKED_BYTES, 9)
+    body = compress_body()
     while True:
         yield start_head() + b"Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n" % (
             len(body)
