Do not take an empty line after a request for a late one

Cause: empty lines counted as the begin of the next request. A client that ends a body with an empty line, as old ones do, got a 503 three seconds later, which it would have taken for the response to its next request.

Change: a request begins with its first other byte. Empty lines still count towards the limit of the head, and an idle connection stays idle.

--- a/libs/serving/src/cactustiller/serving/framing.py
+++ b/libs/serving/src/cactustiller/serving/framing.py
@@ -90,8 +90,8 @@
 
     @property
     def has_begun(self):
-        """Whether a byte of the current request, or an empty line, has arrived."""
-        return self._head is not None or bool(self._input) or bool(self._empty_bytes)
+        """Whether a byte of the current request has arrived, besides empty lines."""
+        return self._head is not None or bool(self._input)
 
     @property
     def has_head(self):
--- a/tests/serving/test_listener.py
+++ b/tests/serving/test_listener.py
@@ -196,6 +196,20 @@
         writer.close()
 
 
+@pytest.mark.looptime(start=0)
+async def test_empty_line_after_a_request_is_no_late_request():
+    async with open_site() as site:
+        reader, writer = await site.connect()
+        writer.write(encode_request(b"a") + b"\r\n")
+        assert await read_status(reader) == 200
+        await asyncio.sleep(CLIENT_LIMITS.head_seconds + 2.0)
+        # A response that nobody asked for would be taken for that of the next request.
+        writer.write(encode_request(b"b"))
+        assert await read_status(reader) == 200
+        assert not site.refused
+        writer.close()
+
+
 async def test_new_connection_replaces_an_idle_one():
     async with open_site(max_connections=2) as site:
         clients = [await site.connect() for _ in range(2)]
