Let a crowd ask for the states of unknown jobs

Cause of the test: such a request reads the store twice, at whichever daemon it arrives, and was in none of the crowds.

Change: one more crowd of 400 connections at the frontend, with the bounds of the others. The reads have no limit of their own yet; that is open.

--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -148,6 +148,12 @@
     yield from repeat(b"GET /jobs/ HTTP/1.1\r\nHost: queue.example\r\n\r\n")
 
 
+def send_state_requests():
+    """Yield requests for the states of unknown jobs; their responses are not read."""
+    while True:
+        yield start_head().replace(b"POST", b"GET") + b"\r\n"
+
+
 def send_metrics_requests():
     """Yield requests for metrics without end; their responses are not read."""
     yield from repeat(b"GET /metrics HTTP/1.1\r\nHost: queue.example\r\n\r\n")
@@ -221,6 +227,7 @@
     "many-fields": send_many_fields,
     "pipelined": send_pipelined,
     "metrics": send_metrics_requests,
+    "unknown-states": send_state_requests,
     "frame": send_frame,
     "frame-as-peer": send_frame_as_peer,
     "calls-as-peer": send_calls_as_peer,
--- a/tests/fleet/test_crowds.py
+++ b/tests/fleet/test_crowds.py
@@ -126,6 +126,7 @@
         "compressed",
         "many-fields",
         "pipelined",
+        "unknown-states",
     ],
 )
 async def test_crowd_at_the_frontend(tmp_path, kind):
