Keep the transactions of members within the size that the store takes

What callers saw: while no owner answers, a member stores up to 45 jobs in one transaction. Large jobs of one caller made it exceed 1 MB; the store refuses it, and ordinary jobs in it with it.

Cause: the rows of a transaction were counted, not their bytes, as the owner does.

Change: a transaction takes rows up to 600,000 bytes, which base64 makes 800,000, and at least one row.

--- a/libs/cell/src/cactustiller/cell/members/insertion.py
+++ b/libs/cell/src/cactustiller/cell/members/insertion.py
@@ -16,8 +16,10 @@
 MAX_NOT_RUN_ATTEMPTS = 2
 # An insertion that failed longer ago says nothing about the store now.
 FAILURE_VALID_SECONDS = 2.0
-# Each row uses two of the 100 entries of a transaction.
+# The store limits a transaction to 100 entries and 1 MB. Each row uses two entries, and
+# base64 makes its value a third larger.
 MAX_ROWS = 45
+MAX_BYTES = 600_000
 
 
 class Acceptance(Enum):
@@ -106,7 +108,7 @@
     async def _run(self):
         """Insert pending rows in batches until each has an outcome."""
         while self._pending:
-            batch = dict(list(self._pending.items())[:MAX_ROWS])
+            batch = self._choose_batch()
             self._in_flight = batch.keys()
             answer = await self._store.transact(
                 Transaction(
@@ -122,6 +124,16 @@
             self._apply_failure(batch, is_not_run)
             await asyncio.sleep(RETRY_SECONDS)
 
+    def _choose_batch(self):
+        """Return the rows that the next transaction stores, at least one."""
+        batch, size = {}, 0
+        for key, pending in self._pending.items():
+            size += len(pending.value)
+            if batch and (size > MAX_BYTES or len(batch) >= MAX_ROWS):
+                break
+            batch[key] = pending
+        return batch
+
     def _record(self, is_ok):
         self._breaker.record(is_ok)
         if is_ok:
