Count the texts and lists of jobs, and all copies of a body

What callers saw: jobs with long lists of steps that they follow took an owner of 160 MB to its limit, and those with long texts to 154 MB.

Cause: the estimate of a job's memory had only its Spec and the number of its steps. A request was counted with four copies of its body; there are up to ten until its row is stored, and the change feed brings a stored row once more.

Change: texts count by what Python keeps, twice, and numbers of a list with 40 bytes. A body counts ten times while it is handled. The total of all jobs is computed every 2 s from sizes that are kept, and shown as job_memory_bytes.

--- a/libs/cell/src/cactustiller/cell/decisions/job_memory.py
+++ b/libs/cell/src/cactustiller/cell/decisions/job_memory.py
@@ -4,25 +4,51 @@
 times the memory of the request, or whose occurrences are all due at once.
 """
 
+import sys
+from typing import NamedTuple
+
 from ..records.specs import MAX_TASKS_PER_JOB
 
-# Memory of a job, of a step of its specification, and of a task and a step of an open
-# occurrence.
+# Memory of a job, of a step of its specification without its texts, of a number in the
+# list of steps that it follows, and of a step and a task of an open occurrence.
 JOB_BYTES = 1024
 STEP_SPEC_BYTES = 512
+# A stored row comes back once by the change feed, which the owner decodes again.
+TEXT_COPIES = 2
+NUMBER_BYTES = 40
 STEP_BYTES = 1024
 TASK_BYTES = 400
 # The total is computed at most this often; jobs admitted meanwhile are added to it.
-TOTAL_VALID_SECONDS = 0.5
+TOTAL_VALID_SECONDS = 2.0
 DEFAULT_JOB_BYTES = 64 * 1024 * 1024
 
 
-def estimate_job_bytes(spec, open_count):
-    """Return the memory of a job with so many open occurrences."""
-    steps = len(spec.steps)
-    tasks = sum(step.count for step in spec.steps)
-    closed = JOB_BYTES + len(spec.payload) + steps * STEP_SPEC_BYTES
-    return closed + open_count * (steps * STEP_BYTES + tasks * TASK_BYTES)
+class JobSize(NamedTuple):
+    """Estimated memory of a job in bytes.
+
+    Attributes
+    ----------
+    specification : int
+        Kept until the job is removed.
+    occurrence : int
+        Each open occurrence; a job that does not recur has one until it ends.
+    """
+
+    specification: int
+    occurrence: int
+
+
+def estimate_job_size(spec):
+    """Return the `JobSize` of a job."""
+    specification = JOB_BYTES + TEXT_COPIES * sys.getsizeof(spec.payload)
+    occurrence = 0
+    for step in spec.steps:
+        texts = (step.image, step.required_label, step.data_rack)
+        specification += STEP_SPEC_BYTES
+        specification += TEXT_COPIES * sum(map(sys.getsizeof, texts))
+        specification += len(step.after) * NUMBER_BYTES
+        occurrence += STEP_BYTES + step.count * TASK_BYTES
+    return JobSize(specification, occurrence)
 
 
 class JobMemory:
@@ -40,6 +66,7 @@
         self._jobs = jobs
         self._max_bytes = max_bytes
         self._clock = clock
+        self._sizes = {}
         self._used_bytes = 0
         self._counted_at = float("-inf")
 
@@ -49,15 +76,12 @@
         now = self._clock()
         if now >= self._counted_at + TOTAL_VALID_SECONDS:
             self._counted_at = now
-            self._used_bytes = sum(
-                estimate_job_bytes(job.spec, len(job.occurrences))
-                for job in self._jobs.values()
-            )
+            self._sum_up()
         return self._used_bytes
 
     def admit(self, spec):
         """Return whether there is memory for a new job, which then counts."""
-        return self._reserve(estimate_job_bytes(spec, 1))
+        return self._reserve(sum(estimate_job_size(spec)))
 
     def admit_occurrence(self, job):
         """Return whether a recurring job may have one more open occurrence.
@@ -67,14 +91,21 @@
         """
         if not job.occurrences:
             return True
-        spec, count = job.spec, len(job.occurrences)
-        tasks = sum(step.count for step in spec.steps)
-        if (count + 1) * tasks > MAX_TASKS_PER_JOB:
+        tasks = sum(step.count for step in job.spec.steps)
+        if (len(job.occurrences) + 1) * tasks > MAX_TASKS_PER_JOB:
             return False
-        return self._reserve(estimate_job_bytes(spec, 1) - estimate_job_bytes(spec, 0))
+        return self._reserve(estimate_job_size(job.spec).occurrence)
 
     def _reserve(self, size):
         if self.used_bytes + size > self._max_bytes:
             return False
         self._used_bytes += size
         return True
+
+    def _sum_up(self):
+        previous, self._sizes, self._used_bytes = self._sizes, {}, 0
+        for job_id, job in self._jobs.items():
+            size = previous.get(job_id) or estimate_job_size(job.spec)
+            self._sizes[job_id] = size
+            self._used_bytes += size.specification
+            self._used_bytes += len(job.occurrences) * size.occurrence
--- a/libs/cell/src/cactustiller/cell/reporting/metrics.py
+++ b/libs/cell/src/cactustiller/cell/reporting/metrics.py
@@ -106,6 +106,7 @@
     )
     SLOW_WORKERS = Family("slow_workers", "Workers that the owner found slow.")
     JOBS = Family("jobs", "Jobs in the owner's memory.")
+    JOB_MEMORY = Family("job_memory_bytes", "Estimated memory of these jobs.")
     WAITING = Family(
         "waiting_tasks", "Tasks whose turn has come.", ("priority", "team")
     )
--- a/libs/serving/src/cactustiller/serving/connection.py
+++ b/libs/serving/src/cactustiller/serving/connection.py
@@ -15,10 +15,10 @@
 # A response of which so much is unsent stalls the connection.
 WRITE_BUFFER_BYTES = 16_384
 # Memory of a request while a handler has it: its objects, those of a header line, and
-# the copies of a byte of its body, decoded and not.
+# the copies of a byte of its body: received, decoded, and as a row to be stored.
 REQUEST_BYTES = 8192
 HEADER_LINE_BYTES = 512
-BODY_COPIES = 4
+BODY_COPIES = 10
 
 
 class ClientConnection(asyncio.BufferedProtocol):
--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -24,6 +24,9 @@
 SMALL_PIECE_BYTES = 4096
 LINE_BYTES = 4_000_000
 HEAD_BYTES = 16_384
+# Both fit into a row of 65,536 bytes.
+LONG_TEXT = b"a" * 60_000
+LONG_LIST = b",".join([b"0"] * 30_000)
 FRAME_BYTES = 8 * 1024 * 1024
 UNPACKED_BYTES = 100_000_000
 RETURN_SECONDS = 0.05
@@ -203,6 +206,22 @@
         )
 
 
+def send_jobs_with_long_texts():
+    """Yield small jobs whose texts nearly fill a row of the store, without end."""
+    while True:
+        yield encode_submission(
+            b'{"Steps":[{"Count":1,"Cpu":1000,"MemMb":10,"Image":"%b"}]}' % LONG_TEXT
+        )
+
+
+def send_jobs_with_long_lists():
+    """Yield jobs of two steps, one of which follows the other many times over."""
+    while True:
+        yield encode_submission(
+            b'{"Steps":[{"Count":1,"Cpu":1000},{"Count":1,"After":[%b]}]}' % LONG_LIST
+        )
+
+
 def send_recurring_job():
     """Yield a job of many tasks whose occurrences are all due at once."""
     yield encode_submission(
@@ -232,6 +251,8 @@
     "frame-as-peer": send_frame_as_peer,
     "calls-as-peer": send_calls_as_peer,
     "large-jobs": send_large_jobs,
+    "long-texts": send_jobs_with_long_texts,
+    "long-lists": send_jobs_with_long_lists,
     "recurring-job": send_recurring_job,
 }
 
