Leave connections to the store beside queries for unknown jobs

What callers saw: 400 connections with a valid key asked for the states of unknown jobs.

Cause: each query reads the store twice, and all 32 connections of a member were busy with them, so the owner could not renew its lease in time.

Change: eight states are read from the store at once; other queries wait for the time that a read may take, and are then answered 503.

--- a/libs/cell/src/cactustiller/cell/members/lookups.py
+++ b/libs/cell/src/cactustiller/cell/members/lookups.py
@@ -1,5 +1,6 @@
 """Queries for the states of jobs, which any member of a cell answers."""
 
+import asyncio
 from typing import NamedTuple
 
 from cactustiller.model import JobState
@@ -13,6 +14,9 @@
 from ..ports import CANCEL_SUFFIX, CELL_PART, JOB_TABLE, PROGRESS_TABLE, split_job_key
 from ..records.progress import decode_state
 
+# States that are read from the store at once. Callers can ask for any number of unknown
+# jobs, and the connections to the store are those by which the owner renews its lease.
+MAX_STATE_READS = 8
 # A longer call to the store would leave no time for a second try.
 STORE_CALL_TIMEOUT_SECONDS = 0.9
 OWNER_CALL_TIMEOUT_SECONDS = 0.4
@@ -42,6 +46,7 @@
 
     def __init__(self, store, peers, find_owner):
         self._store = store
+        self._reads = asyncio.Semaphore(MAX_STATE_READS)
         self._peers = peers
         self._find_owner = find_owner
 
@@ -99,6 +104,18 @@
         ]
 
     async def _read_state(self, job):
+        """Read a state from the store once few enough others are being read."""
+        try:
+            async with asyncio.timeout(STORE_CALL_TIMEOUT_SECONDS):
+                await self._reads.acquire()
+        except TimeoutError:
+            return Lookup(False)
+        try:
+            return await self._read_state_from_store(job)
+        finally:
+            self._reads.release()
+
+    async def _read_state_from_store(self, job):
         answer = await self._store.read(
             PROGRESS_TABLE, CELL_PART, job, job + "\0", STORE_CALL_TIMEOUT_SECONDS
         )
