Defer stored jobs for which their owner has no memory

What callers saw: while no owner answers, members store jobs by themselves, whatever their tasks take. The next owner loaded all of them; a crowd with a valid key could hand in more than any owner can keep, and each one would end in turn.

Cause: only the owner admits jobs by memory, and it did so only for those handed to it.

Change: jobs with progress are loaded first and always. A stored job that has not begun is deferred while there is no memory for it, and is read again when there is room. It shows as queued, counts as pending, may be cancelled, and its caller's next try is answered as accepted. A job that is found stored is deferred instead of added.

--- a/libs/cell/src/cactustiller/cell/decisions/job_memory.py
+++ b/libs/cell/src/cactustiller/cell/decisions/job_memory.py
@@ -20,6 +20,8 @@
 TASK_BYTES = 400
 # The total is computed at most this often; jobs admitted meanwhile are added to it.
 TOTAL_VALID_SECONDS = 2.0
+# Deferred jobs are loaded once this share of the memory is free.
+FREE_SHARE = 0.1
 DEFAULT_JOB_BYTES = 64 * 1024 * 1024
 
 
@@ -79,6 +81,17 @@
             self._sum_up()
         return self._used_bytes
 
+    @property
+    def has_room(self):
+        """Whether a share of the memory is free for jobs that were deferred."""
+        return self.used_bytes < self._max_bytes * (1 - FREE_SHARE)
+
+    def count(self, job):
+        """Add a job that is kept whether there is memory for it or not."""
+        size = estimate_job_size(job.spec)
+        occurrences = len(job.occurrences) * size.occurrence
+        self._used_bytes += size.specification + occurrences
+
     def admit(self, spec):
         """Return whether there is memory for a new job, which then counts."""
         return self._reserve(sum(estimate_job_size(spec)))
--- a/libs/cell/src/cactustiller/cell/owner/engine.py
+++ b/libs/cell/src/cactustiller/cell/owner/engine.py
@@ -47,11 +47,17 @@
         Returns Unix milliseconds.
     max_job_bytes : int
         Memory for all jobs.
+
+    Attributes
+    ----------
+    deferred_jobs : dict of JobId to QueueName
+        Stored jobs that are not loaded, since there is no memory for their tasks.
     """
 
     def __init__(self, clock, wall_clock_ms, max_job_bytes=DEFAULT_JOB_BYTES):
         super().__init__(clock, wall_clock_ms)
         self.job_memory = JobMemory(self.jobs, max_job_bytes, clock)
+        self.deferred_jobs = {}
         self._shares = ShareMeter()
         self._recurring_jobs = set()
         self.interference = InterferenceObserver()
@@ -147,7 +153,8 @@
 
         Recurring jobs are not counted.
         """
-        return sum(
+        deferred = sum(other == queue for other in self.deferred_jobs.values())
+        return deferred + sum(
             job.spec.queue == queue
             and not job.state.is_final
             and not job.has_started
--- a/libs/cell/src/cactustiller/cell/owner/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner/owner.py
@@ -80,11 +80,7 @@
         self._announcer = Announcer(ports.peers, self._member_registry, claim[0])
         self._admission = AdmissionControl(self.engine, loop.time, ports.wall_clock_ms)
         self._checks = SubmissionChecks(
-            ports.store,
-            self._admission,
-            self.engine.job_memory,
-            self._submissions,
-            self._is_known,
+            ports.store, self._admission, self.engine, self._submissions, self._is_known
         )
         self._loader = JobLoader(self.engine, ports.store)
         self._dispatcher = Dispatcher(
@@ -168,11 +164,11 @@
         A failure with the outcome `NOT_RUN` guarantees that the job is not stored.
         """
         if not self._is_known(job):
-            failure = await self._checks.find_failure(
+            answer = await self._checks.find_answer(
                 job, row, self._writer.is_store_unavailable
             )
-            if failure is not None:
-                return failure
+            if answer is not None:
+                return answer
             # The term may have ended during the look at the store.
             if not self.is_loaded:
                 return self._submissions.make_failure(
--- a/libs/cell/src/cactustiller/cell/owner/submission_checks.py
+++ b/libs/cell/src/cactustiller/cell/owner/submission_checks.py
@@ -1,5 +1,7 @@
 """Checks of new jobs before their owner stores them."""
 
+from result import Ok
+
 from cactustiller.model import ErrorCode, Outcome
 
 from ..ports import CELL_PART, JOB_TABLE
@@ -17,7 +19,7 @@
 
 
 class SubmissionChecks:
-    """Finds the jobs that an owner rejects.
+    """Finds the jobs that an owner rejects, or that it does not load for now.
 
     A job that is stored or accepted meanwhile, by another of its caller's tries, is not
     rejected.
@@ -26,29 +28,31 @@
     ----------
     store : RowStore
     admission : AdmissionControl
-    job_memory : JobMemory
+    engine : Engine
     submissions : PendingSubmissions
     is_known : callable
         Returns whether the owner has a job.
     """
 
-    def __init__(self, store, admission, job_memory, submissions, is_known):
+    def __init__(self, store, admission, engine, submissions, is_known):
         self._store = store
         self._admission = admission
-        self._job_memory = job_memory
+        self._engine = engine
         self._submissions = submissions
         self._is_known = is_known
         self._check_count = 0
 
-    async def find_failure(self, job, row, is_store_unavailable):
-        """Return the failure of a job that is rejected, else None."""
+    async def find_answer(self, job, row, is_store_unavailable):
+        """Return the answer to a job that the owner does not add, else None."""
+        if job in self._engine.deferred_jobs:
+            return Ok(None)
         try:
             spec = decode_job(job, row)
         except (ValueError, KeyError, IndexError, TypeError):
             # The loader logs rows that cannot be read.
             return None
-        if not self._job_memory.admit(spec):
-            return await self._fail_for_memory(job)
+        if not self._engine.job_memory.admit(spec):
+            return await self._answer_without_memory(spec)
         if is_store_unavailable or not self._admission.is_needed():
             return None
         rejection = self._admission.find_rejection(spec)
@@ -63,23 +67,30 @@
             step=ADMIT_STEP,
         )
 
-    async def _fail_for_memory(self, job):
-        """Return the failure of a job for which there is no memory."""
-        is_stored = None
+    async def _answer_without_memory(self, spec):
+        """Return the answer to a job for which there is no memory.
+
+        None if the owner has it already, by another of its caller's tries.
+        """
+        job, is_stored = spec.job, None
         if self._check_count < MAX_MEMORY_CHECKS:
             self._check_count += 1
             try:
                 is_stored = await self._is_stored(job)
             finally:
                 self._check_count -= 1
-        if is_stored:
+        if is_stored and self._is_known(job):
             return None
+        if is_stored:
+            # A member has stored it, without an owner.
+            self._engine.deferred_jobs[job] = spec.queue
+            return Ok(None)
         outcome = Outcome.UNKNOWN if is_stored is None else Outcome.NOT_RUN
         log_event(
             Event.JOB_NOT_ADMITTED,
             job=job,
             reason="no memory for its tasks",
-            job_bytes=self._job_memory.used_bytes,
+            job_bytes=self._engine.job_memory.used_bytes,
             certain=outcome is Outcome.NOT_RUN,
         )
         return self._submissions.make_failure(
--- a/libs/cell/src/cactustiller/cell/reporting/events.py
+++ b/libs/cell/src/cactustiller/cell/reporting/events.py
@@ -34,6 +34,7 @@
     JOB_WAITS = "job_waits"
     JOB_BLOCKED = "job_blocked"
     JOB_NOT_ADMITTED = "job_not_admitted"
+    JOB_DEFERRED = "job_deferred"
     JOB_CANCELLED = "job_cancelled"
     JOB_ENDED = "job_ended"
     APPROVAL = "approval"
@@ -80,6 +81,7 @@
         Event.JOB_WAITS,
         Event.JOB_BLOCKED,
         Event.JOB_NOT_ADMITTED,
+        Event.JOB_DEFERRED,
         Event.JOB_CANCELLED,
         Event.JOB_ENDED,
         Event.APPROVAL,
--- a/libs/cell/src/cactustiller/cell/reporting/gauges.py
+++ b/libs/cell/src/cactustiller/cell/reporting/gauges.py
@@ -18,6 +18,7 @@
         Loop time in seconds.
     """
     yield Gauge.JOBS, (), len(engine.jobs)
+    yield Gauge.DEFERRED_JOBS, (), len(engine.deferred_jobs)
     yield Gauge.JOB_MEMORY, (), engine.job_memory.used_bytes
     yield Gauge.COPIES, (), engine.speculation.count_copies()
     for labels, count in _count_eligible(engine).items():
--- a/libs/cell/src/cactustiller/cell/reporting/metrics.py
+++ b/libs/cell/src/cactustiller/cell/reporting/metrics.py
@@ -106,6 +106,9 @@
     )
     SLOW_WORKERS = Family("slow_workers", "Workers that the owner found slow.")
     JOBS = Family("jobs", "Jobs in the owner's memory.")
+    DEFERRED_JOBS = Family(
+        "deferred_jobs", "Stored jobs that are not loaded for want of memory."
+    )
     JOB_MEMORY = Family("job_memory_bytes", "Estimated memory of these jobs.")
     WAITING = Family(
         "waiting_tasks", "Tasks whose turn has come.", ("priority", "team")
--- a/tests/cell/test_job_memory.py
+++ b/tests/cell/test_job_memory.py
@@ -12,7 +12,8 @@
     estimate_job_size,
 )
 from cactustiller.cell.owner.engine import Engine
-from cactustiller.cell.records.specs import MAX_TASKS_PER_JOB
+from cactustiller.cell.ports import make_job_key
+from cactustiller.cell.records.specs import MAX_TASKS_PER_JOB, encode_job
 from cactustiller.model import JobState
 from standins.fleet import FleetCell, make_job
 from standins.fleet.store import Trouble
@@ -121,3 +122,65 @@
     # One character beyond the basic plane makes each take four bytes.
     spec = make_job(1, image="a" * 1000 + "\U0001f600")
     assert estimate_job_size(spec).specification > 4000
+
+
+def store_directly(cell, specs, seconds):
+    """Store jobs as members do while no owner answers."""
+    for spec in specs:
+        cell.seconds[spec.job], cell.jobs[spec.job] = seconds, spec
+        cell.store.put(make_job_key(spec.job), encode_job(spec))
+
+
+async def test_owner_keeps_stored_jobs_within_its_memory():
+    async with FleetCell(members=1, settings={"max_job_bytes": MAX_BYTES}) as cell:
+        store_directly(cell, [make_large_job(number) for number in range(1, 7)], 60.0)
+        await asyncio.sleep(2.0)
+        assert cell.find_engine().job_memory.used_bytes <= MAX_BYTES
+
+
+async def test_deferred_jobs_are_shown_and_run_when_there_is_memory():
+    async with FleetCell(members=1, settings={"max_job_bytes": MAX_BYTES}) as cell:
+        specs = [make_job(number, count=400, cpu=10) for number in range(1, 31)]
+        store_directly(cell, specs, 0.2)
+        await asyncio.sleep(1.0)
+        engine = cell.find_engine()
+        deferred = [spec for spec in specs if spec.job in engine.deferred_jobs]
+        assert 0 < len(deferred) < len(specs)
+        found = await cell.members["m0"].intake.find_state(
+            specs[0].queue, deferred[-1].job
+        )
+        assert found.value is JobState.WAITING
+        assert engine.count_pending(specs[0].queue) >= len(deferred)
+        assert await cell.submit(deferred[-1], 0.2) is Acceptance.ACCEPTED
+        for spec in specs:
+            await cell.wait_for_state(spec, JobState.SUCCEEDED, seconds=120.0)
+        assert not engine.deferred_jobs
+
+
+async def test_deferred_job_may_be_cancelled():
+    async with FleetCell(members=1, settings={"max_job_bytes": MAX_BYTES}) as cell:
+        specs = [make_large_job(number) for number in range(1, 5)]
+        store_directly(cell, specs, 5.0)
+        await asyncio.sleep(1.0)
+        (*_, job) = cell.find_engine().deferred_jobs
+        intake = cell.members["m0"].intake
+        assert await intake.cancel(job) is Acceptance.ACCEPTED
+        found = await intake.find_state(specs[0].queue, job)
+        assert found.value is JobState.CANCELLED
+
+
+async def test_jobs_with_progress_are_loaded_before_others_at_a_takeover():
+    settings = {"max_job_bytes": MAX_BYTES}
+    async with FleetCell(members=1, settings=settings) as cell:
+        # The last one in the order of the rows.
+        running = make_large_job(9)
+        await cell.submit(running, 60.0)
+        await cell.wait_for_state(running, JobState.RUNNING)
+        await cell.kill("m0")
+        store_directly(cell, [make_large_job(number) for number in range(1, 5)], 60.0)
+        await cell.add_member(**settings)
+        await cell.wait_for_owner()
+        engine = cell.find_engine()
+        assert running.job in engine.jobs
+        assert engine.job_memory.used_bytes <= MAX_BYTES
+        assert len(engine.deferred_jobs) == 3
