--- a/review/14/case.py
+++ b/review/14/case.py
@@ -9,7 +9,7 @@
 # Steps of the job, and the most steps of a job of the site.
 MANY, USUAL = 600, 4
 EXECUTORS = 8
-WATCH_SECONDS = 45.0
+SEND_SECONDS = 20.0
 # The client's tries of the job.
 TRIES = 5
 
@@ -33,9 +33,10 @@
             await cell.submit(job, tries=TRIES, seconds=20.0)
 
         sending = asyncio.create_task(send_later())
-        await watch.run(WATCH_SECONDS)
+        await watch.send(SEND_SECONDS)
         await sending
-        return BROKEN if watch.is_broken() else HELD
+        is_broken = await watch.judge()
+        return BROKEN if is_broken else HELD
 
 
 run_case(play)
--- a/review/rig3/chains.py
+++ b/review/rig3/chains.py
@@ -1,11 +1,13 @@
-"""Small jobs, sent once a second, and for how long they have nothing running."""
+"""Small jobs, sent once a second, and what becomes of those that are accepted."""
 
 import asyncio
 import time
 
 from .cell import Job
 
-# The rule: a job has nothing running for so long while a task's turn has come.
+# The rule: so long after the end of the traffic, a job has nothing running for so long
+# while a task's turn has come.
+FINISH_SECONDS = 14.0
 MAX_IDLE_SECONDS = 3.0
 STEPS = 4
 
@@ -28,71 +30,60 @@
     """
 
     def __init__(self, cell, room):
-        self.worst = {}
         self.accepted, self.refused = [], 0
         self._cell = cell
         self._room = room
-        self._calm_since = time.monotonic()
+        self._idle = []
 
-    async def run(self, seconds):
-        """Send and watch for a time."""
-        number, next_at = len(self.accepted) + 1, time.monotonic()
-        sending = job = None
+    async def send(self, seconds):
+        """Send a job each second, one try each, for a time."""
+        number, next_at = len(self.accepted) + self.refused + 1, time.monotonic()
         until = time.monotonic() + seconds
         while time.monotonic() < until:
-            await asyncio.sleep(0.1)
-            now = time.monotonic()
-            if sending is None and now >= next_at:
-                job = make_chain(number)
-                number, next_at = number + 1, now + 1.0
-                sending = asyncio.create_task(self._cell.submit(job, tries=1))
-            if sending is not None and sending.done():
-                if sending.result():
-                    self.accepted.append((job, now))
-                else:
-                    self.refused += 1
-                sending = None
-            self._look(now)
-        if sending is not None:
-            sending.cancel()
-        self._report()
+            await asyncio.sleep(max(0.0, next_at - time.monotonic()))
+            next_at = max(next_at + 1.0, time.monotonic())
+            job = make_chain(number)
+            number += 1
+            if await self._cell.submit(job, tries=1):
+                self.accepted.append(job)
+            else:
+                self.refused += 1
 
-    def is_broken(self):
-        """Return whether a job had nothing running for longer than the rule allows."""
-        return any(idle > MAX_IDLE_SECONDS for idle in self.worst.values())
+    async def judge(self):
+        """Return whether a job stands still at the end; call after the traffic."""
+        cell = self._cell
+        cell.tell("end of the traffic")
+        await asyncio.sleep(FINISH_SECONDS)
+        states = await asyncio.gather(*map(cell.find_state, self.accepted))
+        self._idle = [job for job in self.accepted if not self._is_done(job)]
+        until = time.monotonic() + MAX_IDLE_SECONDS + 0.2
+        most_used = 0.0
+        while time.monotonic() < until:
+            most_used = max(most_used, self._measure_use())
+            self._idle = [job for job in self._idle if not self._is_running(job)]
+            await asyncio.sleep(0.05)
+        self._idle = [job for job in self._idle if not self._is_done(job)]
+        shown = {state: states.count(state) for state in set(states)}
+        cell.tell(f"chains: {len(self.accepted)} accepted, {self.refused} not accepted")
+        cell.tell(f"states {FINISH_SECONDS:.0f} s after the traffic: {shown}")
+        for job in self._idle:
+            cell.tell(f"job {job.id} has nothing running for {MAX_IDLE_SECONDS:.0f} s")
+        cell.tell(f"highest use of the service meanwhile: {most_used:.2f}")
+        return bool(self._idle) and most_used < 0.5
 
-    def _look(self, now):
-        if self._measure_use() >= 0.5:
-            # The rule holds only while half of the service's room is free.
-            self._calm_since = now
-            return
-        for job, accepted_at in self.accepted:
-            idle = self._find_idle_seconds(job, max(accepted_at, self._calm_since), now)
-            if idle > self.worst.get(job.id, 0.0):
-                self.worst[job.id] = idle
+    def _is_running(self, job):
+        runs = self._cell.fleet.list_running()
+        return any(run.task.startswith(job.id + ".") for run in runs)
 
-    def _find_idle_seconds(self, job, since, now):
-        """Return for how long a job has had nothing running; 0 if it has ended."""
-        fleet, prefix = self._cell.fleet, job.id + "."
-        ends = [end for end in fleet.ends if end["task"].startswith(prefix)]
-        done = {end["task"] for end in ends if end["how"] == "done"}
-        total = sum(step["Count"] for step in job.body["Steps"])
-        running = any(run.task.startswith(prefix) for run in fleet.list_running())
-        if running or len(done) == total:
-            return 0.0
-        return now - max([since, *(end["at"] for end in ends)])
+    def _is_done(self, job):
+        ends = self._cell.fleet.ends
+        done = {
+            end["task"]
+            for end in ends
+            if end["task"].startswith(job.id + ".") and end["how"] == "done"
+        }
+        return len(done) == sum(step["Count"] for step in job.body["Steps"])
 
     def _measure_use(self):
         running = self._cell.fleet.list_running()
         return sum(run.step.get("Cpu", 0) for run in running) / self._room
-
-    def _report(self):
-        cell = self._cell
-        for job_id, idle in self.worst.items():
-            if idle > MAX_IDLE_SECONDS:
-                cell.tell(f"job {job_id} had nothing running for {idle:.1f} s")
-        lapsed = sum(end["how"] == "lapsed" for end in cell.fleet.ends)
-        cell.tell(f"chains: {len(self.accepted)} accepted, {self.refused} not accepted")
-        cell.tell(f"runs that lapsed: {lapsed}")
-        cell.tell(f"calls that the store refused: {cell.store.refused}")
-        cell.tell(f"use of the service at the end: {self._measure_use():.2f}")
--- a/review/rig3/executors.py
+++ b/review/rig3/executors.py
@@ -70,6 +70,10 @@
     ----------
     starts, ends : list of dict
         What executors have begun and ended, in order.
+    noted : list of dict
+        Ends that `AckedThrough` has reached, and whether the lease still held.
+    call_count : int
+        Calls to all executors.
     """
 
     def __init__(self, store, tell, describe):
@@ -77,7 +81,8 @@
         self.tell = tell
         self.describe = describe
         self.executors = []
-        self.starts, self.ends = [], []
+        self.starts, self.ends, self.noted = [], [], []
+        self.call_count = 0
         self.gangs = {}
         self._task = None
 
@@ -218,8 +223,8 @@
                 }
             )
         self.runs, self._stopped, self._ends = {}, {}, []
+        # A crash tells the store nothing: the entry stays until it expires.
         self._reports.cancel()
-        self._fleet.store.remove("servers", self.name)
         await self._runner.cleanup()
         self._restart = asyncio.create_task(self._start_again(seconds))
 
@@ -312,6 +317,7 @@
 
     async def _handle(self, request):
         body = loads(await request.read())
+        self._fleet.call_count += 1
         if self.is_cut_off:
             await asyncio.sleep(SILENT_SECONDS)
             return web.Response(status=500)
@@ -389,6 +395,12 @@
         if body.get("DeadlineMs"):
             self._extend_lease(body["DeadlineMs"])
         acked = body.get("AckedThrough", 0)
+        is_held = self._read_clock_ms() <= self._lease_ms
+        self._fleet.noted += [
+            {"task": end[1], "run": end[2], "is_lease_held": is_held}
+            for end in self._ends
+            if end[0] <= acked
+        ]
         self._ends = [end for end in self._ends if end[0] > acked]
         wait = min(MAX_WAIT_MS, body.get("WaitMs", 0)) / 1000
         if wait and not self._ends:
