Divide the progress of a job among rows that the store takes

Cause: the progress of a job was one row of any size. The store refuses a row over RowBytes, and with it the transaction of the owner: all other changes and the lease. The owner took the refusal for a lost answer and repeated it, as did each successor, which loads the same job.

Change: progress over the limit is compressed and divided among rows of one transaction; checkpoints are left out if it would exceed a transaction. A final refusal has a code of its own. A refused transaction is halved until the refused job is alone; its rows are written again after a pause, or it is rejected if it is new. Members store a refused row apart from others. The stand-in's store bounds rows and bytes, too.

--- a/libs/cell/src/cactustiller/cell/members/insertion.py
+++ b/libs/cell/src/cactustiller/cell/members/insertion.py
@@ -4,10 +4,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from cactustiller.model import Outcome
+from cactustiller.model import ErrorCode, Outcome
 from cactustiller.ports.breaker import CircuitBreaker
 
 from ..ports import Committed, RowKey, Transaction
+from ..reporting.events import Event, log_event
 
 # A longer call to the store would leave no time for a second try.
 CALL_TIMEOUT_SECONDS = 0.9
@@ -37,13 +38,17 @@
 
 @dataclass(slots=True)
 class _Pending:
-    """Row to insert, with the future that its callers await."""
+    """Row to insert, with the future that its callers await.
+
+    One that is apart shares no transaction with others, of which the store refused one.
+    """
 
     value: bytes
     deadline: float
     future: asyncio.Future
     may_be_stored: bool = False
     attempts: int = 0
+    is_apart: bool = False
 
 
 class Inserter:
@@ -116,6 +121,9 @@
                 ),
                 CALL_TIMEOUT_SECONDS,
             )
+            if answer.is_err() and answer.unwrap_err().code is ErrorCode.INVALID:
+                self._apply_refusal(batch)
+                continue
             self._record(answer.is_ok())
             if answer.is_ok():
                 self._apply_reply(answer.unwrap(), batch)
@@ -129,9 +137,12 @@
         batch, size = {}, 0
         for key, pending in self._pending.items():
             size += len(pending.value)
-            if batch and (size > MAX_BYTES or len(batch) >= MAX_ROWS):
+            is_full = size > MAX_BYTES or len(batch) >= MAX_ROWS
+            if batch and (is_full or pending.is_apart):
                 break
             batch[key] = pending
+            if pending.is_apart:
+                break
         return batch
 
     def _record(self, is_ok):
@@ -153,6 +164,18 @@
             if key in stored:
                 self._resolve(key, Acceptance.ACCEPTED)
 
+    def _apply_refusal(self, batch):
+        """Store rows apart of which the store refuses one, or refuse the only one."""
+        self._in_flight = frozenset()
+        if len(batch) > 1:
+            for pending in batch.values():
+                pending.is_apart = True
+            return
+        ((key, pending),) = batch.items()
+        log_event(Event.ROWS_REFUSED, job=key.key, rows=1, bytes=len(pending.value))
+        is_unknown = pending.may_be_stored
+        self._resolve(key, Acceptance.UNKNOWN if is_unknown else Acceptance.REFUSED)
+
     def _apply_failure(self, batch, is_not_run):
         now = asyncio.get_running_loop().time()
         self._in_flight = frozenset()
--- a/libs/cell/src/cactustiller/cell/owner/batches.py
+++ b/libs/cell/src/cactustiller/cell/owner/batches.py
@@ -2,14 +2,18 @@
 
 from dataclasses import dataclass, field
 
+from ..configuration import MAX_ROW_BYTES
 from ..decisions.placement_round import Placement
-from ..records.progress import encode_progress
+from ..records.progress_rows import make_progress_puts
+from .row_groups import find_progress_limits
 from .run_control import RunControl
 
 # A placement that is older than this when its batch is stored is discarded, and its
 # task is scheduled again. The limit allows for four transactions of a store that is
 # sixty times slower than usual. For newer placements the worker's state is checked.
 MAX_PLACEMENT_AGE_SECONDS = 2.5
+# Delay before the rows of a job that the store has refused are written again.
+REFUSED_PAUSE_SECONDS = 2.0
 
 
 @dataclass(slots=True)
@@ -18,8 +22,8 @@
 
     Attributes
     ----------
-    rows : dict of JobId to bytes
-        Encoded progress rows, most urgent first.
+    rows : dict of JobId to (dict of RowKey to bytes or None)
+        Progress rows to put or, if None, to remove; the most urgent jobs first.
     new_jobs : list of JobId
         Jobs whose specification rows are part of the transaction.
     states : dict of JobId to (JobRun, JobState)
@@ -43,11 +47,16 @@
         Returns the monotonic time of the event loop in seconds.
     wall_clock_ms : callable
         Returns Unix milliseconds.
+    max_row_bytes : int
+        Largest value that a row of the store may have.
     """
 
-    def __init__(self, clock, wall_clock_ms):
+    def __init__(self, clock, wall_clock_ms, max_row_bytes=MAX_ROW_BYTES):
         super().__init__(clock, wall_clock_ms)
         self._unstored_placements = []
+        self._progress_limits = find_progress_limits(max_row_bytes)
+        # Jobs whose rows the store has refused, with the time of the next attempt.
+        self._refused_until = {}
 
     def confirm_jobs(self, jobs):
         """Publish the states of jobs whose rows are stored."""
@@ -71,11 +80,14 @@
             together with its progress row or before it.
         """
         self._dirty &= self.jobs.keys()
+        self._forget_refusals()
         unstored = set(new_jobs)
         ended = [job for job in self._dirty if self.jobs[job].state.is_final]
         placed = [p.task.step.job.spec.job for p in self._unstored_placements]
         batch = Batch()
         for job_id in dict.fromkeys([*ended, *placed, *unstored, *self._dirty]):
+            if job_id in self._refused_until:
+                continue
             is_dirty, is_new = job_id in self._dirty, job_id in unstored
             max_rows -= is_dirty + is_new
             if max_rows < 0:
@@ -84,7 +96,7 @@
                 batch.new_jobs.append(job_id)
             if is_dirty:
                 job = self.jobs[job_id]
-                batch.rows[job_id] = encode_progress(job)
+                batch.rows[job_id] = make_progress_puts(job, *self._progress_limits)
                 batch.states[job_id] = (job, job.state)
         self._dirty -= batch.rows.keys()
         later = []
@@ -96,13 +108,47 @@
 
     @property
     def unstored_job_count(self):
-        """Number of jobs whose latest progress is not part of a batch yet."""
-        return len(self._dirty)
+        """Number of jobs whose latest progress the next batches will store."""
+        return len(self._dirty - self._refused_until.keys())
 
     def is_unstored(self, job_id):
         """Return whether a job's latest progress is not part of a batch yet."""
         return job_id in self._dirty
 
+    def withdraw_refused(self, batch, jobs):
+        """Take jobs whose rows the store has refused out of a batch.
+
+        Their tasks are placed again, and their rows written again, after a pause. Other
+        jobs are not affected.
+        """
+        until = self._clock() + REFUSED_PAUSE_SECONDS
+        for job_id in jobs:
+            puts = batch.rows.pop(job_id, {})
+            batch.states.pop(job_id, None)
+            job = self.jobs.get(job_id)
+            if job is None:
+                continue
+            # Any of the further rows may be in the store.
+            job.further_rows = max(job.further_rows, len(puts) - 1)
+            self._refused_until[job_id] = until
+            self._dirty.add(job_id)
+            for step in job.iterate_steps():
+                step.retry_at = max(step.retry_at, until)
+        kept = []
+        for placement in batch.placements:
+            task = placement.task
+            if task.step.job.spec.job in jobs:
+                self.reject_start(placement.worker, task, task.run, until)
+            else:
+                kept.append(placement)
+        batch.placements = kept
+
+    def _forget_refusals(self):
+        now = self._clock()
+        self._refused_until = {
+            job: until for job, until in self._refused_until.items() if now < until
+        }
+
     def confirm_batch(self, batch):
         """Publish the states of a stored batch; return the placements to start.
 
--- a/libs/cell/src/cactustiller/cell/owner/commits.py
+++ b/libs/cell/src/cactustiller/cell/owner/commits.py
@@ -4,21 +4,14 @@
 
 from result import Err, Ok
 
-from cactustiller.model import ErrorCode, Failure, JobId, Outcome
-
-from ..ports import (
-    JOB_TABLE,
-    OWNER_ROW,
-    Committed,
-    Conflict,
-    Transaction,
-    make_job_key,
-    make_progress_key,
-)
+from cactustiller.model import ErrorCode, Failure, Outcome
+
+from ..ports import OWNER_ROW, Committed, Conflict, Transaction
 from ..records.claims import OwnerRecord, decode_owner, encode_owner
 from ..reporting.events import Event, log_event
 from .capacity import MAX_OWNER_SECONDS_WITHOUT_STORE
 from .election import RENEW_SECONDS
+from .row_groups import split_groups
 
 # About three times the latency of a store that is sixty times slower than its usual
 # 10 ms.
@@ -43,49 +36,6 @@
 # Value of the counter of such failures once an attempt may have taken effect; further
 # failures then never reach the limit, so that its jobs are not refused.
 POSSIBLY_STORED = float("-inf")
-# The store limits a transaction to 100 entries and 1 MB. The owner's row uses two
-# entries, and base64 makes values a third larger.
-MAX_ENTRIES = 96
-MAX_BYTES = 600_000
-
-
-def split_puts(groups):
-    """Split puts into dicts that each fit one transaction; return at least one dict.
-
-    Parameters
-    ----------
-    groups : list of list of (RowKey, bytes)
-        Puts that must share a transaction, the most urgent group first.
-    """
-    chunks = [{}]
-    entries = size = 0
-    for group in groups:
-        length = sum(len(value) for _, value in group)
-        if entries + len(group) > MAX_ENTRIES or size + length > MAX_BYTES:
-            chunks.append({})
-            entries = size = 0
-        chunks[-1].update(group)
-        entries += len(group)
-        size += length
-    return chunks
-
-
-def group_puts(rows, new_jobs):
-    """Return one group of puts for each job: its own row, if new, and its progress.
-
-    Parameters
-    ----------
-    rows : list of (JobId, bytes)
-        Progress rows, the most urgent first.
-    new_jobs : list of (JobId, bytes)
-        Rows of newly submitted jobs.
-    """
-    groups = {job: [] for job, _ in rows}
-    for job, value in new_jobs:
-        groups.setdefault(job, []).append((make_job_key(job), value))
-    for job, value in rows:
-        groups[job].append((make_progress_key(job), value))
-    return list(groups.values())
 
 
 class OwnershipLostError(Exception):
@@ -148,33 +98,70 @@
         now = asyncio.get_running_loop().time()
         return now - self.succeeded_at >= RENEW_SECONDS
 
-    async def write(self, rows, new_jobs=()):
+    async def write(self, groups):
         """Store all rows, retrying until the store confirms them.
 
         Parameters
         ----------
-        rows : list of (JobId, bytes)
-            Progress rows, the most urgent first.
-        new_jobs : list of (JobId, bytes)
-            Rows of newly submitted jobs.
+        groups : list of RowGroup
+            The most urgent first.
+
+        Returns
+        -------
+        list of JobId
+            Jobs whose rows the store refuses for good, so that nothing was stored.
 
         Raises
         ------
         OwnershipLostError
             If another member has taken over, or the store is unavailable for too long.
         """
-        for chunk in split_puts(group_puts(rows, new_jobs)):
-            await self._write_chunk(chunk)
+        refused = []
+        for chunk in split_groups(groups):
+            refused += await self._write_groups(chunk)
+        return refused
 
     async def release(self):
         """Release the cell, so that another member takes over immediately."""
-        await self._write_chunk({}, is_released=True)
+        await self._write_chunk([], is_released=True)
+
+    async def _write_groups(self, groups):
+        """Store groups in one transaction, or in several to find refused ones.
 
-    async def _write_chunk(self, puts, is_released=False):
+        One row that the store refuses fails the whole transaction, so a refused one is
+        halved until the refused groups are alone. Returns their jobs.
+        """
+        failure = await self._write_chunk(groups)
+        if failure is None:
+            return []
+        if len(groups) > 1:
+            middle = len(groups) // 2
+            return [
+                *await self._write_groups(groups[:middle]),
+                *await self._write_groups(groups[middle:]),
+            ]
+        (group,) = groups
+        log_event(
+            Event.ROWS_REFUSED,
+            job=group.job,
+            rows=len(group.puts),
+            bytes=group.size,
+            step=failure.step,
+            peer=failure.peer,
+            reason=failure.reason,
+        )
+        if group.is_new_job:
+            self._drop_new_jobs(groups)
+        return [group.job]
+
+    async def _write_chunk(self, groups, is_released=False):
         """Retry one transaction until it is committed or ownership is lost.
 
         Every attempt has the same sequence number, so that the owner's row shows
         whether an earlier one was committed.
+
+        Returns None, or the `Failure` with which the store refuses the groups for what
+        they contain.
         """
         loop = asyncio.get_running_loop()
         sequence = self.record.sequence + 1
@@ -183,17 +170,17 @@
             record = self._make_record(sequence, is_released)
             # Another member may have stored a job's row already. Overwriting it is
             # safe, because no task starts before the owner has loaded the job.
-            transaction = Transaction(
-                {OWNER_ROW: self._version}, {**puts, OWNER_ROW: encode_owner(record)}
-            )
+            transaction = self._make_transaction(groups, record)
             sent_at = loop.time()
             answer = await self._transact(transaction, record)
             if answer.is_ok():
                 if isinstance(answer.unwrap(), Committed):
                     self.transaction_seconds = loop.time() - sent_at
                 self._accept(answer.unwrap(), record)
-                return
+                return None
             failure = answer.unwrap_err()
+            if failure.code is ErrorCode.INVALID and groups:
+                return failure
             is_not_run = failure.outcome is Outcome.NOT_RUN
             not_run_failures = not_run_failures + 1 if is_not_run else POSSIBLY_STORED
             if failure.code is ErrorCode.TIMEOUT and not is_not_run:
@@ -206,9 +193,20 @@
             if quick_failures == MAX_QUICK_FAILURES:
                 self._on_rejected()
             if not_run_failures >= MAX_NOT_RUN_FAILURES:
-                self._drop_jobs(puts)
+                self._drop_new_jobs(groups)
             await asyncio.sleep(RETRY_SECONDS)
 
+    def _make_transaction(self, groups, record):
+        puts, removes = {}, []
+        for group in groups:
+            for key, value in group.puts.items():
+                if value is None:
+                    removes.append(key)
+                else:
+                    puts[key] = value
+        puts[OWNER_ROW] = encode_owner(record)
+        return Transaction({OWNER_ROW: self._version}, puts, tuple(removes))
+
     def _make_record(self, sequence, is_released):
         since = asyncio.get_running_loop().time() - self._store_ms_at
         return OwnerRecord(
@@ -309,14 +307,13 @@
             self.is_store_unavailable = False
             log_event(Event.DEPENDENCY_RECOVERED, dependency="store")
 
-    def _drop_jobs(self, puts):
-        """Remove new jobs from a transaction if no attempt can have taken effect."""
-        jobs = [key for key in puts if key.table == JOB_TABLE]
-        for key in jobs:
-            del puts[key]
-            puts.pop(make_progress_key(key.key), None)
-        if jobs:
-            self._on_not_stored([JobId(key.key) for key in jobs])
+    def _drop_new_jobs(self, groups):
+        """Remove the rows of new jobs if no attempt can have taken effect."""
+        dropped = [group for group in groups if group.is_new_job and group.puts]
+        for group in dropped:
+            group.puts.clear()
+        if dropped:
+            self._on_not_stored([group.job for group in dropped])
 
     def _on_timeout(self, failure):
         """Record a timeout as a failure unless a slow store may explain it."""
--- a/libs/cell/src/cactustiller/cell/owner/engine.py
+++ b/libs/cell/src/cactustiller/cell/owner/engine.py
@@ -10,6 +10,7 @@
 
 from cactustiller.model import JobState
 
+from ..configuration import MAX_ROW_BYTES
 from ..decisions.cold_workers import ColdWorkerRanker
 from ..decisions.interference import InterferenceObserver
 from ..decisions.interference_ranking import InterferenceRanker
@@ -47,6 +48,8 @@
         Returns Unix milliseconds.
     max_job_bytes : int
         Memory for all jobs.
+    max_row_bytes : int
+        Largest value that a row of the store may have.
 
     Attributes
     ----------
@@ -54,8 +57,14 @@
         Stored jobs that are not loaded, since there is no memory for their tasks.
     """
 
-    def __init__(self, clock, wall_clock_ms, max_job_bytes=DEFAULT_JOB_BYTES):
-        super().__init__(clock, wall_clock_ms)
+    def __init__(
+        self,
+        clock,
+        wall_clock_ms,
+        max_job_bytes=DEFAULT_JOB_BYTES,
+        max_row_bytes=MAX_ROW_BYTES,
+    ):
+        super().__init__(clock, wall_clock_ms, max_row_bytes)
         self.job_memory = JobMemory(self.jobs, max_job_bytes, clock)
         self.deferred_jobs = {}
         self._shares = ShareMeter()
--- a/libs/cell/src/cactustiller/cell/owner/loading.py
+++ b/libs/cell/src/cactustiller/cell/owner/loading.py
@@ -11,6 +11,7 @@
     PROGRESS_TABLE,
     split_job_key,
 )
+from ..records.progress_rows import join_progress_rows
 from ..records.specs import decode_job
 from ..records.tables import read_table
 from ..reporting.events import Event, log_event
@@ -41,6 +42,7 @@
         self._engine = engine
         self._store = store
         self._cancelled = set()
+        self._further_rows = {}
         self._feed_version = 0
 
     async def load(self):
@@ -137,6 +139,7 @@
                 return
             engine.add_job(spec, progress, is_stored)
             if progress is not None:
+                engine.jobs[job].further_rows = self._further_rows.get(job, 0)
                 engine.job_memory.count(engine.jobs[job])
         except (ValueError, KeyError, IndexError, TypeError) as error:
             log_event(Event.ENTRY_UNREADABLE, what="job", job=job, reason=repr(error))
@@ -145,13 +148,14 @@
             self._engine.cancel_job(job)
 
     async def _read_progress(self):
-        """Return the progress rows by job.
+        """Return the encoded progress by job.
 
         Read before the jobs: a job and its progress are removed together, and a job
         without progress counts as new.
         """
         rows, _ = await self._read_table(PROGRESS_TABLE, CELL_PART)
-        return {row.key.key: row.value for row in rows}
+        progress, self._further_rows = join_progress_rows(rows)
+        return progress
 
     async def _read_table(self, table, part):
         answer = await read_table(
--- a/libs/cell/src/cactustiller/cell/owner/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner/owner.py
@@ -16,11 +16,12 @@
 from ..supervision import keep_running
 from .announcements import Announcer
 from .approvals import ApprovalDispatcher
-from .commits import MAX_ENTRIES, BatchWriter, OwnershipLostError
+from .commits import BatchWriter, OwnershipLostError
 from .dispatch import Dispatcher
 from .engine import Engine
 from .housekeeping import run_housekeeping
 from .loading import JobLoader
+from .row_groups import MAX_ENTRIES, make_row_groups
 from .submission_checks import SubmissionChecks
 from .submissions import PendingSubmissions
 
@@ -56,7 +57,10 @@
     def __init__(self, ports, claim, status_retention_ms, read_seconds=0.0):
         loop = asyncio.get_running_loop()
         self.engine = Engine(
-            loop.time, ports.wall_clock_ms, ports.settings.max_job_bytes
+            loop.time,
+            ports.wall_clock_ms,
+            ports.settings.max_job_bytes,
+            ports.settings.max_row_bytes,
         )
         self.is_loaded = False
         self.epoch = claim[0].epoch
@@ -298,7 +302,9 @@
         batch = engine.collect(MAX_ENTRIES, self._submissions.jobs)
         jobs = self._submissions.start_commit(batch.new_jobs)
         if jobs or batch.rows or self._writer.needs_renewal:
-            await self._writer.write(list(batch.rows.items()), jobs)
+            refused = await self._writer.write(make_row_groups(batch.rows, jobs))
+            if refused:
+                engine.withdraw_refused(batch, refused)
             self._submissions.finish_commit()
             self._dispatcher.send_starts(engine.confirm_batch(batch))
             engine.acknowledge_ends()
--- a/libs/cell/src/cactustiller/cell/ports.py
+++ b/libs/cell/src/cactustiller/cell/ports.py
@@ -68,8 +68,10 @@
     """Store of versioned rows with conditional transactions and change feeds.
 
     A `Failure` with the outcome `NOT_RUN` guarantees that the call has no effect; after
-    any other, the call may still take effect later. The code `historyLost` means that
-    the feed no longer has the changes since the given version.
+    any other, the call may still take effect later. The code `invalid` means that the
+    store refuses the call for what it contains, such as a row that is too large, so
+    that a retry fails as well. The code `historyLost` means that the feed no longer has
+    the changes since the given version.
     """
 
     async def transact(
--- a/libs/cell/src/cactustiller/cell/records/progress.py
+++ b/libs/cell/src/cactustiller/cell/records/progress.py
@@ -13,7 +13,7 @@
 # keys there but rejects rows with more fields. No worker has this id.
 COPIES_KEY = "*copies"
 # Progress rows hold the position of the state in this tuple.
-_STATES = (
+STATES = (
     JobState.WAITING,
     JobState.RUNNING,
     JobState.SUCCEEDED,
@@ -22,19 +22,25 @@
 )
 
 
-def encode_progress(job):
-    """Return the encoded progress row of a job.
+def encode_progress(job, has_checkpoints=True):
+    """Return the encoded progress of a job, with or without checkpoints.
 
-    The row of a final job holds only its state and end.
+    That of a final job holds only its state and end.
     """
     if job.state.is_final:
-        return orjson.dumps([_STATES.index(job.state), job.ended_ms])
+        return orjson.dumps([STATES.index(job.state), job.ended_ms])
     occurrences = [
-        [number, [[step.last_failed_run, _encode_tasks(step)] for step in steps]]
+        [
+            number,
+            [
+                [step.last_failed_run, _encode_tasks(step, has_checkpoints)]
+                for step in steps
+            ],
+        ]
         for number, steps in job.occurrences.items()
     ]
     fields = [
-        _STATES.index(job.state),
+        STATES.index(job.state),
         job.ended_ms,
         job.finished_occurrences,
         int(job.has_started),
@@ -71,7 +77,7 @@
     }
 
 
-def _encode_tasks(step):
+def _encode_tasks(step, has_checkpoints):
     """Encode each task as 0 (no run yet), 1 (succeeded) or the fields of its run."""
     tasks = []
     for task in step.tasks:
@@ -80,13 +86,14 @@
         elif not task.run:
             tasks.append(0)
         else:
-            tasks.append([task.run, task.failures, task.worker, task.checkpoint])
+            checkpoint = task.checkpoint if has_checkpoints else ""
+            tasks.append([task.run, task.failures, task.worker, checkpoint])
     return tasks
 
 
 def decode_state(data):
-    """Return the `JobState` in a progress row."""
-    return _STATES[orjson.loads(data)[0]]
+    """Return the `JobState` in the first progress row of a job."""
+    return STATES[orjson.loads(data)[0]]
 
 
 def decode_progress(spec, data):
@@ -102,7 +109,7 @@
     """
     try:
         fields = orjson.loads(data)
-        job = JobRun(spec, state=_STATES[fields[0]], ended_ms=fields[1])
+        job = JobRun(spec, state=STATES[fields[0]], ended_ms=fields[1])
         if job.state.is_final:
             return job
         job.finished_occurrences = fields[2]
--- a/libs/cell/src/cactustiller/cell/records/runs.py
+++ b/libs/cell/src/cactustiller/cell/records/runs.py
@@ -223,6 +223,8 @@
         Unix milliseconds of its end; 0 before it.
     is_over_share : bool
         The job exceeded its team's share when it was added.
+    further_rows : int
+        Rows in the store beside the first one of its progress.
     """
 
     spec: JobSpec
@@ -232,6 +234,7 @@
     has_started: bool = False
     ended_ms: int = 0
     is_over_share: bool = False
+    further_rows: int = 0
 
     def open_occurrence(self, number):
         """Create the steps of an occurrence that is due."""
--- a/libs/cell/src/cactustiller/cell/reporting/events.py
+++ b/libs/cell/src/cactustiller/cell/reporting/events.py
@@ -37,6 +37,7 @@
     JOB_DEFERRED = "job_deferred"
     JOB_CANCELLED = "job_cancelled"
     JOB_ENDED = "job_ended"
+    ROWS_REFUSED = "rows_refused"
     APPROVAL = "approval"
     RUN_STARTED = "run_started"
     RUN_REFUSED = "run_refused"
@@ -84,6 +85,7 @@
         Event.JOB_DEFERRED,
         Event.JOB_CANCELLED,
         Event.JOB_ENDED,
+        Event.ROWS_REFUSED,
         Event.APPROVAL,
         Event.RUN_STARTED,
         Event.RUN_ENDED,
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -15,6 +15,9 @@
 TRANSACT_SECONDS = 0.005
 PAGE_ROWS = 500
 MOST_ENTRIES = 100
+MOST_BYTES = 1_000_000
+# Of a value in base64.
+ENCODED_SIZE = 4 / 3
 JOB_TABLE = "jobs"
 
 
@@ -37,6 +40,12 @@
         Delay of a transaction that is carried out late.
     slowness : float
         Factor on the time of each call.
+    row_bytes : int
+        Largest value that a row may have.
+    refused_keys : set of RowKey
+        Rows that the store refuses, whatever their value.
+    largest_row, largest_call, written_bytes : int
+        Largest value, largest sum of values of a transaction, and sum of all values.
     """
 
     rows: dict = field(default_factory=dict)
@@ -45,10 +54,26 @@
     oldest: int = 0
     late_seconds: float = 2.0
     slowness: float = 1.0
+    row_bytes: int = 65_536
+    refused_keys: set = field(default_factory=set)
+    largest_row: int = 0
+    largest_call: int = 0
+    written_bytes: int = 0
     calls: int = 0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     turn: asyncio.Lock = field(default_factory=asyncio.Lock)
 
+    def refuses(self, transaction):
+        """Return whether a transaction is not one that the store takes."""
+        parts = (transaction.expected, transaction.puts, transaction.removes)
+        sizes = [len(value) for value in transaction.puts.values()]
+        return (
+            sum(map(len, parts)) > MOST_ENTRIES
+            or ENCODED_SIZE * sum(sizes) > MOST_BYTES
+            or max(sizes, default=0) > self.row_bytes
+            or not self.refused_keys.isdisjoint(transaction.puts)
+        )
+
     def apply(self, transaction):
         """Apply a transaction; return `Committed` or `Conflict`."""
         now_ms = int(asyncio.get_running_loop().time() * 1000)
@@ -58,6 +83,7 @@
                 found = [self.rows[k] for k in transaction.expected if k in self.rows]
                 return Conflict(tuple(found))
         self.version += 1
+        self._measure([len(value) for value in transaction.puts.values()])
         for key, value in transaction.puts.items():
             self._change(Row(key, value, self.version))
         for key in transaction.removes:
@@ -87,6 +113,11 @@
         self.changes.clear()
         self.oldest = self.version
 
+    def _measure(self, sizes):
+        self.largest_row = max([self.largest_row, *sizes])
+        self.largest_call = max(self.largest_call, sum(sizes))
+        self.written_bytes += sum(sizes)
+
     def _change(self, row):
         self.rows[row.key] = row
         self.changes.append(row)
@@ -110,9 +141,8 @@
         failure = await self._refuse(seconds)
         if failure is not None:
             return failure
-        parts = (transaction.expected, transaction.puts, transaction.removes)
-        if sum(map(len, parts)) > MOST_ENTRIES:
-            return _fail(ErrorCode.PROTOCOL, "status 400", Outcome.UNKNOWN)
+        if self._store.refuses(transaction):
+            return _fail(ErrorCode.INVALID, "status 400", Outcome.NOT_RUN)
         if self.trouble is Trouble.CARRYING_OUT_LATE:
             self._run_aside(self._carry_out(transaction, self._store.late_seconds))
             return await self._lose(seconds)
--- a/tests/fleet/test_client.py
+++ b/tests/fleet/test_client.py
@@ -90,6 +90,21 @@
     assert answer.unwrap_err().outcome is Outcome.NOT_RUN
 
 
+@pytest.mark.parametrize("status", [400, 403, 413, 422])
+async def test_refusal_of_the_content_has_its_own_code(status):
+    # Guards against a refused row that is repeated as if its answer had been lost.
+    async with Peer(status) as peer:
+        failure = (await call_store(peer)).unwrap_err()
+    assert (failure.code, failure.outcome) == (ErrorCode.INVALID, Outcome.NOT_RUN)
+
+
+@pytest.mark.parametrize("status", [404, 500, 502, 507])
+async def test_other_statuses_have_the_outcome_unknown(status):
+    async with Peer(status) as peer:
+        failure = (await call_store(peer)).unwrap_err()
+    assert (failure.code, failure.outcome) == (ErrorCode.PROTOCOL, Outcome.UNKNOWN)
+
+
 async def test_timeout_has_the_outcome_unknown():
     async with Peer(is_unresponsive=True) as peer:
         answer = await call_store(peer, seconds=0.1)
