Hold capacity for gangs only where it will become free

Cause: a gang that does not fit reserved workers by what each would hold if it were empty. A lasting task counted as free at once, a run past its estimate as ending now. The bound on reservations was tested before one was added and counted all services.

Change: a worker counts with what is free once its finite runs have ended, in each resource; runs without an end, or at twice their expected duration, keep what they use, and nothing is held for over 15 s. The bound holds with the new reservation, for each service. A step of which nothing runs waits for gangs 1.5 s at most while under half of its service is in use. Preemption looks at accelerators and at the limit per worker, too.

--- a/libs/cell/src/cactustiller/cell/decisions/blocking.py
+++ b/libs/cell/src/cactustiller/cell/decisions/blocking.py
@@ -9,8 +9,8 @@
 from typing import NamedTuple
 
 from ..records.workers import Exclusion
-from .ordering import LATE_URGENT, URGENT
-from .placement_round import cap_per_worker, count_tasks_by_worker
+from .candidates import cap_per_worker, count_tasks_by_worker
+from .reservations import may_use_reserved
 
 
 class Obstacle(Enum):
@@ -83,7 +83,7 @@
     return None
 
 
-def find_block(step, rules, key, workers, now):
+def find_block(step, rules, key, workers, now, used_fraction=1.0):
     """Return the `Block` of a step that nothing but the workers holds back.
 
     Parameters
@@ -94,16 +94,18 @@
     workers : iterable of Worker
     now : float
         Event loop time in seconds.
+    used_fraction : float
+        Part of the CPU of the step's service that is in use.
     """
     needed = step.spec.count if step.spec.is_gang else 1
     used = count_tasks_by_worker(step)
-    may_use_reserved = key.band in (URGENT, LATE_URGENT) or step.spec.fills
+    is_privileged = may_use_reserved(key, step, used_fraction, now)
     amounts = step.spec.counted
     counts, room = Counter(), Counter()
     for worker in workers:
         if worker.info.service != rules.service:
             continue
-        obstacle = _find_withholding(step, rules, worker, may_use_reserved, now)
+        obstacle = _find_withholding(step, rules, worker, is_privileged, now)
         if obstacle is Obstacle.NONE:
             obstacle = _find_shortage(step, used, amounts, worker)
         counts[obstacle] += 1
@@ -114,7 +116,7 @@
     return Block(_find_reason(counts, room, needed), counts)
 
 
-def _find_withholding(step, rules, worker, may_use_reserved, now):
+def _find_withholding(step, rules, worker, is_privileged, now):
     label = step.spec.required_label
     if label and label not in worker.info.labels:
         return Obstacle.LABEL
@@ -124,7 +126,7 @@
     if rules.needs_approval and worker.info.worker not in step.approved:
         return Obstacle.NOT_APPROVED
     is_reserved = worker.reserved_for not in (None, step)
-    if is_reserved and not may_use_reserved:
+    if is_reserved and not is_privileged:
         return Obstacle.RESERVED
     return Obstacle.NONE
 
--- a/libs/cell/src/cactustiller/cell/decisions/copy_placement.py
+++ b/libs/cell/src/cactustiller/cell/decisions/copy_placement.py
@@ -4,13 +4,13 @@
 work on time waits, within their budget, and only on workers with nothing against them.
 """
 
-from .ordering import IN_TIME, LATE_URGENT, OVER_SHARE_OFFSET, URGENT
-from .placement_round import (
+from .candidates import (
     cap_per_worker,
     count_tasks_by_worker,
     has_valid_ticket,
     is_candidate,
 )
+from .ordering import IN_TIME, LATE_URGENT, OVER_SHARE_OFFSET, URGENT
 
 # Bands of work that no copy may delay, also of teams over their share. Late urgent work
 # precedes batch work, so it precedes copies as well.
--- a/libs/cell/src/cactustiller/cell/decisions/gang_placement.py
+++ b/libs/cell/src/cactustiller/cell/decisions/gang_placement.py
@@ -1,24 +1,20 @@
 """Placement of gangs, whose tasks start together: as a whole or not at all.
 
 Answers a full cell in which single tasks take each piece of capacity as it becomes
-free: workers are reserved for a gang that does not fit yet, those that become free
-first, and runs are preempted for one that would otherwise be late.
+free: workers are reserved for a gang that does not fit yet (`reservations.py`), and
+runs are preempted for one that would otherwise be late.
 """
 
 from collections import Counter
 from itertools import islice
 
-from .ordering import IN_TIME, LATE_URGENT, URGENT
-from .placement_round import cap_per_worker, has_valid_ticket, is_candidate
+from .candidates import cap_per_worker, has_valid_ticket, is_candidate
+from .ordering import IN_TIME, URGENT
 from .suspect_placement import may_isolate
 
-# No further gang reserves workers once this fraction of them is reserved; a larger
-# fraction leaves too much capacity idle.
-MAX_RESERVED_FRACTION = 0.4
 # A batch gang with less time than this left to start on time preempts other runs; an
 # on-time urgent gang always may.
 CRITICAL_SLACK_SECONDS = 2.5
-URGENT_BANDS = (URGENT, LATE_URGENT)
 # A blocked gang requests tickets this long before its reserved workers become free.
 APPROVAL_LEAD_SECONDS = 0.8
 
@@ -35,7 +31,7 @@
     team = step.job.spec.team
     if current_round.count_team_fits(team, spec.amounts, spec.count) < spec.count:
         return
-    may_use_reserved = key.band in URGENT_BANDS
+    may_use_reserved = current_round.may_use_reserved(key, step, rules)
     chosen = _choose_workers(current_round, step, rules, may_use_reserved)
     if chosen is None:
         if not _preempt(current_round, key, step, rules):
@@ -157,7 +153,7 @@
     ]
     chosen = current_round.preemption.preempt_for_gang(step, open_workers)
     for worker in chosen:
-        current_round.reserve(worker, step)
+        current_round.reservations.reserve(worker, step)
     return bool(chosen)
 
 
@@ -172,44 +168,31 @@
 def _reserve(current_round, step, rules):
     """Reserve workers for a gang that does not fit yet.
 
-    Requests approval shortly before all of them are free.
+    None are reserved unless the runs there are expected to end soon enough. Requests
+    approval shortly before all of the workers are free.
     """
-    if current_round.reserved_count >= MAX_RESERVED_FRACTION * len(
-        current_round.workers
-    ):
-        return
-    amounts, counts = step.spec.counted, Counter()
+    reservations, counts = current_round.reservations, Counter()
     missing = step.spec.count
     selected = []
-    for free_at, worker in current_round.iterate_by_end(step):
+    for outlook, worker in reservations.iterate_by_end(step):
         if worker.reserved_for is not None or not is_candidate(step, rules, worker):
             continue
         max_count = cap_per_worker(step, counts, worker, step.spec.count)
-        fit_count = _count_fits_when_empty(worker, amounts, max_count)
+        fit_count = outlook.amounts.count_fits(step.spec.counted, max_count)
         if fit_count:
-            selected.append((free_at, worker))
+            selected.append((outlook.free_at, worker))
             missing -= fit_count
             if missing <= 0:
                 break
     if missing > 0:
         return
+    free_at = max(free_at for free_at, _ in selected)
+    if not reservations.may_reserve(rules.service, len(selected), free_at):
+        return
     for _, worker in selected:
-        current_round.reserve(worker, step)
+        reservations.reserve(worker, step)
     soon = current_round.now + APPROVAL_LEAD_SECONDS
-    is_free_soon = max(free_at for free_at, _ in selected) <= soon
-    if is_free_soon and not all(
+    if free_at <= soon and not all(
         has_valid_ticket(step, rules, w, soon) for _, w in selected
     ):
         current_round.steps_needing_approval.append(step)
-
-
-def _count_fits_when_empty(worker, amounts, max_count):
-    """Return how many tasks would fit on the worker if it had no runs.
-
-    At most `max_count`; `amounts` are those of one task.
-    """
-    capacity = worker.info.capacity
-    for needed, available in zip(amounts, capacity, strict=True):
-        if needed:
-            max_count = min(max_count, available // needed)
-    return max_count
--- a/libs/cell/src/cactustiller/cell/decisions/placement.py
+++ b/libs/cell/src/cactustiller/cell/decisions/placement.py
@@ -11,14 +11,15 @@
 """
 
 from ..records.runs import RunPhase
-from .gang_placement import URGENT_BANDS, place_gang
-from .ordering import IN_TIME, URGENT, may_be_deferred
-from .placement_round import (
+from .candidates import (
     cap_per_worker,
     count_tasks_by_worker,
     has_valid_ticket,
     is_candidate,
 )
+from .gang_placement import place_gang
+from .ordering import IN_TIME, URGENT, may_be_deferred
+from .reservations import URGENT_BANDS
 from .suspect_placement import place_suspect
 
 # Bands whose steps are considered even if no worker has enough free capacity for one
@@ -54,15 +55,14 @@
 def _place_tasks(current_round, key, step, rules):
     """Place as many pending tasks of a step as fit, independently of each other.
 
-    Urgent and filling steps may use reserved workers. An on-time urgent step of which
-    no task fits preempts other runs.
+    An on-time urgent step of which no task fits preempts other runs.
     """
     wanted = current_round.count_team_fits(
         step.job.spec.team, step.spec.amounts, step.pending_count
     )
     if wanted <= 0:
         return
-    may_use_reserved = key.band in URGENT_BANDS or step.spec.fills
+    may_use_reserved = current_round.may_use_reserved(key, step, rules)
     if step.suspects and place_suspect(current_round, step, rules, may_use_reserved):
         return
     fits = _find_fits(current_round, step, rules, wanted, may_use_reserved)
--- a/libs/cell/src/cactustiller/cell/decisions/placement_round.py
+++ b/libs/cell/src/cactustiller/cell/decisions/placement_round.py
@@ -1,16 +1,13 @@
 """Input, intermediate state and outcome of one scheduling round; no I/O."""
 
-from collections import Counter
 from typing import NamedTuple
 
 from ..records.runs import TaskRun
 from ..records.workers import Worker
 from .free_capacity import FreeCapacity
 from .preemption import PreemptionSearch
+from .reservations import Reservations, may_use_reserved
 
-# Minimum remaining validity of an approval ticket, so that it is still valid when the
-# start reaches the worker.
-TICKET_MARGIN_SECONDS = 0.25
 # Minimum interval between preemptions for the same step. A stop takes effect within 0.2
 # to 0.4 s, so a shorter interval finds no new capacity.
 PREEMPTION_INTERVAL_SECONDS = 0.15
@@ -53,6 +50,8 @@
         More than `MAX_USED_BY_DEFERRED` of the cell is in use.
     rankers : sequence of WorkerRanker
         Preferences among the workers on which a task fits.
+    usage : dict of ServiceName to float or None
+        Part of the CPU of each service that is in use; all of it if unknown.
 
     Attributes
     ----------
@@ -63,8 +62,8 @@
         Workers by free CPU.
     preemption : PreemptionSearch
         Runs to stop in favour of urgent steps and critical gangs.
-    reserved_count : int
-        Number of workers reserved for gangs that do not fit yet.
+    reservations : Reservations
+        Workers reserved for gangs that do not fit yet.
     used_workers : set of WorkerId
         Workers with a placement in this round.
     """
@@ -79,6 +78,7 @@
         isolated_count=0,
         is_busy=False,
         rankers=(),
+        usage=None,
     ):
         self.now = now
         self.wall_now = wall_now
@@ -89,22 +89,14 @@
         self.steps_needing_approval = []
         self.free = FreeCapacity(workers)
         self.preemption = PreemptionSearch(now)
-        self.reserved_count = 0
+        self.reservations = Reservations(now, workers)
         self.isolated_count = isolated_count
         self.worker_count = len(workers) + isolated_count
         self.used_workers = set()
         self._add_team_usage = add_team_usage
         self._rankers = rankers
-        self._previous_reservations = {}
-        self._ends = None
+        self._usage = usage or {}
         self._workers_by_id = None
-        for worker in workers:
-            if worker.reserved_for is not None:
-                reserved = self._previous_reservations.setdefault(
-                    worker.reserved_for, []
-                )
-                reserved.append(worker)
-                worker.reserved_for = None
 
     @property
     def preempted(self):
@@ -123,28 +115,10 @@
             if getattr(ranker, "sets_gang_pace", False)
         )
 
-    def iterate_by_end(self, step):
-        """Yield ``(free_at, worker)`` in the order in which a gang reserves workers.
-
-        Workers reserved for the step in the previous round come first, so that their
-        runs end without being replaced, then those that become free first.
-        """
-        if self._ends is None:
-            ends = [
-                (_estimate_free_at(worker, self.now), worker.info.worker, worker)
-                for worker in self.workers
-            ]
-            self._ends = sorted(ends)
-        previous = set(self._previous_reservations.get(step, ()))
-        for is_previous in (True, False) if previous else (False,):
-            for free_at, _, worker in self._ends:
-                if (worker in previous) == is_previous:
-                    yield free_at, worker
-
-    def reserve(self, worker, step):
-        """Reserve a worker for a gang that does not fit yet."""
-        worker.reserved_for = step
-        self.reserved_count += 1
+    def may_use_reserved(self, key, step, rules):
+        """Return whether a step may run on workers that are reserved for a gang."""
+        used_fraction = self._usage.get(rules.service, 1.0)
+        return may_use_reserved(key, step, used_fraction, self.now)
 
     def assign(self, task, worker):
         """Add a placement and count the task's amounts for its worker and team."""
@@ -205,53 +179,3 @@
         total += worker.info.capacity[0]
         free += max(0, worker.free_cpu)
     return total - free > MAX_USED_BY_DEFERRED * total
-
-
-def has_valid_ticket(step, rules, worker, now):
-    """Return whether the worker would accept a start of the step."""
-    if not rules.needs_approval:
-        return True
-    until = step.approved_until.get(worker.info.worker, 0.0)
-    return now + TICKET_MARGIN_SECONDS <= until
-
-
-def is_candidate(step, rules, worker):
-    """Return whether a worker may run the step, whatever its free capacity.
-
-    It belongs to the queue's service, has the required label and is approved.
-    """
-    info = worker.info
-    label = step.spec.required_label
-    return (
-        info.service == rules.service
-        and (not label or label in info.labels)
-        and (not rules.needs_approval or info.worker in step.approved)
-    )
-
-
-def count_tasks_by_worker(step):
-    """Return the runs of a step by worker, if their number there is limited."""
-    counts = Counter()
-    if step.spec.max_per_worker:
-        counts.update(run.worker for run in step.iterate_runs() if run.holds_capacity)
-    return counts
-
-
-def cap_per_worker(step, counts, worker, max_count):
-    """Return `max_count` lowered to the step's limit per worker."""
-    if step.spec.max_per_worker:
-        return min(max_count, step.spec.max_per_worker - counts[worker.info.worker])
-    return max_count
-
-
-def _estimate_free_at(worker, now):
-    """Return the time by which the worker's runs are expected to end.
-
-    Ignores service tasks, which have no expected end.
-    """
-    latest = now
-    for task, _ in worker.runs.values():
-        spec = task.step.spec
-        if not spec.is_service:
-            latest = max(latest, (task.started_at or now) + spec.estimate_ms / 1000)
-    return latest
--- a/libs/cell/src/cactustiller/cell/decisions/preemption.py
+++ b/libs/cell/src/cactustiller/cell/decisions/preemption.py
@@ -7,6 +7,10 @@
 
 from typing import NamedTuple
 
+from cactustiller.model import NO_AMOUNTS, Amounts
+
+from .candidates import cap_per_worker, count_tasks_by_worker
+
 # Maximum number of runs preempted in a round, including those for gangs, beyond which
 # none is preempted for single tasks. Later rounds count the capacity being freed before
 # they preempt more.
@@ -23,8 +27,7 @@
     `candidates` are tasks, those with the largest CPU amounts first.
     """
 
-    cpu: int
-    memory: int
+    free: Amounts
     candidates: list
 
 
@@ -67,12 +70,15 @@
         amounts = step.spec.counted
         wanted = step.pending_count
         options = []
+        counts = count_tasks_by_worker(step)
         for worker in workers:
-            cpu, memory, candidates = self._find_victims(worker)
-            if cpu >= amounts[0] and memory >= amounts[1]:
+            if cap_per_worker(step, counts, worker, 1) <= 0:
+                continue
+            free, candidates = self._find_victims(worker)
+            if free.count_fits(amounts, 1):
                 wanted -= 1
                 continue
-            victims = _choose_victims(candidates, amounts[0] - cpu, amounts[1] - memory)
+            victims = _choose_victims(candidates, _find_missing(amounts, free))
             if victims is not None:
                 options.append((len(victims), worker.info.worker, worker, victims))
         options.sort(key=lambda option: option[:2])
@@ -98,16 +104,16 @@
             `MAX_GANG_VICTIMS` preempted runs.
         """
         amounts = step.spec.counted
+        counts = count_tasks_by_worker(step)
         options = []
         for worker in workers:
             found = self._find_victims(worker)
-            fits_now = _count_fits(found.cpu, found.memory, amounts)
-            fits_after_stops = _count_fits(
-                found.cpu + sum(task.step.spec.counted[0] for task in found.candidates),
-                found.memory
-                + sum(task.step.spec.counted[1] for task in found.candidates),
-                amounts,
-            )
+            max_count = cap_per_worker(step, counts, worker, step.spec.count)
+            fits_now = found.free.count_fits(amounts, max_count)
+            freed = found.free
+            for task in found.candidates:
+                freed = freed.plus(task.step.spec.counted)
+            fits_after_stops = freed.count_fits(amounts, max_count)
             if fits_after_stops:
                 order = (-fits_now, -fits_after_stops, worker.info.worker)
                 options.append((order, worker, found))
@@ -116,10 +122,9 @@
         stops, chosen_workers = [], []
         for (_, negated_fits, _), worker, found in options:
             count = min(missing, -negated_fits)
+            needed = Amounts(*(count * amount for amount in amounts))
             victims = _choose_victims(
-                found.candidates,
-                count * amounts[0] - found.cpu,
-                count * amounts[1] - found.memory,
+                found.candidates, _find_missing(needed, found.free)
             )
             stops.append((victims or [], worker))
             chosen_workers.append(worker)
@@ -136,41 +141,29 @@
         for task in victims:
             self.preempted.append((task, worker))
             self._candidates[worker].remove(task)
-            cpu, memory = self._stopping[worker]
-            amounts = task.step.spec.counted
-            self._stopping[worker] = (cpu + amounts[0], memory + amounts[1])
+            stopping = self._stopping[worker]
+            self._stopping[worker] = stopping.plus(task.step.spec.counted)
 
     def _find_victims(self, worker):
         """Return the `Victims` of a worker as they are now in this round."""
         if worker not in self._candidates:
             self._inspect(worker)
-        cpu, memory = self._stopping[worker]
-        return Victims(
-            worker.free_cpu + cpu,
-            worker.free_memory + memory,
-            self._candidates[worker],
-        )
+        free = Amounts(worker.free_cpu, worker.free_memory, worker.free_accelerators)
+        return Victims(free.plus(self._stopping[worker]), self._candidates[worker])
 
     def _inspect(self, worker):
-        cpu = memory = 0
+        stopping = NO_AMOUNTS
         candidates = []
         for task, run in worker.runs.values():
             if task.is_stopping:
-                cpu += task.step.spec.counted[0]
-                memory += task.step.spec.counted[1]
+                stopping = stopping.plus(task.step.spec.counted)
             elif task.run == run and _is_preemptible(task, self._now):
                 candidates.append(task)
         candidates.sort(key=lambda task: -task.step.spec.counted[0])
-        self._stopping[worker] = (cpu, memory)
+        self._stopping[worker] = stopping
         self._candidates[worker] = candidates
 
 
-def _count_fits(cpu, memory, amounts):
-    """Return how many tasks, each of `amounts`, fit into the free CPU and memory."""
-    fits = [amount // n for amount, n in ((cpu, amounts[0]), (memory, amounts[1])) if n]
-    return max(0, min(fits, default=0))
-
-
 def _is_preemptible(task, now):
     """Return whether a run can be preempted without loss of work.
 
@@ -186,16 +179,30 @@
     )
 
 
-def _choose_victims(candidates, cpu, memory):
-    """Return the runs to stop to free the CPU and memory; None if they free too little.
+def _find_missing(needed, free):
+    """Return by how much the needed amounts exceed the free ones."""
+    return Amounts(
+        *(
+            max(0, amount - available) if amount else 0
+            for amount, available in zip(needed, free, strict=True)
+        )
+    )
+
+
+def _choose_victims(candidates, missing):
+    """Return the runs to stop to free the missing amounts; None if they free too few.
 
-    Takes the first candidates, which have the largest CPU amounts.
+    Takes the first candidates, which have the largest CPU amounts, and passes over
+    those that free nothing that is still missing.
     """
     victims = []
     for task in candidates:
-        if cpu <= 0 and memory <= 0:
+        if max(missing) <= 0:
             break
-        victims.append(task)
-        cpu -= task.step.spec.counted[0]
-        memory -= task.step.spec.counted[1]
-    return victims if cpu <= 0 and memory <= 0 else None
+        freed = task.step.spec.counted
+        if any(
+            amount > 0 and more > 0 for amount, more in zip(freed, missing, strict=True)
+        ):
+            victims.append(task)
+            missing = missing.plus(freed, -1)
+    return victims if max(missing) <= 0 else None
--- a/libs/cell/src/cactustiller/cell/decisions/suspect_placement.py
+++ b/libs/cell/src/cactustiller/cell/decisions/suspect_placement.py
@@ -6,7 +6,7 @@
 """
 
 from ..records.runs import RunPhase
-from .placement_round import (
+from .candidates import (
     cap_per_worker,
     count_tasks_by_worker,
     has_valid_ticket,
--- a/libs/cell/src/cactustiller/cell/owner/block_reports.py
+++ b/libs/cell/src/cactustiller/cell/owner/block_reports.py
@@ -9,6 +9,7 @@
 from ..decisions.blocking import Block, find_block, find_step_obstacle
 from ..decisions.ordering import may_be_deferred
 from ..decisions.placement_round import is_cell_busy
+from ..decisions.reservations import measure_usage
 from ..reporting.events import Event, log_event
 
 INTERVAL_SECONDS = 1.0
@@ -72,6 +73,7 @@
         engine, now_ms = self._engine, self._wall_clock_ms()
         workers = engine.workers.values()
         is_busy = cache(lambda: is_cell_busy(workers))
+        usage = cache(lambda: measure_usage(workers))
         looks_left = MAX_WORKER_LOOKS
         known = {}
         steps = heapq.nsmallest(
@@ -91,7 +93,9 @@
                 if looks_left < len(workers) and looks_left < MAX_WORKER_LOOKS:
                     continue
                 looks_left -= len(workers)
-                known[shape] = find_block(step, rules, key, workers, now)
+                known[shape] = find_block(
+                    step, rules, key, workers, now, usage().get(rules.service, 1.0)
+                )
             yield step, known[shape]
 
     def _log(self, step, block, now):
--- a/libs/cell/src/cactustiller/cell/owner/engine.py
+++ b/libs/cell/src/cactustiller/cell/owner/engine.py
@@ -18,6 +18,7 @@
 from ..decisions.ordering import find_start_limits, make_order_key
 from ..decisions.placement import place_steps
 from ..decisions.placement_round import PlacementRound, is_cell_busy
+from ..decisions.reservations import measure_usage
 from ..decisions.shares import ShareMeter
 from ..decisions.speculation import Speculation
 from ..decisions.speed_ranker import SpeedRanker
@@ -195,6 +196,7 @@
             isolated_count=len(isolated),
             is_busy=is_cell_busy(self.workers.values()),
             rankers=self._rankers,
+            usage=measure_usage(self.workers.values()),
         )
         self._interference_ranker.begin_round(current_round.placements)
         place_steps(current_round, ordered)
--- a/libs/model/src/cactustiller/model/amounts.py
+++ b/libs/model/src/cactustiller/model/amounts.py
@@ -19,6 +19,13 @@
         """Return whether no amount exceeds that of `other`."""
         return self[0] <= other[0] and self[1] <= other[1] and self[2] <= other[2]
 
+    def count_fits(self, needed, max_count):
+        """Return how many times `needed` fits within these, at most `max_count`."""
+        for amount, available in zip(needed, self, strict=True):
+            if amount:
+                max_count = min(max_count, available // amount)
+        return max(0, max_count)
+
     def plus(self, other, count=1):
         """Return the sum of these amounts and `count` times `other`."""
         return Amounts(
