Decide by the load and the limits of a service, not of the cell

Cause: whether work without value waits was decided by the CPU in use of all services.

Change: the load is measured for each service. So are the bounds on isolated and avoided workers, preempted runs, copies and examined steps of a report; services take turns at approval calls; the last tenth of the memory for jobs is for teams with little of it.

--- a/libs/cell/src/cactustiller/cell/decisions/blocking.py
+++ b/libs/cell/src/cactustiller/cell/decisions/blocking.py
@@ -68,7 +68,7 @@
     has_team_room : bool
         The team's limit allows the next start of the step.
     is_deferred : bool
-        The step has no value any more and waits for a less busy cell.
+        The step has no value any more and waits for a less busy service.
     now : float
         Event loop time in seconds.
     """
@@ -83,7 +83,7 @@
     return None
 
 
-def find_block(step, rules, key, workers, now, used_fraction=1.0):
+def find_block(step, rules, key, workers, now, is_half_used=True):
     """Return the `Block` of a step that nothing but the workers holds back.
 
     Parameters
@@ -94,12 +94,12 @@
     workers : iterable of Worker
     now : float
         Event loop time in seconds.
-    used_fraction : float
-        Part of the CPU of the step's service that is in use.
+    is_half_used : bool
+        Half of the step's service, or more, is in use.
     """
     needed = step.spec.count if step.spec.is_gang else 1
     used = count_tasks_by_worker(step)
-    is_privileged = may_use_reserved(key, step, used_fraction, now)
+    is_privileged = may_use_reserved(key, step, is_half_used, now)
     amounts = step.spec.counted
     counts, room = Counter(), Counter()
     for worker in workers:
--- a/libs/cell/src/cactustiller/cell/decisions/copy_placement.py
+++ b/libs/cell/src/cactustiller/cell/decisions/copy_placement.py
@@ -31,6 +31,7 @@
     """
 
     def __init__(self, current_round, ordered):
+        self._limited_teams = set()
         self._teams = set()
         self._needs = set()
         for key, step, rules in ordered:
@@ -41,15 +42,17 @@
             if rules.needs_approval and step.approved is None:
                 continue
             team, spec = step.job.spec.team, step.spec
-            self._teams.add(team)
+            self._teams.add((team, rules.service))
             wanted = spec.count if spec.is_gang else 1
             fits = current_round.count_team_fits(team, spec.amounts, wanted)
             if fits == wanted:
                 self._needs.add((rules.service, spec.required_label))
+            else:
+                self._limited_teams.add(team)
 
-    def needs_team(self, team):
-        """Return whether work of the team waits, be it for its limit."""
-        return team in self._teams
+    def needs_team(self, team, service):
+        """Return whether work of the team waits for its limit or in a service."""
+        return team in self._limited_teams or (team, service) in self._teams
 
     def needs_worker(self, worker):
         """Return whether work waits that the worker may run."""
@@ -78,15 +81,16 @@
         step = late.task.step
         team = step.job.spec.team
         amounts = step.spec.counted
-        if step.retry_at > current_round.now or waiting.needs_team(team):
+        service = rules.service
+        if step.retry_at > current_round.now or waiting.needs_team(team, service):
             continue
-        if not budget.allows(team, amounts):
+        if not budget.allows(team, service, amounts):
             continue
         if not current_round.count_team_fits(team, step.spec.amounts, 1):
             continue
         worker = _choose_worker(current_round, late.task, rules, waiting)
         if worker is not None:
-            budget.take(team, amounts)
+            budget.take(team, service, amounts)
             yield late, worker
 
 
--- a/libs/cell/src/cactustiller/cell/decisions/health.py
+++ b/libs/cell/src/cactustiller/cell/decisions/health.py
@@ -19,7 +19,7 @@
 # Workers stay up slightly longer than they announce.
 LEAVE_MARGIN_SECONDS = 0.5
 STALL_AVOID_SECONDS = 4.0
-# Maximum fraction of the workers that is avoided at once; one always may be.
+# Maximum fraction of a service's workers that is avoided at once; one always may be.
 MAX_AVOIDED_FRACTION = 0.34
 
 
@@ -54,9 +54,10 @@
 
 def _avoid(worker, workers, now, seconds):
     """Exclude a worker from placement unless too many workers are excluded."""
-    all_workers = list(workers)
-    avoided = sum(other.avoided_until > now for other in all_workers)
-    if avoided + 1 > max(1.0, MAX_AVOIDED_FRACTION * len(all_workers)):
+    service = worker.info.service
+    others = [other for other in workers if other.info.service == service]
+    avoided = sum(other.avoided_until > now for other in others)
+    if avoided + 1 > max(1.0, MAX_AVOIDED_FRACTION * len(others)):
         return False
     worker.avoided_until = now + seconds
     log_event(
--- a/libs/cell/src/cactustiller/cell/decisions/job_memory.py
+++ b/libs/cell/src/cactustiller/cell/decisions/job_memory.py
@@ -5,6 +5,7 @@
 """
 
 import sys
+from collections import Counter
 from typing import NamedTuple
 
 from ..records.specs import MAX_TASKS_PER_JOB
@@ -20,8 +21,11 @@
 TASK_BYTES = 400
 # The total is computed at most this often; jobs admitted meanwhile are added to it.
 TOTAL_VALID_SECONDS = 2.0
-# Deferred jobs are loaded once this share of the memory is free.
+# This share of the memory is kept for teams that use little of it; deferred jobs are
+# loaded once it is free.
 FREE_SHARE = 0.1
+# A team uses little as long as its jobs take less than this share.
+SMALL_TEAM_SHARE = 0.05
 DEFAULT_JOB_BYTES = 64 * 1024 * 1024
 
 
@@ -70,6 +74,7 @@
         self._clock = clock
         self._sizes = {}
         self._used_bytes = 0
+        self._used_by_team = Counter()
         self._counted_at = float("-inf")
 
     @property
@@ -90,11 +95,11 @@
         """Add a job that is kept whether there is memory for it or not."""
         size = estimate_job_size(job.spec)
         occurrences = len(job.occurrences) * size.occurrence
-        self._used_bytes += size.specification + occurrences
+        self._add(job.spec.team, size.specification + occurrences)
 
     def admit(self, spec):
         """Return whether there is memory for a new job, which then counts."""
-        return self._reserve(sum(estimate_job_size(spec)))
+        return self._reserve(spec.team, sum(estimate_job_size(spec)))
 
     def admit_occurrence(self, job):
         """Return whether a recurring job may have one more open occurrence.
@@ -107,18 +112,26 @@
         tasks = sum(step.count for step in job.spec.steps)
         if (len(job.occurrences) + 1) * tasks > MAX_TASKS_PER_JOB:
             return False
-        return self._reserve(estimate_job_size(job.spec).occurrence)
+        return self._reserve(job.spec.team, estimate_job_size(job.spec).occurrence)
 
-    def _reserve(self, size):
-        if self.used_bytes + size > self._max_bytes:
+    def _reserve(self, team, size):
+        """Add to the memory of a team's jobs if there is room; return whether so."""
+        total = self.used_bytes + size
+        is_small = self._used_by_team[team] < SMALL_TEAM_SHARE * self._max_bytes
+        if total > self._max_bytes * (1 if is_small else 1 - FREE_SHARE):
             return False
-        self._used_bytes += size
+        self._add(team, size)
         return True
 
+    def _add(self, team, size):
+        self._used_bytes += size
+        self._used_by_team[team] += size
+
     def _sum_up(self):
         previous, self._sizes, self._used_bytes = self._sizes, {}, 0
+        self._used_by_team = Counter()
         for job_id, job in self._jobs.items():
             size = previous.get(job_id) or estimate_job_size(job.spec)
             self._sizes[job_id] = size
-            self._used_bytes += size.specification
-            self._used_bytes += len(job.occurrences) * size.occurrence
+            occurrences = len(job.occurrences) * size.occurrence
+            self._add(job.spec.team, size.specification + occurrences)
--- a/libs/cell/src/cactustiller/cell/decisions/ordering.py
+++ b/libs/cell/src/cactustiller/cell/decisions/ordering.py
@@ -110,7 +110,7 @@
 
 
 def may_be_deferred(key, wall_now):
-    """Return whether a step may wait until the cell is less busy.
+    """Return whether a step may wait until its service is less busy.
 
     Work without value may, for a limited time, since each of its runs would take the
     capacity of jobs whose callers still wait.
--- a/libs/cell/src/cactustiller/cell/decisions/placement.py
+++ b/libs/cell/src/cactustiller/cell/decisions/placement.py
@@ -38,7 +38,8 @@
     for key, step, rules in ordered:
         if step.retry_at > current_round.now:
             continue
-        if current_round.is_busy and may_be_deferred(key, current_round.wall_now):
+        is_deferred = may_be_deferred(key, current_round.wall_now)
+        if is_deferred and current_round.is_busy(rules.service):
             continue
         if rules.needs_approval and step.approved is None:
             current_round.steps_needing_approval.append(step)
@@ -120,7 +121,7 @@
 
 
 def _preempt(current_round, step, rules):
-    if current_round.preemption.is_exhausted:
+    if current_round.preemption.is_exhausted(rules.service):
         return
     if current_round.claim_preemption_turn(step):
         candidates = [
--- a/libs/cell/src/cactustiller/cell/decisions/placement_round.py
+++ b/libs/cell/src/cactustiller/cell/decisions/placement_round.py
@@ -1,5 +1,6 @@
 """Input, intermediate state and outcome of one scheduling round; no I/O."""
 
+from collections import Counter
 from typing import NamedTuple
 
 from ..records.runs import TaskRun
@@ -7,18 +8,13 @@
 from .free_capacity import FreeCapacity
 from .preemption import PreemptionSearch
 from .reservations import Reservations, may_use_reserved
+from .service_usage import is_busy, is_half_used
 
 # Minimum interval between preemptions for the same step. A stop takes effect within 0.2
 # to 0.4 s, so a shorter interval finds no new capacity.
 PREEMPTION_INTERVAL_SECONDS = 0.15
 
 
-# Work without value is placed only while less than this fraction of the cell's CPU is
-# in use. The rest is for jobs that are still to come, and a cell that is half used
-# finishes everything.
-MAX_USED_BY_DEFERRED = 0.6
-
-
 class Placement(NamedTuple):
     """Assignment of a task to a worker; `decided_at` is event loop time in seconds."""
 
@@ -44,14 +40,12 @@
         Adds ``(team, amounts)`` to the team's usage.
     wall_now : float
         Unix time in seconds.
-    isolated_count : int
-        Number of workers on which a suspect is on probation; not in `workers`.
-    is_busy : bool
-        More than `MAX_USED_BY_DEFERRED` of the cell is in use.
+    isolated : iterable of Worker
+        Workers on which a suspect is on probation; not in `workers`.
     rankers : sequence of WorkerRanker
         Preferences among the workers on which a task fits.
     usage : dict of ServiceName to float or None
-        Part of the CPU of each service that is in use; all of it if unknown.
+        Part of the CPU of each service that is in use.
 
     Attributes
     ----------
@@ -75,14 +69,12 @@
         count_team_fits,
         add_team_usage,
         wall_now=0.0,
-        isolated_count=0,
-        is_busy=False,
+        isolated=(),
         rankers=(),
         usage=None,
     ):
         self.now = now
         self.wall_now = wall_now
-        self.is_busy = is_busy
         self.workers = workers
         self.count_team_fits = count_team_fits
         self.placements = []
@@ -90,8 +82,10 @@
         self.free = FreeCapacity(workers)
         self.preemption = PreemptionSearch(now)
         self.reservations = Reservations(now, workers)
-        self.isolated_count = isolated_count
-        self.worker_count = len(workers) + isolated_count
+        self.isolated_counts = Counter(worker.info.service for worker in isolated)
+        self.worker_counts = self.isolated_counts + Counter(
+            worker.info.service for worker in workers
+        )
         self.used_workers = set()
         self._add_team_usage = add_team_usage
         self._rankers = rankers
@@ -115,10 +109,14 @@
             if getattr(ranker, "sets_gang_pace", False)
         )
 
+    def is_busy(self, service):
+        """Return whether work of a service that has no value has to wait."""
+        return is_busy(self._usage, service)
+
     def may_use_reserved(self, key, step, rules):
         """Return whether a step may run on workers that are reserved for a gang."""
-        used_fraction = self._usage.get(rules.service, 1.0)
-        return may_use_reserved(key, step, used_fraction, self.now)
+        half_used = is_half_used(self._usage, rules.service)
+        return may_use_reserved(key, step, half_used, self.now)
 
     def assign(self, task, worker):
         """Add a placement and count the task's amounts for its worker and team."""
@@ -132,7 +130,7 @@
     def isolate(self, worker):
         """Place nothing else on a worker in this round."""
         self.free.remove(worker)
-        self.isolated_count += 1
+        self.isolated_counts[worker.info.service] += 1
 
     def request_more_approvals(self, step, rules):
         """Request approval of more workers for a step that fits on no approved one.
@@ -163,19 +161,3 @@
             return False
         step.next_preemption_at = self.now + PREEMPTION_INTERVAL_SECONDS
         return True
-
-
-def is_cell_busy(workers):
-    """Return whether deferred work has to wait.
-
-    All workers count, also those that get no new tasks, since their runs hold capacity.
-
-    Parameters
-    ----------
-    workers : iterable of Worker
-    """
-    total = free = 0
-    for worker in workers:
-        total += worker.info.capacity[0]
-        free += max(0, worker.free_cpu)
-    return total - free > MAX_USED_BY_DEFERRED * total
--- a/libs/cell/src/cactustiller/cell/decisions/preemption.py
+++ b/libs/cell/src/cactustiller/cell/decisions/preemption.py
@@ -5,15 +5,16 @@
 no work.
 """
 
+from collections import Counter
 from typing import NamedTuple
 
 from cactustiller.model import NO_AMOUNTS, Amounts
 
 from .candidates import cap_per_worker, count_tasks_by_worker
 
-# Maximum number of runs preempted in a round, including those for gangs, beyond which
-# none is preempted for single tasks. Later rounds count the capacity being freed before
-# they preempt more.
+# Maximum number of runs of a service preempted in a round, including those for gangs,
+# beyond which none is preempted for single tasks. Later rounds count the capacity being
+# freed before they preempt more.
 MAX_VICTIMS = 6
 # Maximum number of runs preempted for one gang that would otherwise miss its objective.
 MAX_GANG_VICTIMS = 48
@@ -47,13 +48,13 @@
     def __init__(self, now):
         self.preempted = []
         self._now = now
+        self._counts = Counter()
         self._candidates = {}
         self._stopping = {}
 
-    @property
-    def is_exhausted(self):
-        """Whether no more runs are preempted for single tasks in this round."""
-        return len(self.preempted) >= MAX_VICTIMS
+    def is_exhausted(self, service):
+        """Return whether no more runs of a service are preempted for single tasks."""
+        return self._counts[service] >= MAX_VICTIMS
 
     def preempt_for_step(self, step, workers):
         """Choose runs to preempt so that tasks of an urgent step fit.
@@ -83,7 +84,7 @@
                 options.append((len(victims), worker.info.worker, worker, victims))
         options.sort(key=lambda option: option[:2])
         for count, _, worker, victims in options:
-            if wanted <= 0 or len(self.preempted) + count > MAX_VICTIMS:
+            if wanted <= 0 or self._counts[worker.info.service] + count > MAX_VICTIMS:
                 return
             self._preempt(victims, worker)
             wanted -= 1
@@ -140,6 +141,7 @@
     def _preempt(self, victims, worker):
         for task in victims:
             self.preempted.append((task, worker))
+            self._counts[worker.info.service] += 1
             self._candidates[worker].remove(task)
             stopping = self._stopping[worker]
             self._stopping[worker] = stopping.plus(task.step.spec.counted)
--- a/libs/cell/src/cactustiller/cell/decisions/reservations.py
+++ b/libs/cell/src/cactustiller/cell/decisions/reservations.py
@@ -25,9 +25,7 @@
 # A run that has taken this many times its expected duration says nothing about its end.
 MAX_OVERRUN = 2.0
 MIN_OVERRUN_SECONDS = 1.0
-# A service below this fraction in use has capacity for all of its work, so that none is
-# kept waiting for longer than this.
-IDLE_FRACTION = 0.5
+# Work of a service that is not half used is not kept waiting for longer than this.
 MAX_WAIT_FOR_GANGS_SECONDS = 1.5
 URGENT_BANDS = (URGENT, LATE_URGENT)
 
@@ -154,7 +152,7 @@
     return max(ends_at, now) if now <= ends_at + overrun else None
 
 
-def may_use_reserved(key, step, used_fraction, now):
+def may_use_reserved(key, step, is_half_used, now):
     """Return whether a step may run on workers that are reserved for a gang.
 
     Urgent and filling steps may, and those of which nothing has run for some time
@@ -164,8 +162,8 @@
     ----------
     key : OrderKey
     step : StepRun
-    used_fraction : float
-        Part of the CPU of the step's service that is in use.
+    is_half_used : bool
+        Half of the step's service, or more, is in use.
     now : float
         Event loop time in seconds.
     """
@@ -174,19 +172,4 @@
     has_waited = now - step.eligible_at >= MAX_WAIT_FOR_GANGS_SECONDS
     is_idle = step.pending_count + step.succeeded_count == step.spec.count
     is_waiting = has_waited and (is_idle or step.spec.is_service)
-    return is_waiting and used_fraction < IDLE_FRACTION
-
-
-def measure_usage(workers):
-    """Return the fraction of the CPU in use by service, as dict of str to float.
-
-    All workers count, also those that get no new tasks, since their runs hold capacity.
-    """
-    totals, used = Counter(), Counter()
-    for worker in workers:
-        service, capacity = worker.info.service, worker.info.capacity[0]
-        totals[service] += capacity
-        used[service] += capacity - max(0, worker.free_cpu)
-    return {
-        service: used[service] / total for service, total in totals.items() if total
-    }
+    return is_waiting and not is_half_used
--- a/libs/cell/src/cactustiller/cell/decisions/speculation.py
+++ b/libs/cell/src/cactustiller/cell/decisions/speculation.py
@@ -98,8 +98,9 @@
         budget = CopiesBudget(workers)
         for task in self._iterate_tasks():
             if task.copy is not None:
-                spec = task.step.job.spec
-                budget.take(spec.team, task.step.spec.counted)
+                job = task.step.job
+                service = self._engine.find_rules(job).service
+                budget.take(job.spec.team, service, task.step.spec.counted)
         return budget
 
     def _iterate_tasks(self):
--- a/libs/cell/src/cactustiller/cell/decisions/stragglers.py
+++ b/libs/cell/src/cactustiller/cell/decisions/stragglers.py
@@ -10,6 +10,8 @@
 from statistics import median_low
 from typing import NamedTuple
 
+from cactustiller.model import NO_AMOUNTS
+
 from ..records.runs import RunEnd, RunPhase, TaskRun
 
 # Other tasks of the step whose run time is known or extrapolated that are needed for a
@@ -29,10 +31,10 @@
 MIN_REMAINING_SECONDS = 0.5
 # Run times kept for each step; more do not change the median noticeably.
 MAX_SAMPLES_PER_STEP = 50
-# Fraction of the capacity of the schedulable workers that all copies, and the copies of
-# one team, may use. Stragglers are 3 % of the tasks of the jobs that allow copies, and
-# about a fifth of one queue does.
-CELL_BUDGET_FRACTION = 0.04
+# Fraction of the capacity of a service's schedulable workers that all copies, and the
+# copies of one team, may use. Stragglers are 3 % of the tasks of the jobs that allow
+# copies, and about a fifth of one queue does.
+SERVICE_BUDGET_FRACTION = 0.04
 TEAM_BUDGET_FRACTION = 0.02
 
 
@@ -185,9 +187,9 @@
 
 
 class CopiesBudget:
-    """What copies may still use of the cell and for each team.
+    """What copies may still use of each service, and for each team there.
 
-    The fractions are of the sums over `workers`, for each resource.
+    The fractions are of the sums over a service's workers, for each resource.
 
     Parameters
     ----------
@@ -196,28 +198,31 @@
     """
 
     def __init__(self, workers):
-        capacities = [worker.info.capacity for worker in workers]
-        self._capacity = [
-            sum(amounts) for amounts in zip(*capacities, strict=True)
-        ] or [0, 0, 0]
-        self._used = [0, 0, 0]
+        self._capacity = {}
+        for worker in workers:
+            _add(self._capacity, worker.info.service, worker.info.capacity)
+        self._used = {}
         self._used_by_team = {}
 
-    def allows(self, team, amounts):
+    def allows(self, team, service, amounts):
         """Return whether one more copy of a team fits."""
-        used_by_team = self._used_by_team.get(team, [0, 0, 0])
+        capacities = self._capacity.get(service, NO_AMOUNTS)
+        used = self._used.get(service, NO_AMOUNTS)
+        used_by_team = self._used_by_team.get((team, service), NO_AMOUNTS)
         return all(
-            used + amount <= CELL_BUDGET_FRACTION * capacity
+            used + amount <= SERVICE_BUDGET_FRACTION * capacity
             and team_used + amount <= TEAM_BUDGET_FRACTION * capacity
             for used, team_used, amount, capacity in zip(
-                self._used, used_by_team, amounts, self._capacity, strict=True
+                used, used_by_team, amounts, capacities, strict=True
             )
             if amount
         )
 
-    def take(self, team, amounts):
+    def take(self, team, service, amounts):
         """Count a copy."""
-        used_by_team = self._used_by_team.setdefault(team, [0, 0, 0])
-        for index, amount in enumerate(amounts):
-            self._used[index] += amount
-            used_by_team[index] += amount
+        _add(self._used, service, amounts)
+        _add(self._used_by_team, (team, service), amounts)
+
+
+def _add(sums, key, amounts):
+    sums[key] = sums.get(key, NO_AMOUNTS).plus(amounts)
--- a/libs/cell/src/cactustiller/cell/decisions/suspect_placement.py
+++ b/libs/cell/src/cactustiller/cell/decisions/suspect_placement.py
@@ -21,7 +21,7 @@
 # The other tasks of a step wait this long for a suspect to be proven. A worker that
 # does not answer settles it only when its lease expires.
 MAX_PROBATION_WAIT_SECONDS = 1.5
-# No further suspects are started once this fraction of the workers is isolated.
+# No further suspects are started once this fraction of a service's workers is isolated.
 MAX_ISOLATED_FRACTION = 0.34
 
 
@@ -51,8 +51,9 @@
     pending = [task for task in step.suspects if task.phase is RunPhase.WAITING]
     if not pending:
         return False
-    limit = max(1.0, MAX_ISOLATED_FRACTION * current_round.worker_count)
-    if current_round.isolated_count >= limit:
+    worker_count = current_round.worker_counts[rules.service]
+    limit = max(1.0, MAX_ISOLATED_FRACTION * worker_count)
+    if current_round.isolated_counts[rules.service] >= limit:
         return True
     candidates = _find_candidates(current_round, step, rules, may_use_reserved)
     quiet = [w for w in candidates if may_isolate(current_round, step, w)]
--- a/libs/cell/src/cactustiller/cell/owner/approvals.py
+++ b/libs/cell/src/cactustiller/cell/owner/approvals.py
@@ -10,6 +10,7 @@
 from cactustiller.model import WorkerId
 from cactustiller.model.messages import AskApproval
 
+from ..decisions.service_turns import ServiceTurns
 from ..ports import Approval
 from ..reporting.events import Event, log_event
 
@@ -71,14 +72,20 @@
         self._peers = peers
         self._members = members
         self._on_answer = on_answer
+        self._turns = ServiceTurns()
         self._busy_members = set()
         self._paused_until = {}
         self._tasks = set()
 
     def start_calls(self, steps):
-        """Start calls for the steps in order until no member is free."""
+        """Start calls for the steps in order until no member is free.
+
+        Services with waiting steps take turns.
+        """
+        if not self.count_free_members():
+            return
         misses = 0
-        for step in steps:
+        for step in self._turns.order(steps, self._find_service):
             # Hundreds of steps may be pending; choosing workers for all is too slow.
             if misses == MAX_STEPS_WITHOUT_MEMBER or not self.count_free_members():
                 break
@@ -93,11 +100,15 @@
                 misses += 1
                 continue
             step.has_approval_call = True
+            self._turns.record(self._find_service(step))
             self._busy_members.add(member)
             task = asyncio.create_task(self._call(member, step, workers, expected))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def _find_service(self, step):
+        return self._engine.find_rules(step.job).service
+
     async def close(self):
         """Cancel all calls in flight."""
         for task in list(self._tasks):
--- a/libs/cell/src/cactustiller/cell/owner/block_reports.py
+++ b/libs/cell/src/cactustiller/cell/owner/block_reports.py
@@ -8,8 +8,7 @@
 
 from ..decisions.blocking import Block, find_block, find_step_obstacle
 from ..decisions.ordering import may_be_deferred
-from ..decisions.placement_round import is_cell_busy
-from ..decisions.reservations import measure_usage
+from ..decisions.service_usage import is_busy, is_half_used, measure_usage
 from ..reporting.events import Event, log_event
 
 INTERVAL_SECONDS = 1.0
@@ -17,9 +16,11 @@
 MIN_WAIT_SECONDS = 1.0
 # An unchanged reason is reported again after this time.
 REPEAT_SECONDS = 10.0
-# Bounds of one report: steps that are compared by their wait, steps that are examined,
-# and looks at workers, of which each takes about a microsecond.
+# Bounds of one report: steps of each service that are compared by their wait, steps
+# that are looked at for that, steps that are examined, and looks at workers, of which
+# each takes about a microsecond.
 MAX_COMPARED_STEPS = 400
+MAX_LISTED_STEPS = 4000
 MAX_STEPS = 20
 MAX_WORKER_LOOKS = 1000
 
@@ -56,11 +57,7 @@
     def report(self):
         """Examine some of the waiting steps and log what has changed."""
         now = self._clock()
-        waiting = [
-            step
-            for step in islice(self._engine.iterate_eligible(), MAX_COMPARED_STEPS)
-            if now - step.eligible_at >= MIN_WAIT_SECONDS
-        ]
+        waiting = self._list_waiting(now)
         self._forget_others(waiting)
         self.reasons = Counter()
         for step, block in self._examine(waiting, now):
@@ -68,11 +65,23 @@
             self.reasons[block.reason.value] += 1
             self._log(step, block, now)
 
+    def _list_waiting(self, now):
+        """Return steps that have waited, a bounded number of each service."""
+        counts = Counter()
+        waiting = []
+        for step in islice(self._engine.iterate_eligible(), MAX_LISTED_STEPS):
+            if now - step.eligible_at < MIN_WAIT_SECONDS:
+                continue
+            service = self._engine.find_rules(step.job).service
+            counts[service] += 1
+            if counts[service] <= MAX_COMPARED_STEPS:
+                waiting.append(step)
+        return waiting
+
     def _examine(self, waiting, now):
         """Yield ``(step, Block)`` within the bounds of one report."""
         engine, now_ms = self._engine, self._wall_clock_ms()
         workers = engine.workers.values()
-        is_busy = cache(lambda: is_cell_busy(workers))
         usage = cache(lambda: measure_usage(workers))
         looks_left = MAX_WORKER_LOOKS
         known = {}
@@ -82,7 +91,9 @@
             key=lambda step: (self._examined.get(step, 0.0), step.eligible_at),
         )
         for key, step, rules in engine.compute_order_keys(steps, now_ms):
-            is_deferred = may_be_deferred(key, now_ms / 1000) and is_busy()
+            is_deferred = may_be_deferred(key, now_ms / 1000) and is_busy(
+                usage(), rules.service
+            )
             has_room = engine.has_team_room(step)
             obstacle = find_step_obstacle(step, rules, has_room, is_deferred, now)
             if obstacle is not None:
@@ -94,7 +105,7 @@
                     continue
                 looks_left -= len(workers)
                 known[shape] = find_block(
-                    step, rules, key, workers, now, usage().get(rules.service, 1.0)
+                    step, rules, key, workers, now, is_half_used(usage(), rules.service)
                 )
             yield step, known[shape]
 
--- a/libs/cell/src/cactustiller/cell/owner/engine.py
+++ b/libs/cell/src/cactustiller/cell/owner/engine.py
@@ -17,8 +17,8 @@
 from ..decisions.job_memory import DEFAULT_JOB_BYTES, JobMemory
 from ..decisions.ordering import find_start_limits, make_order_key
 from ..decisions.placement import place_steps
-from ..decisions.placement_round import PlacementRound, is_cell_busy
-from ..decisions.reservations import measure_usage
+from ..decisions.placement_round import PlacementRound
+from ..decisions.service_usage import measure_usage
 from ..decisions.shares import ShareMeter
 from ..decisions.speculation import Speculation
 from ..decisions.speed_ranker import SpeedRanker
@@ -193,8 +193,7 @@
             self._count_team_fits,
             self._add_team_usage,
             wall_now=now_ms / 1000,
-            isolated_count=len(isolated),
-            is_busy=is_cell_busy(self.workers.values()),
+            isolated=[self.workers[worker_id] for worker_id in isolated],
             rankers=self._rankers,
             usage=measure_usage(self.workers.values()),
         )
@@ -224,9 +223,10 @@
         return self._count_team_fits(team, step.spec.amounts, needed) >= needed
 
     def find_steps_without_approval(self, max_count):
-        """Return the `max_count` most urgent steps that still have to request approval.
+        """Return the most urgent steps that still have to request approval.
 
-        These need approval, and have neither an answer nor a call in flight.
+        These need approval, and have neither an answer nor a call in flight. At most
+        `max_count` of each service are returned.
         """
         if not max_count:
             return []
@@ -237,9 +237,14 @@
             and not step.has_approval_call
             and self.find_rules(step.job).needs_approval
         ]
-        keyed = self.compute_order_keys(unasked, self._wall_clock_ms())
-        first = heapq.nsmallest(max_count, keyed, key=lambda entry: entry[0])
-        return [step for _, step, _ in first]
+        by_service = {}
+        for entry in self.compute_order_keys(unasked, self._wall_clock_ms()):
+            by_service.setdefault(entry[2].service, []).append(entry)
+        return [
+            step
+            for entries in by_service.values()
+            for _, step, _ in heapq.nsmallest(max_count, entries, key=lambda e: e[0])
+        ]
 
     def compute_order_keys(self, steps, now_ms):
         """Return ``(OrderKey, step, QueueRules)`` for each eligible step.
--- a/tests/cell/builders.py
+++ b/tests/cell/builders.py
@@ -47,11 +47,12 @@
     return JobRun(make_job(number, **changes)).open_occurrence(0)[0]
 
 
-def make_round(workers, team_room=10_000, now=100.0):
+def make_round(workers, team_room=10_000, now=100.0, **changes):
     """Return a round in which each team's limit allows `team_room` more tasks."""
     return PlacementRound(
         now,
         workers,
         lambda team, amounts, max_count: min(max_count, team_room),
         lambda team, amounts: None,
+        **changes,
     )
--- a/tests/cell/test_job_memory.py
+++ b/tests/cell/test_job_memory.py
@@ -97,6 +97,21 @@
     assert memory.admit(make_large_job(2))
 
 
+def test_one_team_does_not_use_up_the_memory_for_the_jobs_of_others():
+    memory = JobMemory({}, MAX_BYTES, lambda: 0.0)
+
+    def fill_up(team):
+        """Admit jobs of a team until one is not; return their number."""
+        count = 0
+        while memory.admit(replace(make_job(1, count=100), team=team)):
+            count += 1
+        return count
+
+    assert fill_up("first") > 30
+    assert 0 < fill_up("second") < 5
+    assert fill_up("third") > 0
+
+
 async def test_job_completes_beside_a_job_with_many_occurrences():
     async with FleetCell(members=1, settings={"max_job_bytes": MAX_BYTES}) as cell:
         await cell.submit(replace(make_job(1), repeat_count=10_000), 0.1)
--- a/tests/cell/test_overload_order.py
+++ b/tests/cell/test_overload_order.py
@@ -9,7 +9,7 @@
     make_order_key,
 )
 from cactustiller.cell.decisions.placement import place_steps
-from cactustiller.cell.decisions.placement_round import is_cell_busy
+from cactustiller.cell.decisions.service_usage import measure_usage
 from cactustiller.cell.records.specs import QueueRules
 
 from .builders import SERVICE, make_round, make_step, make_worker
@@ -52,8 +52,7 @@
     """Return the number of tasks placed on a worker of which `used` cores are used."""
     worker = make_worker()
     worker.take_capacity((used * 1000, 0, 0))
-    current_round = make_round([worker])
-    current_round.is_busy = is_cell_busy([worker])
+    current_round = make_round([worker], usage=measure_usage([worker]))
     current_round.wall_now = wall_now
     step = make_step(count=1)
     place_steps(current_round, [(key, step, QueueRules(SERVICE))])
--- a/tests/cell/test_reservations.py
+++ b/tests/cell/test_reservations.py
@@ -10,8 +10,8 @@
 from cactustiller.cell.decisions.reservations import (
     MAX_RESERVED_FRACTION,
     MAX_WAIT_FOR_GANGS_SECONDS,
-    measure_usage,
 )
+from cactustiller.cell.decisions.service_usage import measure_usage
 from cactustiller.cell.records.runs import RunPhase
 from cactustiller.model import Amounts, JobState
 from standins.fleet import FleetCell, make_job, make_queue
@@ -25,8 +25,7 @@
 
 def place(workers, *entries, usage=None):
     """Place steps in order; return the names of the jobs with placements."""
-    current = make_round(workers)
-    current._usage = usage or {}
+    current = make_round(workers, usage=usage)
     place_steps(current, [(key, step, step.job.spec.rules) for key, step in entries])
     return {p.task.step.job.spec.job for p in current.placements}
 
--- a/tests/cell/test_stragglers.py
+++ b/tests/cell/test_stragglers.py
@@ -14,7 +14,7 @@
 from cactustiller.cell.records.runs import RunEnd, RunPhase
 from cactustiller.model import Amounts
 
-from .builders import make_step, make_worker
+from .builders import SERVICE, make_step, make_worker
 
 STARTED_AT = 100.0
 MAX_ATTEMPTS = 3
@@ -185,11 +185,11 @@
     amounts = Amounts(2_000, 100, 0)
     for team in ("a", "b"):
         for _ in range(2):
-            assert budget.allows(team, amounts)
-            budget.take(team, amounts)
-        assert not budget.allows(team, amounts)
-    assert not budget.allows("c", amounts)
+            assert budget.allows(team, SERVICE, amounts)
+            budget.take(team, SERVICE, amounts)
+        assert not budget.allows(team, SERVICE, amounts)
+    assert not budget.allows("c", SERVICE, amounts)
 
 
 def test_no_copy_fits_into_a_cell_without_workers():
-    assert not CopiesBudget([]).allows("a", Amounts(1, 1, 0))
+    assert not CopiesBudget([]).allows("a", SERVICE, Amounts(1, 1, 0))
