Find the next step to be approved without a look at all of them

Cause: each answer of the approval service and each submission looked at all eligible steps and computed their order.

Result: operations for the next step with 800 waiting steps are at most 1.2 times those with 100 (tests/cell/test_large_jobs.py).

--- a/libs/cell/src/cactustiller/cell/owner/engine.py
+++ b/libs/cell/src/cactustiller/cell/owner/engine.py
@@ -6,8 +6,6 @@
 store, and `Engine.confirm_batch` returns the starts to send once they are stored.
 """
 
-import heapq
-
 from cactustiller.model import JobState
 
 from ..configuration import MAX_ROW_BYTES
@@ -221,6 +219,14 @@
         """Iterate over the eligible steps in the order in which they became so."""
         return iter(self._eligible)
 
+    def iterate_latest_eligible(self):
+        """Iterate over the eligible steps, those that became so last first."""
+        return reversed(self._eligible)
+
+    def is_eligible(self, step):
+        """Return whether a step is still eligible."""
+        return step in self._eligible
+
     def has_team_room(self, step):
         """Return whether its team's limit allows the next start of a step."""
         needed = step.spec.count if step.spec.is_gang else 1
@@ -235,21 +241,9 @@
         """
         if not max_count:
             return []
-        unasked = [
-            step
-            for step in self._eligible
-            if step.approved is None
-            and not step.has_approval_call
-            and self.find_rules(step.job).needs_approval
-        ]
-        by_service = {}
-        for entry in self.compute_order_keys(unasked, self._wall_clock_ms()):
-            by_service.setdefault(entry[2].service, []).append(entry)
-        return [
-            step
-            for entries in by_service.values()
-            for _, step, _ in heapq.nsmallest(max_count, entries, key=lambda e: e[0])
-        ]
+        return self._order.find_without_approval(
+            max_count, self._clock(), self._wall_clock_ms()
+        )
 
     def compute_order_keys(self, steps, now_ms):
         """Return ``(OrderKey, step, QueueRules)`` for each eligible step.
--- a/libs/cell/src/cactustiller/cell/owner/run_tracking.py
+++ b/libs/cell/src/cactustiller/cell/owner/run_tracking.py
@@ -30,6 +30,8 @@
         Called with the `CopyOutcome` of each copy.
     published_states : dict of JobId to JobState
         States that callers may see.
+    latest_eligible_number : int
+        Number of the step that became eligible last.
     observers : list of RunObserver
         Learn from the reported ends and the progress of runs.
     """
@@ -45,6 +47,7 @@
         self._dirty = set()
         # Steps with pending tasks whose dependencies have succeeded.
         self._eligible = {}
+        self.latest_eligible_number = 0
 
     def apply_listing(self, worker, listing, sent_at, received_at):
         """Apply a worker's report of its runs.
@@ -314,6 +317,8 @@
         for step in job.find_eligible() if steps is None else steps:
             if step.is_eligible and step not in self._eligible:
                 step.eligible_at = self._clock()
+                self.latest_eligible_number += 1
+                step.eligible_number = self.latest_eligible_number
                 self._eligible[step] = True
 
     def _finish(self, job, state, reason=None):
--- a/libs/cell/src/cactustiller/cell/records/runs.py
+++ b/libs/cell/src/cactustiller/cell/records/runs.py
@@ -158,6 +158,8 @@
         Workers named in approval calls so far. A refusal of a worker is final.
     eligible_at : float
         Event loop time at which the step became eligible.
+    eligible_number : int
+        Number that rises with each step that becomes eligible.
     retry_at : float
         Event loop time before which the step is not placed again.
     failed_on : set of WorkerId
@@ -185,6 +187,7 @@
     has_approval_call: bool = False
     asked_workers: set = field(default_factory=set)
     eligible_at: float = 0.0
+    eligible_number: int = 0
     retry_at: float = 0.0
     failed_on: set = field(default_factory=set)
     next_preemption_at: float = 0.0
--- a/tests/cell/test_large_jobs.py
+++ b/tests/cell/test_large_jobs.py
@@ -23,7 +23,7 @@
 from cactustiller.cell.reporting.loop_work import LoopWork, track_loop_work
 from cactustiller.cell.reporting.metrics import Metrics
 from cactustiller.model import JobId, JobState
-from standins.fleet import FleetCell, make_job
+from standins.fleet import FleetCell, make_job, make_queue
 
 from .large_jobs import SHAPES, CountedEngine
 
@@ -134,6 +134,48 @@
     assert count_admission(240, 400) <= 1.5 * count_admission(240, 100)
 
 
+def count_approval_requests(waiting):
+    """Return the operations to find the next steps to be approved, and their number."""
+    queue = make_queue(needs_approval=True)
+    counted = CountedEngine(replace(SHAPES["steps"](1), queue=queue.name))
+    rules = replace(queue.rules, needs_approval=True)
+    for number in range(10, 10 + waiting):
+        counted.engine.add_job(make_job(number, replace(queue, rules=rules)))
+    counted.engine.find_steps_without_approval(3)
+    asked = []
+    for _ in range(20):
+        counted.now += 0.001
+        steps = counted.count("find", counted.engine.find_steps_without_approval, 3)
+        steps[0].has_approval_call = True
+        asked.append(steps[0].job.spec.job)
+    assert len(set(asked)) == 20
+    return counted.most["find"]
+
+
+def test_the_next_approval_is_found_without_a_look_at_all_waiting_steps():
+    # Each answer of the approval service looked at all steps that wait for one.
+    assert count_approval_requests(800) <= 1.2 * count_approval_requests(100)
+
+
+def test_a_new_urgent_step_requests_approval_before_those_that_wait():
+    queue = make_queue(needs_approval=True)
+    counted = CountedEngine(SHAPES["steps"](1))
+
+    def add_job(number, **changes):
+        spec = make_job(number, queue, **changes)
+        counted.engine.add_job(replace(spec, accepted_ms=100_000))
+
+    for number in range(10, 40):
+        add_job(number, estimate_ms=60_000)
+    counted.engine.find_steps_without_approval(1)
+    add_job(99, estimate_ms=100)
+    (step,) = counted.engine.find_steps_without_approval(1)
+    assert step.job.spec.job == f"{99:016x}"
+    step.has_approval_call = True
+    (step,) = counted.engine.find_steps_without_approval(1)
+    assert step.job.spec.job != f"{99:016x}"
+
+
 @pytest.mark.parametrize("count", [1, CHUNK_CALLS, 40 * CHUNK_CALLS])
 async def test_other_tasks_have_their_turn_between_many_calls(count):
     # All starts of a job of 2,000 tasks were prepared in one piece.
