Count the operations of large jobs without log lines

Lines are sampled by the second, so the operations to write one counted in some calls and not in others.

Change: counting excludes the log and garbage collections. The bound is the same.

--- a/tests/cell/large_jobs.py
+++ b/tests/cell/large_jobs.py
@@ -1,12 +1,16 @@
 """Jobs of several shapes and any size, and the operations that an engine needs."""
 
+import gc
 import sys
 from collections import Counter
+from contextlib import contextmanager
 from dataclasses import replace
+from unittest import mock
 
 from cactustiller.cell import ListedEnd, Listing, RunEnd
 from cactustiller.cell.owner.engine import Engine
 from cactustiller.cell.records.specs import decode_job, encode_job
+from cactustiller.cell.reporting import events
 from cactustiller.model import JobState
 from standins.fleet import make_job
 
@@ -47,6 +51,36 @@
 }
 
 
+class SilentLog:
+    """Log, and sampler of its lines, that write nothing."""
+
+    def info(self, event, **fields):
+        """Drop a line."""
+
+    def allows(self, event, job):
+        """Suppress a line, whatever was written before."""
+        return False
+
+    def take_suppressed(self):
+        """Return that no lines were suppressed."""
+        return {}
+
+
+@contextmanager
+def silence():
+    """Exclude what depends on time: the sampling of log lines, garbage collections."""
+    log = SilentLog()
+    with (
+        mock.patch.object(events, "log", log),
+        mock.patch.object(events, "_sampler", log),
+    ):
+        gc.disable()
+        try:
+            yield
+        finally:
+            gc.enable()
+
+
 def count_operations(function, *arguments):
     """Return what a function returns, and the number of bytecode operations it took."""
     count = 0
@@ -58,11 +92,12 @@
         return trace
 
     previous = sys.gettrace()
-    sys.settrace(trace)
-    try:
-        result = function(*arguments)
-    finally:
-        sys.settrace(previous)
+    with silence():
+        sys.settrace(trace)
+        try:
+            result = function(*arguments)
+        finally:
+            sys.settrace(previous)
     return result, count
 
 
