Compare the amounts of a worker without new tuples

Change: plain comparisons of the three amounts; the same for the outlook of workers. The tests of preemption, reservations, services and placement pass.

--- a/libs/cell/src/cactustiller/cell/decisions/preemption.py
+++ b/libs/cell/src/cactustiller/cell/decisions/preemption.py
@@ -28,7 +28,7 @@
     `candidates` are tasks, those with the largest CPU amounts first.
     """
 
-    free: Amounts
+    free: tuple[int, int, int]
     candidates: list
 
 
@@ -73,13 +73,14 @@
         options = []
         counts = count_tasks_by_worker(step)
         for worker in workers:
-            if cap_per_worker(step, counts, worker, 1) <= 0:
+            if counts and cap_per_worker(step, counts, worker, 1) <= 0:
                 continue
             free, candidates = self._find_victims(worker)
-            if free.count_fits(amounts, 1):
+            missing = _find_missing(amounts, free)
+            if not any(missing):
                 wanted -= 1
                 continue
-            victims = _choose_victims(candidates, _find_missing(amounts, free))
+            victims = _choose_victims(candidates, missing) if candidates else None
             if victims is not None:
                 options.append((len(victims), worker.info.worker, worker, victims))
         options.sort(key=lambda option: option[:2])
@@ -110,8 +111,8 @@
         for worker in workers:
             found = self._find_victims(worker)
             max_count = cap_per_worker(step, counts, worker, step.spec.count)
-            fits_now = found.free.count_fits(amounts, max_count)
-            freed = found.free
+            freed = Amounts(*found.free)
+            fits_now = freed.count_fits(amounts, max_count)
             for task in found.candidates:
                 freed = freed.plus(task.step.spec.counted)
             fits_after_stops = freed.count_fits(amounts, max_count)
@@ -123,7 +124,7 @@
         stops, chosen_workers = [], []
         for (_, negated_fits, _), worker, found in options:
             count = min(missing, -negated_fits)
-            needed = Amounts(*(count * amount for amount in amounts))
+            needed = tuple(count * amount for amount in amounts)
             victims = _choose_victims(
                 found.candidates, _find_missing(needed, found.free)
             )
@@ -150,8 +151,13 @@
         """Return the `Victims` of a worker as they are now in this round."""
         if worker not in self._candidates:
             self._inspect(worker)
-        free = Amounts(worker.free_cpu, worker.free_memory, worker.free_accelerators)
-        return Victims(free.plus(self._stopping[worker]), self._candidates[worker])
+        cpu, memory, accelerators = self._stopping[worker]
+        free = (
+            worker.free_cpu + cpu,
+            worker.free_memory + memory,
+            worker.free_accelerators + accelerators,
+        )
+        return Victims(free, self._candidates[worker])
 
     def _inspect(self, worker):
         stopping = NO_AMOUNTS
@@ -183,11 +189,11 @@
 
 def _find_missing(needed, free):
     """Return by how much the needed amounts exceed the free ones."""
-    return Amounts(
-        *(
-            max(0, amount - available) if amount else 0
-            for amount, available in zip(needed, free, strict=True)
-        )
+    # Called for each worker of each urgent step, so without a loop.
+    return (
+        needed[0] - free[0] if 0 < needed[0] > free[0] else 0,
+        needed[1] - free[1] if 0 < needed[1] > free[1] else 0,
+        needed[2] - free[2] if 0 < needed[2] > free[2] else 0,
     )
 
 
@@ -197,14 +203,20 @@
     Takes the first candidates, which have the largest CPU amounts, and passes over
     those that free nothing that is still missing.
     """
+    cpu, memory, accelerators = missing
     victims = []
     for task in candidates:
-        if max(missing) <= 0:
+        if cpu <= 0 and memory <= 0 and accelerators <= 0:
             break
         freed = task.step.spec.counted
-        if any(
-            amount > 0 and more > 0 for amount, more in zip(freed, missing, strict=True)
+        if (
+            (cpu > 0 and freed[0])
+            or (memory > 0 and freed[1])
+            or (accelerators > 0 and freed[2])
         ):
             victims.append(task)
-            missing = missing.plus(freed, -1)
-    return victims if max(missing) <= 0 else None
+            cpu -= freed[0]
+            memory -= freed[1]
+            accelerators -= freed[2]
+    is_enough = cpu <= 0 and memory <= 0 and accelerators <= 0
+    return victims if is_enough else None
--- a/libs/cell/src/cactustiller/cell/decisions/reservations.py
+++ b/libs/cell/src/cactustiller/cell/decisions/reservations.py
@@ -120,14 +120,18 @@
     Runs without an expected end keep what they use; so do runs that match no placement.
     """
     free_at = now
-    amounts = Amounts(worker.free_cpu, worker.free_memory, worker.free_accelerators)
+    cpu, memory = worker.free_cpu, worker.free_memory
+    accelerators = worker.free_accelerators
     for task, _ in worker.runs.values():
         ends_at = estimate_end(task, now)
         if ends_at is None:
             continue
         free_at = max(free_at, ends_at)
-        amounts = amounts.plus(task.step.spec.counted)
-    return Outlook(free_at, amounts)
+        counted = task.step.spec.counted
+        cpu += counted[0]
+        memory += counted[1]
+        accelerators += counted[2]
+    return Outlook(free_at, Amounts(cpu, memory, accelerators))
 
 
 def estimate_end(task, now):
