--- a/tests/fleet/test_retry_after.py
+++ b/tests/fleet/test_retry_after.py
@@ -10,6 +10,7 @@
 
 from cactustiller.cell import Acceptance, DesiredState
 from cactustiller.cell.members.intake import SubmitAnswer
+from cactustiller.cell.reporting.metrics import Metrics
 from cactustiller.fleet.api import ApiHandler, read_deadline_ms
 from standins.fleet import make_queue
 
@@ -42,6 +43,7 @@
         ),
         intake=intake,
         record_answer=lambda *values: None,
+        metrics=Metrics(list),
     )
 
 
