Log why a member claims the cell or leaves it, and why a term ends

An accepted job that no owner serves left no line after job_accepted, whether no member claimed the cell or each new owner was replaced before it had loaded the jobs. claim, claim_withdrawn, the fields has_served, term_seconds and renewed_seconds_ago of ownership_lost, the seconds of a load, and call_failed for a page that is read again tell these apart. No decision changes.

--- a/libs/cell/src/cactustiller/cell/owner/election.py
+++ b/libs/cell/src/cactustiller/cell/owner/election.py
@@ -77,6 +77,7 @@
         self._is_invited = False
         self._handover_epoch = None
         self._suspected_epoch = None
+        self._withdrawn_version = None
         self._pending_read = None
         self._has_owned = False
         self._is_polling = False
@@ -248,6 +249,16 @@
             await asyncio.sleep(delay + jitter)
             if delay and not await self._is_unchanged(version):
                 return None
+        log_event(
+            Event.CLAIM,
+            epoch=record.epoch + 1,
+            former_owner=record.member,
+            has_served=record.is_serving,
+            is_released=record.is_released,
+            is_suspect=record.epoch == self._suspected_epoch,
+            row_seconds=(page.now_ms - record.renewed_ms) / 1000,
+            read_seconds=round(self.read_seconds, 3),
+        )
         return await self._claim(record, version, page.now_ms)
 
     async def _is_unchanged(self, version):
@@ -255,9 +266,23 @@
         page = await self._read_row()
         if page is None or not page.rows or page.rows[0].version != version:
             self._wake.set()
+            self._log_withdrawal(version, page)
             return False
         return True
 
+    def _log_withdrawal(self, version, page):
+        """Log once for each version of the row why this member does not claim it."""
+        if version == self._withdrawn_version:
+            return
+        self._withdrawn_version = version
+        current = None if page is None or not page.rows else page.rows[0].version
+        log_event(
+            Event.CLAIM_WITHDRAWN,
+            reason="the store did not answer" if page is None else "the row changed",
+            version=version,
+            current_version=current,
+        )
+
     async def _claim(self, previous, version, now_ms):
         """Replace the row on condition of its version; return the claim or None."""
         record = OwnerRecord(
--- a/libs/cell/src/cactustiller/cell/owner/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner/owner.py
@@ -25,6 +25,7 @@
 from .row_groups import MAX_ENTRIES, make_row_groups
 from .submission_checks import SubmissionChecks
 from .submissions import PendingSubmissions
+from .terms import TermLog
 
 # Minimum time between two scheduling rounds, so that run ends and new jobs share a
 # transaction.
@@ -65,6 +66,7 @@
         )
         self.is_loaded = False
         self.epoch = claim[0].epoch
+        self._log = TermLog(claim[0])
         self._ports = ports
         self._status_retention_ms = status_retention_ms
         self._submissions = PendingSubmissions(self.engine, claim[0].member)
@@ -106,8 +108,7 @@
 
     async def run(self, stop):
         """Own the cell until ownership is lost, or release it once `stop` is set."""
-        record = self._writer.record
-        log_event(Event.TAKEOVER, epoch=record.epoch, member=record.member)
+        self._log.log_takeover()
         try:
             await self._load()
             self._start_supervised(
@@ -131,16 +132,14 @@
             self._rounds_task = asyncio.create_task(self._run_rounds(stop))
             await self._rounds_task
             await self._writer.release()
-            log_event(Event.OWNERSHIP_RELEASED, epoch=record.epoch)
+            log_event(Event.OWNERSHIP_RELEASED, epoch=self.epoch)
             await self._announcer.notify_successor()
         except OwnershipLostError as error:
-            log_event(Event.OWNERSHIP_LOST, epoch=record.epoch, reason=str(error))
+            self._log.log_loss(str(error), self._writer.succeeded_at)
         except asyncio.CancelledError:
             if not self._deposed_reason:
                 raise
-            log_event(
-                Event.OWNERSHIP_LOST, epoch=record.epoch, reason=self._deposed_reason
-            )
+            self._log.log_loss(self._deposed_reason, self._writer.succeeded_at)
         finally:
             self.is_loaded = False
             if self._rounds_task is not None:
@@ -240,13 +239,7 @@
         self.engine.add_unlisted_workers()
         self._dispatcher.follow_workers()
         self.is_loaded = self._writer.is_serving = True
-        log_event(
-            Event.STARTED,
-            what="cell",
-            epoch=self._writer.record.epoch,
-            jobs=len(self.engine.jobs),
-            workers=len(self.engine.workers),
-        )
+        self._log.log_loaded(self.engine)
 
     async def _renew_during(self, coroutine):
         """Keep renewing the owner's lease while a coroutine runs."""
--- a/libs/cell/src/cactustiller/cell/records/tables.py
+++ b/libs/cell/src/cactustiller/cell/records/tables.py
@@ -4,6 +4,8 @@
 
 from result import Ok
 
+from ..reporting.events import Event, log_event
+
 # Sorts after every key that starts with a printable ASCII character.
 AFTER_LAST_KEY = "\x7f"
 
@@ -38,6 +40,14 @@
         if answer.is_err():
             if retry_seconds is None:
                 return answer
+            failure = answer.unwrap_err()
+            log_event(
+                Event.CALL_FAILED,
+                step=f"read table {table}",
+                peer=failure.peer,
+                reason=failure.reason,
+                rows=len(rows),
+            )
             await asyncio.sleep(retry_seconds)
             continue
         page = answer.unwrap()
--- a/libs/cell/src/cactustiller/cell/reporting/events.py
+++ b/libs/cell/src/cactustiller/cell/reporting/events.py
@@ -25,6 +25,8 @@
     TERM_FAILED = "term_failed"
     TASK_FAILED = "task_failed"
     TAKEOVER_LOST = "takeover_lost"
+    CLAIM = "claim"
+    CLAIM_WITHDRAWN = "claim_withdrawn"
     HANDOVER_ASKED = "handover_asked"
     OWNERSHIP_LOST = "ownership_lost"
     OWNERSHIP_RELEASED = "ownership_released"
