Let a member that delays its claim claim a cell without an owner's row

A member that is not of full strength reads the owner's row again after its delay, and took a row that does not exist for one that has changed. So a cell in which every member delays its claim never had an owner. test_cell_of_weak_members_elects_its_first_owner failed before (claim_withdrawn, the row changed, version 0) and passes now. A missing row has the version 0 in both reads, as in the condition of the claim.

--- a/libs/cell/src/cactustiller/cell/owner/election.py
+++ b/libs/cell/src/cactustiller/cell/owner/election.py
@@ -218,8 +218,8 @@
         if page is None:
             self._first_seen = (-1, 0.0)
             return None
-        row = page.rows[0] if page.rows else None
-        record, version = decode_owner(row), row.version if row else 0
+        record = decode_owner(page.rows[0] if page.rows else None)
+        version = _find_version(page)
         now = asyncio.get_running_loop().time()
         self._update_record(record)
         if version != self._first_seen[0]:
@@ -264,24 +264,20 @@
     async def _is_unchanged(self, version):
         """Return whether the row still has a version; the claim would fail if not."""
         page = await self._read_row()
-        if page is None or not page.rows or page.rows[0].version != version:
-            self._wake.set()
-            self._log_withdrawal(version, page)
-            return False
-        return True
-
-    def _log_withdrawal(self, version, page):
-        """Log once for each version of the row why this member does not claim it."""
-        if version == self._withdrawn_version:
-            return
-        self._withdrawn_version = version
-        current = None if page is None or not page.rows else page.rows[0].version
-        log_event(
-            Event.CLAIM_WITHDRAWN,
-            reason="the store did not answer" if page is None else "the row changed",
-            version=version,
-            current_version=current,
-        )
+        current = None if page is None else _find_version(page)
+        if current == version:
+            return True
+        self._wake.set()
+        if version != self._withdrawn_version:
+            self._withdrawn_version = version
+            is_silent = page is None
+            log_event(
+                Event.CLAIM_WITHDRAWN,
+                reason="the store did not answer" if is_silent else "the row changed",
+                version=version,
+                current_version=current,
+            )
+        return False
 
     async def _claim(self, previous, version, now_ms):
         """Replace the row on condition of its version; return the claim or None."""
@@ -336,3 +332,8 @@
                 before=self.record.member,
             )
         self.record = record
+
+
+def _find_version(page):
+    """Return the version of the owner's row; 0 if the row does not exist yet."""
+    return page.rows[0].version if page.rows else 0
--- a/tests/cell/test_election.py
+++ b/tests/cell/test_election.py
@@ -126,3 +126,18 @@
         await cell.submit(make_job(1), member=caller)
         assert loop.time() - called_at < 0.2
         assert cell.network.carried[address, HandInJob] == calls_before
+
+
+@pytest.mark.looptime
+async def test_cell_of_weak_members_elects_its_first_owner():
+    # Guards against accepted jobs that wait forever in a new cell: there is no owner's
+    # row yet, and every member delays its claim.
+    cell = FleetCell(members=3, settings={"cores": 0.12})
+    await cell.start()
+    try:
+        await cell.wait_for_owner()
+        spec = make_job()
+        await cell.submit(spec)
+        await cell.wait_for_state(spec, JobState.SUCCEEDED)
+    finally:
+        await cell.stop()
