State the lease of an owner in its row, and lengthen it after lost loads

Other members replaced an owner whose row was 1.1 s old, with an allowance for their own reads of the store only. An owner that loads many jobs on a weak machine renews its row more slowly than that, and each successor began the load anew: a lease that doesn't depend on the work to be done under it. The row now states its lease: a margin and two of the longest recent renewals, up to 4 s, and while a successor loads, twice the lease of a predecessor that was lost before it served, up to 8 s. So a chain of lost loads ends. Owners at their usual pace keep 1.1 s.

test_owners_that_load_slowly_do_not_replace_each_other_without_end failed before, with the same chain of terms, and passes now.

--- a/libs/cell/src/cactustiller/cell/owner/commits.py
+++ b/libs/cell/src/cactustiller/cell/owner/commits.py
@@ -8,6 +8,7 @@
 
 from ..ports import OWNER_ROW, Committed, Conflict, Transaction
 from ..records.claims import OwnerRecord, decode_owner, encode_owner
+from ..records.leases import LeaseEstimate
 from ..reporting.events import Event, log_event
 from .capacity import MAX_OWNER_SECONDS_WITHOUT_STORE
 from .election import RENEW_SECONDS
@@ -91,6 +92,7 @@
         self.transaction_seconds = transaction_seconds
         self.is_store_unavailable = False
         self.is_serving = False
+        self._lease = LeaseEstimate(self.record.lease_ms)
 
     @property
     def needs_renewal(self):
@@ -217,6 +219,7 @@
             int(self._store_ms + since * 1000),
             is_released,
             self.is_serving,
+            self._lease.choose_ms(self.is_serving),
         )
 
     async def _transact(self, transaction, record):
@@ -302,6 +305,8 @@
                 # An earlier attempt was committed, but its answer was lost.
                 self._version = row.version
         self.record = record
+        interval = loop.time() - self.succeeded_at
+        self._lease.record_renewal(interval, not self.is_store_unavailable)
         self.succeeded_at = loop.time()
         if self.is_store_unavailable:
             self.is_store_unavailable = False
--- a/libs/cell/src/cactustiller/cell/owner/election.py
+++ b/libs/cell/src/cactustiller/cell/owner/election.py
@@ -21,6 +21,7 @@
     encode_owner,
     should_claim,
 )
+from ..records.leases import choose_loading_lease
 from ..reporting.events import Event, log_event
 
 # Maximum interval between renewals of the owner's row.
@@ -282,7 +283,12 @@
     async def _claim(self, previous, version, now_ms):
         """Replace the row on condition of its version; return the claim or None."""
         record = OwnerRecord(
-            Epoch(previous.epoch + 1), self._member, self._address, 0, now_ms
+            Epoch(previous.epoch + 1),
+            self._member,
+            self._address,
+            0,
+            now_ms,
+            lease_ms=choose_loading_lease(previous),
         )
         transaction = Transaction(
             {OWNER_ROW: version}, {OWNER_ROW: encode_owner(record)}
--- a/libs/cell/src/cactustiller/cell/records/claims.py
+++ b/libs/cell/src/cactustiller/cell/records/claims.py
@@ -11,10 +11,10 @@
 
 from cactustiller.model import Epoch, MemberId
 
-# Age of the row at which a member takes over: three renewal intervals and one slow
-# answer.
-TAKEOVER_AFTER_SECONDS = 1.1
-# The same if the owner's process refuses connections: two renewal intervals.
+from .leases import USUAL_LEASE_SECONDS
+
+# Age of the row at which a member takes over if the owner's process refuses
+# connections: two renewal intervals.
 SUSPECT_TAKEOVER_AFTER_SECONDS = 0.65
 # A member must also have observed the row unchanged for this long, so that an owner
 # can renew it after the store was unavailable to all.
@@ -48,6 +48,8 @@
         Whether the owner has released the cell.
     is_serving : bool
         Whether the owner has loaded the cell's jobs and answers calls.
+    lease_ms : int
+        Age of the row at which other members take over, while the store is fast.
     """
 
     epoch: Epoch
@@ -57,6 +59,7 @@
     renewed_ms: int
     is_released: bool = False
     is_serving: bool = False
+    lease_ms: int = int(USUAL_LEASE_SECONDS * 1000)
 
 
 NO_OWNER = OwnerRecord(Epoch(0), MemberId(""), "", 0, 0, True)
@@ -112,7 +115,7 @@
         first_seen[0] == version and now - first_seen[1] >= MIN_UNCHANGED_SECONDS
     )
     takeover_age = (
-        SUSPECT_TAKEOVER_AFTER_SECONDS if is_suspect else TAKEOVER_AFTER_SECONDS
+        SUSPECT_TAKEOVER_AFTER_SECONDS if is_suspect else record.lease_ms / 1000
     )
     allowed_reads = (
         READS_PER_RENEWAL_IF_UNANNOUNCED if is_unannounced else READS_PER_RENEWAL
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -132,6 +132,10 @@
         self.answers_to_lose = 0
         # Time of a read of all jobs.
         self.read_seconds = READ_SECONDS
+        # Delay of other answers during such a read, as behind many rows on a narrow
+        # link or for the member's processor.
+        self.answer_seconds = 0.0
+        self._reads = 0
         self._store = store
         self._late = set()
 
@@ -154,7 +158,9 @@
             return await self._lose(seconds)
         try:
             async with asyncio.timeout(seconds):
-                return Ok(await asyncio.shield(task))
+                reply = await asyncio.shield(task)
+                await asyncio.sleep(self._find_delay())
+                return Ok(reply)
         except TimeoutError:
             return _fail(ErrorCode.TIMEOUT, "no answer", Outcome.UNKNOWN)
 
@@ -162,8 +168,12 @@
         """Return rows with keys from `first` to before `last`."""
         self._store.calls += 1
         is_whole = last == AFTER_LAST_KEY and table == JOB_TABLE
-        usual = self.read_seconds if is_whole else READ_SECONDS
-        failure = await self._wait(usual, seconds)
+        usual = self.read_seconds if is_whole else READ_SECONDS + self._find_delay()
+        self._reads += is_whole
+        try:
+            failure = await self._wait(usual, seconds)
+        finally:
+            self._reads -= is_whole
         if failure is not None:
             return failure
         found = sorted(
@@ -208,6 +218,9 @@
         await asyncio.sleep(needed)
         return None
 
+    def _find_delay(self):
+        return self.answer_seconds if self._reads else 0.0
+
     async def _refuse(self, seconds):
         """Return the failure of a call that the store does not serve, or None."""
         if self.trouble is Trouble.REFUSING:
--- a/tests/cell/test_election.py
+++ b/tests/cell/test_election.py
@@ -141,3 +141,18 @@
         await cell.wait_for_state(spec, JobState.SUCCEEDED)
     finally:
         await cell.stop()
+
+
+@pytest.mark.looptime
+async def test_owners_that_load_slowly_do_not_replace_each_other_without_end():
+    # Guards against accepted jobs that no owner serves: each owner was replaced before
+    # it had loaded the jobs, since its renewals were slow meanwhile.
+    async with FleetCell(members=4) as cell:
+        before = cell.find_owner()
+        spec = make_job()
+        await cell.submit(spec, seconds=60.0)
+        for store in cell.stores.values():
+            store.read_seconds = 3.0
+            store.answer_seconds = 1.2
+        await cell.kill(before)
+        await cell.wait_for_owner(besides=before, seconds=15.0)
