Start no approval calls after the end of a term

An owner that is deposed while its process lives on cancelled its approval calls at the end of its term. Each cancelled call asked for the next ones, and those were never cancelled: the former owner went on asking for approvals for good, over all members, and its successor waited for the same services, of which each takes one call at a time.

The dispatcher starts no call once it is closed, and neither do the tasks of calls to workers; approvals are closed first at the end of a term. test_closed_dispatcher_starts_no_more_calls failed before.

--- a/libs/cell/src/cactustiller/cell/owner/approvals.py
+++ b/libs/cell/src/cactustiller/cell/owner/approvals.py
@@ -76,13 +76,15 @@
         self._busy_members = set()
         self._paused_until = {}
         self._tasks = set()
+        self._is_closed = False
 
     def start_calls(self, steps):
         """Start calls for the steps in order until no member is free.
 
-        Services with waiting steps take turns.
+        Services with waiting steps take turns. Once closed, no more calls are started:
+        each call that ends, also by its cancellation, asks for the next ones.
         """
-        if not self.count_free_members():
+        if self._is_closed or not self.count_free_members():
             return
         misses = 0
         for step in self._turns.order(steps, self._find_service):
@@ -110,7 +112,8 @@
         return self._engine.find_rules(step.job).service
 
     async def close(self):
-        """Cancel all calls in flight."""
+        """Cancel all calls in flight and start no more."""
+        self._is_closed = True
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/libs/cell/src/cactustiller/cell/owner/call_tasks.py
+++ b/libs/cell/src/cactustiller/cell/owner/call_tasks.py
@@ -14,9 +14,13 @@
 
     def __init__(self):
         self._tasks = set()
+        self._is_closed = False
 
     def start(self, coroutine):
-        """Start one call."""
+        """Start one call; none once closed."""
+        if self._is_closed:
+            coroutine.close()
+            return
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self.on_done)
@@ -33,7 +37,8 @@
             self.start(self._start_in_chunks(calls))
 
     async def close(self):
-        """Cancel every call, also those that are not started yet."""
+        """Cancel every call, also those that are not started yet; start no more."""
+        self._is_closed = True
         while self._tasks:
             tasks = list(self._tasks)
             for task in tasks:
--- a/libs/cell/src/cactustiller/cell/owner/owner.py
+++ b/libs/cell/src/cactustiller/cell/owner/owner.py
@@ -145,11 +145,12 @@
             if self._rounds_task is not None:
                 self._rounds_task.cancel()
             self._submissions.end_term()
+            # First, since the next owner uses the same approval services.
+            await self._approval_dispatcher.close()
             for task in list(self._tasks):
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
             await self._dispatcher.close()
-            await self._approval_dispatcher.close()
             await self._worker_registry.stop()
             await self._member_registry.stop()
 
--- a/tests/cell/test_approvals.py
+++ b/tests/cell/test_approvals.py
@@ -176,3 +176,20 @@
         used = {worker for _, _, worker in cell.audit.starts}
         assert len(cell.audit.starts) == 300
         assert len(used) == 150
+
+
+async def test_closed_dispatcher_starts_no_more_calls():
+    # Guards against a former owner that goes on asking for approvals: each cancelled
+    # call let the next one start.
+    workers = [make_worker("w0")]
+    dispatcher, service, steps = make_dispatcher(workers, 3)
+    dispatcher._on_answer = lambda: dispatcher.start_calls(steps)
+    dispatcher.start_calls(steps)
+    await asyncio.sleep(0)
+    await dispatcher.close()
+    asked = len(service.asked)
+    await asyncio.sleep(0)
+    dispatcher.start_calls(steps)
+    await asyncio.sleep(0)
+    assert len(service.asked) == asked
+    assert not dispatcher._tasks
