Count the validity of approval tickets from the service's answer

An owner that was busy read the answers of the approval service late, or got them late from a busy member, and counted the tickets' validity from then on. The time that the service needs for a call is known from the queue's rules, so the tickets now expire by the earliest time at which it can have answered.

test_tickets_expire_by_the_time_of_the_service failed before.

--- a/libs/cell/src/cactustiller/cell/owner/approvals.py
+++ b/libs/cell/src/cactustiller/cell/owner/approvals.py
@@ -197,7 +197,8 @@
                     reason=answer.unwrap_err().reason,
                 )
             else:
-                self._record_tickets(step, workers, answer.unwrap(), started)
+                answered = min(loop.time(), started + expected)
+                self._record_tickets(step, workers, answer.unwrap(), started, answered)
         finally:
             step.has_approval_call = False
             self._busy_members.discard(member)
@@ -216,8 +217,12 @@
             )
         )
 
-    def _record_tickets(self, step, workers, approval, started):
-        """Replace the step's tickets for the workers named in a call."""
+    def _record_tickets(self, step, workers, approval, started, answered):
+        """Replace the step's tickets for the workers named in a call.
+
+        They are valid from the earliest time at which the service can have answered:
+        the answer may have waited in this process or in the member that called.
+        """
         now = asyncio.get_running_loop().time()
         step.asked_workers.update(workers)
         other_tickets = {
@@ -227,7 +232,7 @@
         }
         step.approved = other_tickets | approval.tickets
         step.approved_until |= dict.fromkeys(
-            approval.tickets, now + approval.valid_seconds
+            approval.tickets, answered + approval.valid_seconds
         )
         log_event(
             Event.APPROVAL,
--- a/tests/cell/test_approvals.py
+++ b/tests/cell/test_approvals.py
@@ -3,8 +3,10 @@
 import asyncio
 
 import pytest
-from result import Err
+from result import Err, Ok
 
+from cactustiller.cell import Approval
+from cactustiller.cell.decisions.candidates import has_valid_ticket
 from cactustiller.cell.decisions.placement import place_steps
 from cactustiller.cell.owner.approvals import MAX_WORKERS_PER_CALL, ApprovalDispatcher
 from cactustiller.cell.owner.engine import Engine
@@ -193,3 +195,31 @@
     await asyncio.sleep(0)
     assert len(service.asked) == asked
     assert not dispatcher._tasks
+
+
+class HeldUpService:
+    """Service whose answers take a while to be read, as by a busy process."""
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+
+    async def ask(self, step, workers):
+        await asyncio.sleep(self._seconds)
+        return Ok(Approval(dict.fromkeys(workers, "ticket"), 2.0))
+
+
+@pytest.mark.looptime
+async def test_tickets_expire_by_the_time_of_the_service():
+    # Guards against starts with expired tickets: their validity was counted from the
+    # time at which a busy owner read the answer.
+    dispatcher, _, steps = make_dispatcher([make_worker("w0")], 1)
+    dispatcher._service = HeldUpService(1.5)
+    (step,) = steps
+    started = asyncio.get_running_loop().time()
+    dispatcher.start_calls(steps)
+    await asyncio.sleep(1.6)
+    valid_seconds = step.approved_until["w0"] - started
+    # A call that names one worker takes 11 ms.
+    assert 2.0 <= valid_seconds <= 2.1
+    assert not has_valid_ticket(step, QUEUE.rules, make_worker("w0"), started + 2.2)
+    await dispatcher.close()
