Place a gang by the tickets it has, and ask for those of its workers first

Accepted gangs could wait for good beside idle workers in a service of more than 100 workers, which one approval call can name. The gang's workers were chosen whatever their tickets; if one had run out, the gang asked again, but the call named the 100 with the most capacity, in an order that is fixed for each step, and chosen workers outside of these never got a ticket. Nothing changed until the free capacity did.

A gang now starts on workers with valid tickets where these fit it, and else its call names the chosen workers first. test_gang_with_expired_tickets_starts_in_a_large_service failed before for 190 and 270 workers (3 of its 6 cases) and passed for 90.

--- a/libs/cell/src/cactustiller/cell/decisions/gang_placement.py
+++ b/libs/cell/src/cactustiller/cell/decisions/gang_placement.py
@@ -39,10 +39,17 @@
         current_round.request_more_approvals(step, rules)
         return
     if not all(has_valid_ticket(step, rules, w, current_round.now) for w, _ in chosen):
-        current_round.steps_needing_approval.append(step)
-        for worker, _ in chosen:
-            worker.reserved_for = step
-        return
+        preferred, chosen = (
+            chosen,
+            _choose_workers(
+                current_round, step, rules, may_use_reserved, needs_ticket=True
+            ),
+        )
+        if chosen is None:
+            _request_tickets(current_round, step, preferred)
+            for worker, _ in preferred:
+                worker.reserved_for = step
+            return
     tasks = iter(step.tasks)
     for worker, count in chosen:
         placed = list(islice(tasks, count))
@@ -52,8 +59,22 @@
             current_round.isolate(worker)
 
 
-def _choose_workers(current_round, step, rules, may_use_reserved):
-    """Return ``(worker, count)`` pairs that fit the whole gang now, or None."""
+def _request_tickets(current_round, step, chosen):
+    """Request approval of the step for the chosen workers before all others.
+
+    One call names only some of the workers of a large service, and a gang starts only
+    with a ticket for each of its workers.
+    """
+    step.preferred_workers = {worker.info.worker for worker, _ in chosen}
+    current_round.steps_needing_approval.append(step)
+
+
+def _choose_workers(current_round, step, rules, may_use_reserved, needs_ticket=False):
+    """Return ``(worker, count)`` pairs that fit the whole gang now, or None.
+
+    With `needs_ticket`, only workers that would accept a start of the step.
+    """
+    now = current_round.now
     counts = Counter()
     options = []
     for worker in current_round.free.iterate_fitting(step.spec.counted[0]):
@@ -63,6 +84,8 @@
             continue
         if step.suspects and not may_isolate(current_round, step, worker):
             continue
+        if needs_ticket and not has_valid_ticket(step, rules, worker, now):
+            continue
         max_count = cap_per_worker(step, counts, worker, step.spec.count)
         fit_count = worker.count_fits(step.spec.counted, max_count)
         if fit_count:
@@ -195,4 +218,4 @@
     if free_at <= soon and not all(
         has_valid_ticket(step, rules, w, soon) for _, w in selected
     ):
-        current_round.steps_needing_approval.append(step)
+        _request_tickets(current_round, step, [(w, None) for _, w in selected])
--- a/libs/cell/src/cactustiller/cell/owner/approvals.py
+++ b/libs/cell/src/cactustiller/cell/owner/approvals.py
@@ -121,8 +121,9 @@
     def _choose_workers(self, step):
         """Return the workers to name in a call, at most `MAX_WORKERS_PER_CALL`.
 
-        If more qualify, those with capacity for the most tasks are chosen. Ties are
-        broken by an order random to each step, to spread the steps over the workers.
+        If more qualify, those that the step prefers are chosen first, then those with
+        capacity for the most tasks. Ties are broken by an order random to each step, to
+        spread the steps over the workers.
         """
         rules = self._engine.find_rules(step.job)
         candidates = [
@@ -137,6 +138,7 @@
             amounts, count = step.spec.counted, step.spec.count
             candidates.sort(
                 key=lambda worker: (
+                    worker.info.worker not in step.preferred_workers,
                     -worker.count_fits(amounts, count) * worker.is_schedulable(now),
                     spread.random(),
                 )
--- a/libs/cell/src/cactustiller/cell/records/runs.py
+++ b/libs/cell/src/cactustiller/cell/records/runs.py
@@ -156,6 +156,8 @@
         An approval call is in flight.
     asked_workers : set of WorkerId
         Workers named in approval calls so far. A refusal of a worker is final.
+    preferred_workers : set of WorkerId
+        Workers to name first in the next approval call.
     eligible_at : float
         Event loop time at which the step became eligible.
     eligible_number : int
@@ -186,6 +188,7 @@
     approved_until: dict = field(default_factory=dict)
     has_approval_call: bool = False
     asked_workers: set = field(default_factory=set)
+    preferred_workers: set = field(default_factory=set)
     eligible_at: float = 0.0
     eligible_number: int = 0
     retry_at: float = 0.0
--- a/tests/cell/test_approvals.py
+++ b/tests/cell/test_approvals.py
@@ -223,3 +223,30 @@
     assert 2.0 <= valid_seconds <= 2.1
     assert not has_valid_ticket(step, QUEUE.rules, make_worker("w0"), started + 2.2)
     await dispatcher.close()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("workers", [90, 190, 270])
+@pytest.mark.parametrize("is_refused", [False, True])
+async def test_gang_with_expired_tickets_starts_in_a_large_service(workers, is_refused):
+    # Guards against a gang that waits forever beside idle workers: it needs tickets for
+    # workers that a call for another hundred of them does not name.
+    loop = asyncio.get_running_loop()
+    engine = Engine(loop.time, lambda: int(loop.time() * 1000))
+    names = [f"w{n:03d}" for n in range(workers)]
+    engine.workers = {name: make_worker(name) for name in names}
+    engine.add_job(make_job(1, QUEUE, count=12, cpu=20_000, is_gang=True))
+    (step,) = engine.find_eligible_steps()
+    approved = names[:: 2 if is_refused else 1]
+    step.asked_workers = set(names)
+    step.approved = dict.fromkeys(approved, "ticket")
+    step.approved_until = dict.fromkeys(approved, loop.time() - 1.0)
+    dispatcher = ApprovalDispatcher(
+        engine, HeldUpService(0.05), None, list, lambda: None
+    )
+    until = loop.time() + 3.0
+    while not engine._unstored_placements and loop.time() < until:
+        dispatcher.start_calls(engine.plan())
+        await asyncio.sleep(0.05)
+    assert len(engine._unstored_placements) == 12
+    await dispatcher.close()
