Let a longer stated lease count for suspects and after outages, too

Review of the incident: a member that got no answer from a slow owner took it for one that refuses connections and claimed at a row age of 0.65 s, whatever lease the row states; after an outage of the store the row only had to be unchanged for 0.4 s; the estimate of the owner's pace decayed during an outage; and a chain of losses while loading could raise the lease to 8 s, although an owner renews its row while it loads.

A member that doesn't claim says so once for each owner, no longer for each version of the row.

--- a/libs/cell/src/cactustiller/cell/owner/election.py
+++ b/libs/cell/src/cactustiller/cell/owner/election.py
@@ -78,7 +78,7 @@
         self._is_invited = False
         self._handover_epoch = None
         self._suspected_epoch = None
-        self._withdrawn_version = None
+        self._withdrawn_epoch = None
         self._pending_read = None
         self._has_owned = False
         self._is_polling = False
@@ -269,8 +269,8 @@
         if current == version:
             return True
         self._wake.set()
-        if version != self._withdrawn_version:
-            self._withdrawn_version = version
+        if self.record.epoch != self._withdrawn_epoch:
+            self._withdrawn_epoch = self.record.epoch
             is_silent = page is None
             log_event(
                 Event.CLAIM_WITHDRAWN,
--- a/libs/cell/src/cactustiller/cell/records/claims.py
+++ b/libs/cell/src/cactustiller/cell/records/claims.py
@@ -111,12 +111,14 @@
     if record.is_released:
         return True
     age = (store_now_ms - record.renewed_ms) / 1000
+    lease = record.lease_ms / 1000
+    # An owner that renews its row slowly also needs longer for it after an outage, and
+    # may seem to refuse calls.
+    pace = lease / USUAL_LEASE_SECONDS
     is_unchanged = (
-        first_seen[0] == version and now - first_seen[1] >= MIN_UNCHANGED_SECONDS
-    )
-    takeover_age = (
-        SUSPECT_TAKEOVER_AFTER_SECONDS if is_suspect else record.lease_ms / 1000
+        first_seen[0] == version and now - first_seen[1] >= pace * MIN_UNCHANGED_SECONDS
     )
+    takeover_age = pace * SUSPECT_TAKEOVER_AFTER_SECONDS if is_suspect else lease
     allowed_reads = (
         READS_PER_RENEWAL_IF_UNANNOUNCED if is_unannounced else READS_PER_RENEWAL
     )
--- a/libs/cell/src/cactustiller/cell/records/leases.py
+++ b/libs/cell/src/cactustiller/cell/records/leases.py
@@ -9,10 +9,12 @@
 # A lease is this much longer than the given number of renewals.
 LEASE_MARGIN_SECONDS = 0.5
 LEASE_RENEWALS = 2.0
-# Bounds the time without an owner after a slow one is lost.
-MAX_LEASE_SECONDS = 4.0
-# The same for an owner that follows several that never served.
-MAX_LOADING_LEASE_SECONDS = 8.0
+# Bounds the time without an owner after a slow one is lost: its successor renews the
+# leases of the workers, of 6 s, once it has loaded the cell.
+MAX_LEASE_SECONDS = 3.0
+# The same for an owner that follows several that never served; it renews its row in
+# between, so the load itself may take longer.
+MAX_LOADING_LEASE_SECONDS = 4.4
 # Time in which the longest interval between renewals loses half of its weight.
 HALF_LIFE_SECONDS = 2.0
 
@@ -58,9 +60,9 @@
             Whether the store was available all the time; an outage says nothing about
             the owner.
         """
-        self._longest *= 0.5 ** (interval / HALF_LIFE_SECONDS)
         if is_store_available:
-            self._longest = max(self._longest, interval)
+            decayed = self._longest * 0.5 ** (interval / HALF_LIFE_SECONDS)
+            self._longest = max(decayed, interval)
 
     def choose_ms(self, is_serving):
         """Return the lease to state in the next renewal, in milliseconds."""
--- a/tests/cell/test_election.py
+++ b/tests/cell/test_election.py
@@ -42,6 +42,16 @@
     )
 
 
+@pytest.mark.parametrize("is_suspect", [False, True])
+def test_owner_that_states_a_longer_lease_is_replaced_later(is_suspect):
+    # Guards against the loss of a term because a slow owner answers and renews late.
+    slow = RECORD._replace(lease_ms=4000)
+    assert should_claim(RECORD, 5, SEEN, 11_200, 10.0, 0.0, is_suspect)
+    assert not should_claim(slow, 5, SEEN, 11_200, 10.0, 0.0, is_suspect)
+    assert not should_claim(slow, 5, (5, 9.0), 30_000, 10.0, 0.0, is_suspect)
+    assert should_claim(slow, 5, SEEN, 14_100, 10.0, 0.0, is_suspect)
+
+
 def test_owner_without_announcements_is_replaced_sooner_on_a_slow_store():
     arguments = (RECORD, 5, SEEN, 11_700, 10.0, 0.25)
     assert not should_claim(*arguments)
