Make ever fewer approval calls to a member that stays lost

A member that is lost but still listed got a call again every 2 s. The pause now doubles with each failure in succession, up to 16 s, and ends with the first answer.

test_member_that_stays_lost_holds_up_ever_fewer_steps failed before.

--- a/libs/cell/src/cactustiller/cell/owner/approvals.py
+++ b/libs/cell/src/cactustiller/cell/owner/approvals.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections import Counter
 
 from cactustiller.model import WorkerId
 from cactustiller.model.messages import AskApproval
@@ -19,8 +20,10 @@
 SHORT_CALL_SECONDS = 0.06
 # Added to the expected duration of a call to get its timeout.
 CALL_SLACK_SECONDS = 1.0
-# A member whose call failed gets no further calls for this long.
+# A member whose call failed gets no further calls for this long; the time doubles with
+# each failure in succession, since a step waits for seconds at a member that is lost.
 MEMBER_PAUSE_SECONDS = 2.0
+MAX_MEMBER_PAUSE_SECONDS = 16.0
 MAX_WORKERS_PER_CALL = 100
 RETRY_SECONDS = 0.2
 # `start_calls` returns once it has found no free member for this many steps.
@@ -75,6 +78,7 @@
         self._turns = ServiceTurns()
         self._busy_members = set()
         self._paused_until = {}
+        self._failures = Counter()
         self._tasks = set()
         self._is_closed = False
 
@@ -190,7 +194,7 @@
             if answer.is_err():
                 step.retry_at = loop.time() + RETRY_SECONDS
                 if member:
-                    self._paused_until[member] = loop.time() + MEMBER_PAUSE_SECONDS
+                    self._pause_member(member)
                 log_event(
                     Event.CALL_FAILED,
                     step="ask approval",
@@ -199,6 +203,7 @@
                     reason=answer.unwrap_err().reason,
                 )
             else:
+                self._failures.pop(member, None)
                 answered = min(loop.time(), started + expected)
                 self._record_tickets(step, workers, answer.unwrap(), started, answered)
         finally:
@@ -206,6 +211,14 @@
             self._busy_members.discard(member)
             self._on_answer()
 
+    def _pause_member(self, member):
+        """Make no calls to a member for a time that doubles with each failure."""
+        pause = MEMBER_PAUSE_SECONDS * 2 ** self._failures[member]
+        if pause < MAX_MEMBER_PAUSE_SECONDS:
+            self._failures[member] += 1
+        now = asyncio.get_running_loop().time()
+        self._paused_until[member] = now + pause
+
     async def _send_call(self, member, step, workers, expected):
         if not member:
             return await self._service.ask(step.name, workers)
--- a/tests/cell/test_approvals.py
+++ b/tests/cell/test_approvals.py
@@ -197,6 +197,29 @@
     assert not dispatcher._tasks
 
 
+@pytest.mark.looptime
+async def test_member_that_stays_lost_holds_up_ever_fewer_steps():
+    # Guards against jobs that wait for seconds, again and again, at a member that is
+    # lost but still listed.
+    queue = make_queue(needs_approval=True, approval_ms=480, approval_worker_ms=7)
+    dispatcher, _, steps = make_dispatcher(
+        [make_worker()], 60, queue, UnreachablePeers(), lambda: ["lost"]
+    )
+    dispatcher._service = HeldUpService(0.5)
+    calls = []
+    dispatcher._peers.call = lambda *call: _record_call(calls, *call)
+    for _ in range(600):
+        dispatcher.start_calls([step for step in steps if step.approved is None])
+        await asyncio.sleep(0.1)
+    assert 3 <= len(calls) <= 7
+    await dispatcher.close()
+
+
+async def _record_call(calls, address, message, seconds):
+    calls.append(address)
+    return await UnreachablePeers().call(address, message, seconds)
+
+
 class HeldUpService:
     """Service whose answers take a while to be read, as by a busy process."""
 
