Wake the followers of a table of the simulated store only by its changes

Each change woke the followers of all tables, and each of them went through all changes ever made: a cell of 97 members could not be simulated in the time of a test. Changes are kept by table and found by version.

--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -1,6 +1,8 @@
 """Versioned rows with conditional transactions, and the faults of the real store."""
 
 import asyncio
+from bisect import bisect_right
+from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -36,6 +38,8 @@
 
     Attributes
     ----------
+    changes, changed : dict
+        Changed rows in order, and event of the next change, by table.
     late_seconds : float
         Delay of a transaction that is carried out late.
     slowness : float
@@ -49,7 +53,7 @@
     """
 
     rows: dict = field(default_factory=dict)
-    changes: list = field(default_factory=list)
+    changes: dict = field(default_factory=lambda: defaultdict(list))
     version: int = 0
     oldest: int = 0
     late_seconds: float = 2.0
@@ -60,7 +64,7 @@
     largest_call: int = 0
     written_bytes: int = 0
     calls: int = 0
-    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    changed: dict = field(default_factory=lambda: defaultdict(asyncio.Event))
     turn: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def refuses(self, transaction):
@@ -88,25 +92,25 @@
             self._change(Row(key, value, self.version))
         for key in transaction.removes:
             if self.rows.pop(key, None) is not None:
-                self.changes.append(Row(key, None, self.version))
-        self.changed.set()
-        self.changed = asyncio.Event()
+                self._note_change(Row(key, None, self.version))
         return Committed(self.version, now_ms)
 
     def put(self, key, value):
         """Write a row as the operator or another system would."""
         self.version += 1
         self._change(Row(key, value, self.version))
-        self.changed.set()
-        self.changed = asyncio.Event()
 
     def remove(self, key):
         """Remove a row as another system would."""
         self.version += 1
         if self.rows.pop(key, None) is not None:
-            self.changes.append(Row(key, None, self.version))
-        self.changed.set()
-        self.changed = asyncio.Event()
+            self._note_change(Row(key, None, self.version))
+
+    def find_changes(self, table, after):
+        """Return the latest row of each key of a table that changed after a version."""
+        changes = self.changes[table]
+        first = bisect_right(changes, after, key=lambda row: row.version)
+        return {row.key: row for row in changes[first:]}
 
     def forget_history(self):
         """Drop the changes that feeds go by."""
@@ -120,7 +124,11 @@
 
     def _change(self, row):
         self.rows[row.key] = row
-        self.changes.append(row)
+        self._note_change(row)
+
+    def _note_change(self, row):
+        self.changes[row.key.table].append(row)
+        self.changed.pop(row.key.table, asyncio.Event()).set()
 
 
 class StoreClient:
@@ -194,16 +202,12 @@
         while True:
             if after < self._store.oldest:
                 return _fail(ErrorCode.HISTORY_LOST, "history lost", Outcome.NOT_RUN)
-            latest = {
-                row.key: row
-                for row in self._store.changes
-                if row.key.table == table and row.version > after
-            }
+            latest = self._store.find_changes(table, after)
             if (latest and not self.is_deaf) or loop.time() >= until:
                 return Ok(self._make_page([] if self.is_deaf else latest.values()))
             try:
                 async with asyncio.timeout(until - loop.time()):
-                    await self._store.changed.wait()
+                    await self._store.changed[table].wait()
             except TimeoutError:
                 return Ok(self._make_page([]))
 
