Give an owner that loads the cell a longer lease from its claim on

The first owner of a cell of weak members was replaced 2.5 s after its claim, while it read the jobs of callers who had not waited for it, since only its successor's lease was longer.

--- a/libs/cell/src/cactustiller/cell/records/leases.py
+++ b/libs/cell/src/cactustiller/cell/records/leases.py
@@ -12,8 +12,10 @@
 # Bounds the time without an owner after a slow one is lost: its successor renews the
 # leases of the workers, of 6 s, once it has loaded the cell.
 MAX_LEASE_SECONDS = 3.0
-# The same for an owner that follows several that never served; it renews its row in
-# between, so the load itself may take longer.
+# Lease of an owner that loads the cell, since renewals wait behind the rows that it
+# reads; and its bound after several that never served. The row is renewed in between,
+# so the load itself may take longer.
+LOADING_LEASE_SECONDS = 2.2
 MAX_LOADING_LEASE_SECONDS = 4.4
 # Time in which the longest interval between renewals loses half of its weight.
 HALF_LIFE_SECONDS = 2.0
@@ -31,8 +33,9 @@
         Record of the former owner.
     """
     has_served = previous.is_serving or previous.is_released
-    lease_ms = previous.lease_ms if has_served else 2 * previous.lease_ms
-    return min(lease_ms, int(MAX_LOADING_LEASE_SECONDS * 1000))
+    lease = previous.lease_ms / 1000 * (1 if has_served else 2)
+    lease = max(LOADING_LEASE_SECONDS, min(lease, MAX_LOADING_LEASE_SECONDS))
+    return int(lease * 1000)
 
 
 class LeaseEstimate:
