--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -1,8 +1,6 @@
 """Versioned rows with conditional transactions, and the faults of the real store."""
 
 import asyncio
-from bisect import bisect_right
-from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -38,8 +36,6 @@
 
     Attributes
     ----------
-    changes, changed : dict
-        Changed rows in order, and event of the next change, by table.
     late_seconds : float
         Delay of a transaction that is carried out late.
     slowness : float
@@ -53,7 +49,7 @@
     """
 
     rows: dict = field(default_factory=dict)
-    changes: dict = field(default_factory=lambda: defaultdict(list))
+    changes: list = field(default_factory=list)
     version: int = 0
     oldest: int = 0
     late_seconds: float = 2.0
@@ -64,7 +60,7 @@
     largest_call: int = 0
     written_bytes: int = 0
     calls: int = 0
-    changed: dict = field(default_factory=lambda: defaultdict(asyncio.Event))
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
     turn: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def refuses(self, transaction):
@@ -92,25 +88,25 @@
             self._change(Row(key, value, self.version))
         for key in transaction.removes:
             if self.rows.pop(key, None) is not None:
-                self._note_change(Row(key, None, self.version))
+                self.changes.append(Row(key, None, self.version))
+        self.changed.set()
+        self.changed = asyncio.Event()
         return Committed(self.version, now_ms)
 
     def put(self, key, value):
         """Write a row as the operator or another system would."""
         self.version += 1
         self._change(Row(key, value, self.version))
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def remove(self, key):
         """Remove a row as another system would."""
         self.version += 1
         if self.rows.pop(key, None) is not None:
-            self._note_change(Row(key, None, self.version))
-
-    def find_changes(self, table, after):
-        """Return the latest row of each key of a table that changed after a version."""
-        changes = self.changes[table]
-        first = bisect_right(changes, after, key=lambda row: row.version)
-        return {row.key: row for row in changes[first:]}
+            self.changes.append(Row(key, None, self.version))
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def forget_history(self):
         """Drop the changes that feeds go by."""
@@ -124,11 +120,7 @@
 
     def _change(self, row):
         self.rows[row.key] = row
-        self._note_change(row)
-
-    def _note_change(self, row):
-        self.changes[row.key.table].append(row)
-        self.changed.pop(row.key.table, asyncio.Event()).set()
+        self.changes.append(row)
 
 
 class StoreClient:
@@ -202,12 +194,16 @@
         while True:
             if after < self._store.oldest:
                 return _fail(ErrorCode.HISTORY_LOST, "history lost", Outcome.NOT_RUN)
-            latest = self._store.find_changes(table, after)
+            latest = {
+                row.key: row
+                for row in self._store.changes
+                if row.key.table == table and row.version > after
+            }
             if (latest and not self.is_deaf) or loop.time() >= until:
                 return Ok(self._make_page([] if self.is_deaf else latest.values()))
             try:
                 async with asyncio.timeout(until - loop.time()):
-                    await self._store.changed[table].wait()
+                    await self._store.changed.wait()
             except TimeoutError:
                 return Ok(self._make_page([]))
 
